--- /dev/null
+++ b/src/baobabstream/backends/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP clients towards engines, plain services and the rating service."""
--- /dev/null
+++ b/src/baobabstream/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Billing ledger and bill delivery."""
--- /dev/null
+++ b/src/baobabstream/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line client and daemon commands."""
--- /dev/null
+++ b/src/baobabstream/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of the control hosts."""
--- /dev/null
+++ b/src/baobabstream/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control daemon: configuration state machine, registry, admin interface."""
--- /dev/null
+++ b/src/baobabstream/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend servers for development and tests."""
--- /dev/null
+++ b/src/baobabstream/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon: caller connections and relaying of answers."""
--- /dev/null
+++ b/src/baobabstream/entry/decision_loop.py
@@ -0,0 +1,62 @@
+"""Feeds events to the routing policy and hands its decisions to the requests."""
+
+import asyncio
+from collections.abc import Callable
+
+from baobabstream.policy.base import RoutingPolicy
+from baobabstream.policy.decisions import Decision, StopVersion
+from baobabstream.policy.events import PolicyEvent, TimerFired
+
+__all__ = ["DecisionLoop"]
+
+
+class DecisionLoop:
+    """Runs one policy on the event loop's clock.
+
+    Parameters
+    ----------
+    policy
+        The routing policy of this entry.
+    on_stop
+        Called with each ``StopVersion`` decision.
+    """
+
+    def __init__(self, policy: RoutingPolicy, on_stop: Callable[[StopVersion], None]) -> None:
+        self._policy = policy
+        self._on_stop = on_stop
+        self._inboxes: dict[str, asyncio.Queue[Decision]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def open(self, request_id: str) -> asyncio.Queue[Decision]:
+        """Return the queue that will get the decisions about a request."""
+        inbox: asyncio.Queue[Decision] = asyncio.Queue()
+        self._inboxes[request_id] = inbox
+        return inbox
+
+    def close(self, request_id: str) -> None:
+        """Forget a request."""
+        self._inboxes.pop(request_id, None)
+
+    def feed(self, event: PolicyEvent) -> None:
+        """Tell the policy of an event and deliver its decisions."""
+        now_s = asyncio.get_running_loop().time()
+        for decision in self._policy.handle(event, now_s):
+            self._deliver(decision)
+        self._arm()
+
+    def _deliver(self, decision: Decision) -> None:
+        if isinstance(decision, StopVersion):
+            self._on_stop(decision)
+            return
+        inbox = self._inboxes.get(decision.request_id)
+        if inbox is not None:
+            inbox.put_nowait(decision)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        at_s = self._policy.next_timer_s()
+        if at_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(at_s, self.feed, TimerFired())
--- /dev/null
+++ b/src/baobabstream/entry/sessions.py
@@ -0,0 +1,52 @@
+"""Signed session tokens that pin a conversation to a model version."""
+
+from dataclasses import dataclass
+
+from itsdangerous import BadData, URLSafeSerializer
+
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
+
+__all__ = ["SessionPin", "SessionTokens"]
+
+
+@dataclass(frozen=True, slots=True)
+class SessionPin:
+    """Model version that a session of a client account is pinned to."""
+
+    client_account: str
+    model: str
+    version: str
+
+
+class SessionTokens:
+    """Signs and checks session tokens.
+
+    Parameters
+    ----------
+    session_secret
+        Secret shared by all entry hosts, since any of them may get the next call.
+    """
+
+    def __init__(self, session_secret: str) -> None:
+        self._serializer = URLSafeSerializer(session_secret, salt="session")
+
+    def issue(self, pin: SessionPin) -> str:
+        """Return the token of a pin."""
+        return self._serializer.dumps([pin.client_account, pin.model, pin.version])
+
+    def read(self, token: str, client_account: str) -> SessionPin:
+        """Return the pin of a token.
+
+        Raises
+        ------
+        RequestRefused
+            ``SESSION_INVALID`` if the token is forged, damaged or another account's.
+        """
+        try:
+            owner, model, version = self._serializer.loads(token)
+        except (BadData, ValueError, TypeError) as error:
+            raise RequestRefused(ResultCode.SESSION_INVALID) from error
+        if owner != client_account:
+            raise RequestRefused(ResultCode.SESSION_INVALID)
+        return SessionPin(owner, model, version)
--- /dev/null
+++ b/src/baobabstream/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered result codes and the exception tree."""
--- /dev/null
+++ b/src/baobabstream/errors/codes.py
@@ -0,0 +1,162 @@
+"""Numbered result codes shared by callers, operators, backend servers and daemons."""
+
+from dataclasses import dataclass
+from enum import IntEnum, StrEnum
+
+__all__ = ["CODE_TABLE", "CodeRow", "ResultCode", "RunState"]
+
+
+class RunState(StrEnum):
+    """Whether the request that a result code answers has run."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(IntEnum):
+    """Result of a request, a change, an announcement or an internal call.
+
+    Notes
+    -----
+    1xxx answers callers, 2xxx operators, 3xxx backend servers, 4xxx peers of the inner
+    protocol, 5xxx storage, 6xxx settings and command line. Numbers are never reused.
+    """
+
+    OK = 0
+    MALFORMED_BODY = 1001
+    BODY_TOO_LARGE = 1002
+    BODY_TOO_SLOW = 1003
+    UNAUTHENTICATED = 1004
+    UNKNOWN_CLASS = 1005
+    UNKNOWN_MODEL = 1006
+    MODEL_NOT_ALLOWED = 1007
+    NO_BACKEND_SERVER = 1008
+    OVERLOADED = 1009
+    DEADLINE_UNREACHABLE = 1010
+    LEASE_EXPIRED = 1011
+    STOPPING = 1012
+    SESSION_INVALID = 1013
+    SESSION_VERSION_WITHDRAWN = 1014
+    QUARANTINED = 1015
+    IDEMPOTENCY_KEY_MISSING = 1016
+    IDEMPOTENCY_KEY_REUSED = 1017
+    REQUEST_IN_PROGRESS = 1018
+    OUTCOME_UNKNOWN = 1019
+    ALREADY_DONE = 1020
+    BACKEND_FAILED = 1021
+    TIMED_OUT = 1022
+    UNKNOWN_ROUTE = 1023
+    ACCOUNT_LIMIT = 1024
+    CLAIM_UNAVAILABLE = 1025
+    CHANGE_INVALID = 2001
+    REVISION_CONFLICT = 2002
+    NO_LEADER = 2003
+    NOT_FOUND = 2004
+    OPERATOR_UNAUTHENTICATED = 2005
+    CHANGE_UNKNOWN = 2006
+    CHANGE_ID_REUSED = 2007
+    ANNOUNCEMENT_UNAUTHENTICATED = 3001
+    ANNOUNCEMENT_INVALID = 3002
+    INCARNATION_STALE = 3003
+    ORDER_FENCED = 3004
+    WRONG_CLUSTER = 4001
+    WRONG_PROTOCOL_VERSION = 4002
+    PEER_UNAUTHENTICATED = 4003
+    MESSAGE_MALFORMED = 4004
+    PEER_TIMEOUT = 4005
+    PEER_UNREACHABLE = 4006
+    LOG_DAMAGED = 5001
+    DISK_FAILED = 5002
+    DATA_FOLDER_IN_USE = 5003
+    DATA_FOLDER_FOREIGN = 5004
+    SETTINGS_INVALID = 6001
+    SETTINGS_UNREADABLE = 6002
+    ADDRESS_IN_USE = 6003
+    TLS_FILES_INVALID = 6004
+
+
+@dataclass(frozen=True, slots=True)
+class CodeRow:
+    """One row of the result code table.
+
+    Parameters
+    ----------
+    code
+        The number and name.
+    http_status
+        Status of the HTTP answer that carries the code.
+    run_state
+        Whether the request has run.
+    retryable
+        Whether the same request may be sent again and may then succeed.
+    summary
+        One line in plain words.
+    """
+
+    code: ResultCode
+    http_status: int
+    run_state: RunState
+    retryable: bool
+    summary: str
+
+
+_NO, _YES, _UNKNOWN = RunState.NO, RunState.YES, RunState.UNKNOWN
+_C = ResultCode
+
+CODE_TABLE: dict[ResultCode, CodeRow] = {
+    row.code: row
+    for row in (
+        CodeRow(_C.OK, 200, _YES, False, "The request succeeded."),
+        CodeRow(_C.MALFORMED_BODY, 400, _NO, False, "The body is not valid for this call."),
+        CodeRow(_C.BODY_TOO_LARGE, 413, _NO, False, "The body is larger than the limit."),
+        CodeRow(_C.BODY_TOO_SLOW, 408, _NO, True, "The body did not arrive in time."),
+        CodeRow(_C.UNAUTHENTICATED, 401, _NO, False, "The client account key is not known."),
+        CodeRow(_C.UNKNOWN_CLASS, 400, _NO, False, "The class of work does not exist."),
+        CodeRow(_C.UNKNOWN_MODEL, 404, _NO, False, "The model does not exist."),
+        CodeRow(_C.MODEL_NOT_ALLOWED, 403, _NO, False, "The account may not use this model."),
+        CodeRow(_C.NO_BACKEND_SERVER, 503, _NO, True, "No backend server serves this version."),
+        CodeRow(_C.OVERLOADED, 429, _NO, True, "The queue for this class is full."),
+        CodeRow(_C.DEADLINE_UNREACHABLE, 429, _NO, True, "The class target cannot be met now."),
+        CodeRow(_C.LEASE_EXPIRED, 503, _NO, True, "This entry host lost its control lease."),
+        CodeRow(_C.STOPPING, 503, _NO, True, "This entry host is stopping."),
+        CodeRow(_C.SESSION_INVALID, 400, _NO, False, "The session token is not valid."),
+        CodeRow(_C.SESSION_VERSION_WITHDRAWN, 409, _NO, False, "The session must be restarted."),
+        CodeRow(_C.QUARANTINED, 422, _NO, False, "The request crashed backend servers."),
+        CodeRow(_C.IDEMPOTENCY_KEY_MISSING, 400, _NO, False, "This call needs Idempotency-Key."),
+        CodeRow(_C.IDEMPOTENCY_KEY_REUSED, 422, _NO, False, "The key belongs to another body."),
+        CodeRow(_C.REQUEST_IN_PROGRESS, 409, _UNKNOWN, True, "The same request is running."),
+        CodeRow(_C.OUTCOME_UNKNOWN, 504, _UNKNOWN, False, "It is not known whether it ran."),
+        CodeRow(_C.ALREADY_DONE, 409, _YES, False, "The request has already run."),
+        CodeRow(_C.BACKEND_FAILED, 502, _UNKNOWN, True, "The backend servers failed."),
+        CodeRow(_C.TIMED_OUT, 504, _UNKNOWN, True, "The answer did not arrive in time."),
+        CodeRow(_C.UNKNOWN_ROUTE, 404, _NO, False, "No route matches this path."),
+        CodeRow(_C.ACCOUNT_LIMIT, 429, _NO, True, "The account has used its allowance."),
+        CodeRow(_C.CLAIM_UNAVAILABLE, 503, _NO, True, "The claim could not be recorded."),
+        CodeRow(_C.CHANGE_INVALID, 400, _NO, False, "The change is not valid."),
+        CodeRow(_C.REVISION_CONFLICT, 409, _NO, False, "The change is based on an old revision."),
+        CodeRow(_C.NO_LEADER, 503, _NO, True, "No control leader can be reached."),
+        CodeRow(_C.NOT_FOUND, 404, _NO, False, "The named item does not exist."),
+        CodeRow(_C.OPERATOR_UNAUTHENTICATED, 401, _NO, False, "The operator key is not known."),
+        CodeRow(_C.CHANGE_UNKNOWN, 504, _UNKNOWN, True, "Send the change again, same identity."),
+        CodeRow(_C.CHANGE_ID_REUSED, 422, _NO, False, "The identity belongs to another change."),
+        CodeRow(_C.ANNOUNCEMENT_UNAUTHENTICATED, 401, _NO, False, "The backend key is not known."),
+        CodeRow(_C.ANNOUNCEMENT_INVALID, 400, _NO, False, "The announcement is not valid."),
+        CodeRow(_C.INCARNATION_STALE, 409, _NO, False, "A newer incarnation has announced."),
+        CodeRow(_C.ORDER_FENCED, 409, _NO, False, "The order has an old fencing number."),
+        CodeRow(_C.WRONG_CLUSTER, 403, _NO, False, "The peer belongs to another cluster."),
+        CodeRow(_C.WRONG_PROTOCOL_VERSION, 400, _NO, False, "The protocol versions differ."),
+        CodeRow(_C.PEER_UNAUTHENTICATED, 401, _NO, False, "The peer's proof is not valid."),
+        CodeRow(_C.MESSAGE_MALFORMED, 400, _NO, False, "The message cannot be decoded."),
+        CodeRow(_C.PEER_TIMEOUT, 504, _UNKNOWN, True, "The peer did not answer in time."),
+        CodeRow(_C.PEER_UNREACHABLE, 503, _NO, True, "The peer cannot be reached."),
+        CodeRow(_C.LOG_DAMAGED, 500, _UNKNOWN, False, "A log record is damaged."),
+        CodeRow(_C.DISK_FAILED, 500, _UNKNOWN, False, "Writing or syncing a file failed."),
+        CodeRow(_C.DATA_FOLDER_IN_USE, 500, _NO, False, "Another daemon uses the data folder."),
+        CodeRow(_C.DATA_FOLDER_FOREIGN, 500, _NO, False, "The folder is another member's."),
+        CodeRow(_C.SETTINGS_INVALID, 400, _NO, False, "A settings value is not valid."),
+        CodeRow(_C.SETTINGS_UNREADABLE, 400, _NO, False, "The settings file cannot be read."),
+        CodeRow(_C.ADDRESS_IN_USE, 500, _NO, False, "The address is in use."),
+        CodeRow(_C.TLS_FILES_INVALID, 400, _NO, False, "The TLS files cannot be used."),
+    )
+}
--- /dev/null
+++ b/src/baobabstream/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entry side of the contact with the control hosts."""
--- /dev/null
+++ b/src/baobabstream/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure routing decisions: events and times in, typed decisions out."""
--- /dev/null
+++ b/src/baobabstream/policy/base.py
@@ -0,0 +1,33 @@
+"""Interface of all routing policies."""
+
+from abc import ABC, abstractmethod
+
+from baobabstream.policy.decisions import Decision
+from baobabstream.policy.events import PolicyEvent
+
+__all__ = ["RoutingPolicy"]
+
+
+class RoutingPolicy(ABC):
+    """Decides for one entry; has no I/O, clock or global random source."""
+
+    @abstractmethod
+    def handle(self, event: PolicyEvent, now_s: float) -> list[Decision]:
+        """Take an event and return the decisions that follow.
+
+        Parameters
+        ----------
+        event
+            What happened.
+        now_s
+            Time of the event in seconds, on any clock that only rises.
+
+        Returns
+        -------
+        list of Decision
+            Decisions in the order in which they must be carried out.
+        """
+
+    @abstractmethod
+    def next_timer_s(self) -> float | None:
+        """Return the time at which ``TimerFired`` is wanted, or None."""
--- /dev/null
+++ b/src/baobabstream/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated settings of the daemons."""
--- /dev/null
+++ b/src/baobabstream/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Inner protocol between the daemons: messages, codec, request/reply client and server."""
--- /dev/null
+++ b/src/baobabstream/wire/registry.py
@@ -0,0 +1,35 @@
+"""Union of all messages of the inner protocol; the codec decodes into it."""
+
+from baobabstream.wire.messages import (
+    BillReply,
+    BillRequest,
+    ClaimReply,
+    ClaimRequest,
+    ErrorReply,
+    ForwardReply,
+    ForwardRequest,
+    LedgerSyncReply,
+    LedgerSyncRequest,
+    PollReply,
+    PollRequest,
+    SuspectReply,
+    SuspectRequest,
+)
+
+__all__ = ["MessageUnion"]
+
+MessageUnion = (
+    ErrorReply
+    | PollRequest
+    | PollReply
+    | ClaimRequest
+    | ClaimReply
+    | BillRequest
+    | BillReply
+    | LedgerSyncRequest
+    | LedgerSyncReply
+    | SuspectRequest
+    | SuspectReply
+    | ForwardRequest
+    | ForwardReply
+)
