--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 venv="${VENV:-.venv}"
 stamp="$venv/requirements.stamp"
-wanted="$(cat requirements.txt requirements-dev.txt pyproject.toml | sha256sum)"
+wanted="$(cat requirements.txt requirements-dev.txt | sha256sum)"
 if [ -f "$stamp" ] && [ "$(cat "$stamp")" = "$wanted" ]; then
     exit 0
 fi
