--- a/src/baobabstream/control/state.py
+++ b/src/baobabstream/control/state.py
@@ -17,6 +17,7 @@
 from baobabstream.control.validation import validate_change
 from baobabstream.errors.codes import ResultCode
 from baobabstream.wire.rows import (
+    LOSSES_TO_QUARANTINE,
     ConfigRow,
     QuarantineRow,
     RolloutRow,
@@ -29,7 +30,6 @@
 __all__ = ["ConfigState"]
 
 REMEMBERED_CHANGES = 10_000
-LOSSES_TO_QUARANTINE = 2
 
 
 class _AcceptedChange(Struct):
@@ -143,8 +143,11 @@
             for fingerprint in command.fingerprints
             if len(self.losses[fingerprint]) >= LOSSES_TO_QUARANTINE
         )
-        rows = (QuarantineRow(item, f"lost {self.losses[item]}") for item in crossed)
-        new = {row_key(row): row for row in rows if self.row(row_key(row)) is None}
+        rows = (
+            QuarantineRow(item, len(self.losses[item]), ", ".join(self.losses[item]))
+            for item in command.fingerprints
+        )
+        new = {row_key(row): row for row in rows if self.row(row_key(row)) != row}
         if new:
             self._store(dict(new))
         return self._outcome(ResultCode.OK, quarantined=crossed)
--- a/src/baobabstream/policy/view.py
+++ b/src/baobabstream/policy/view.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from baobabstream.wire.rows import (
+    LOSSES_TO_QUARANTINE,
     AccountRow,
     BackendKind,
     BackendRecord,
@@ -37,6 +38,7 @@
     versions: dict[tuple[str, str], VersionRow] = field(default_factory=dict)
     rollouts: dict[str, RolloutRow] = field(default_factory=dict)
     routes: dict[str, RouteRow] = field(default_factory=dict)
+    suspects: set[str] = field(default_factory=set)
     quarantined: set[str] = field(default_factory=set)
     backends: dict[str, BackendRecord] = field(default_factory=dict)
 
@@ -98,7 +100,8 @@
             case RouteRow():
                 self.routes[row.name] = row
             case QuarantineRow():
-                self.quarantined.add(row.fingerprint)
+                quarantined = row.losses >= LOSSES_TO_QUARANTINE
+                (self.quarantined if quarantined else self.suspects).add(row.fingerprint)
 
     def _forget(self, row: ConfigRow | None) -> None:
         match row:
@@ -114,4 +117,5 @@
             case RouteRow():
                 self.routes.pop(row.name, None)
             case QuarantineRow():
+                self.suspects.discard(row.fingerprint)
                 self.quarantined.discard(row.fingerprint)
--- a/src/baobabstream/wire/messages.py
+++ b/src/baobabstream/wire/messages.py
@@ -23,6 +23,10 @@
     "PollRequest",
     "SuspectReply",
     "SuspectRequest",
+    "TrialEnd",
+    "TrialEndReply",
+    "TrialReply",
+    "TrialRequest",
     "VersionEvidence",
 ]
 
@@ -183,6 +187,36 @@
     quarantined: tuple[str, ...] = ()
 
 
+class TrialRequest(Struct, frozen=True, tag="trial"):
+    """Asks the leader for the exclusive right to run a suspect on one of the candidates."""
+
+    fingerprint: str
+    request_id: str
+    host: str
+    candidates: tuple[str, ...]
+
+
+class TrialReply(Struct, frozen=True, tag="trial_reply"):
+    """Backend server on which the suspect may run, or empty with a time to ask again."""
+
+    backend_server: str = ""
+    retry_after_ms: int = 0
+    quarantined: bool = False
+
+
+class TrialEnd(Struct, frozen=True, tag="trial_end"):
+    """The trial is over; a suspect that did not lose its backend server is cleared."""
+
+    fingerprint: str
+    request_id: str
+    host: str
+    lost: bool
+
+
+class TrialEndReply(Struct, frozen=True, tag="trial_end_reply"):
+    """The end of the trial is recorded."""
+
+
 class ForwardRequest(Struct, frozen=True, tag="forward"):
     """An HTTP call that reached a control host other than the leader."""
 
--- a/src/baobabstream/wire/registry.py
+++ b/src/baobabstream/wire/registry.py
@@ -14,6 +14,10 @@
     PollRequest,
     SuspectReply,
     SuspectRequest,
+    TrialEnd,
+    TrialEndReply,
+    TrialReply,
+    TrialRequest,
 )
 
 __all__ = ["MessageUnion"]
@@ -30,6 +34,10 @@
     | LedgerSyncReply
     | SuspectRequest
     | SuspectReply
+    | TrialRequest
+    | TrialReply
+    | TrialEnd
+    | TrialEndReply
     | ForwardRequest
     | ForwardReply
 )
--- a/src/baobabstream/wire/rows.py
+++ b/src/baobabstream/wire/rows.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 __all__ = [
+    "LOSSES_TO_QUARANTINE",
     "AccountRow",
     "BackendKind",
     "BackendRecord",
@@ -22,6 +23,9 @@
 ]
 
 
+LOSSES_TO_QUARANTINE = 2
+
+
 class VersionState(StrEnum):
     """Life cycle of a model version."""
 
@@ -118,9 +122,14 @@
 
 
 class QuarantineRow(Struct, frozen=True, tag="quarantine"):
-    """A request fingerprint that must not run because it crashed backend servers."""
+    """A request fingerprint that was running when backend servers were lost.
+
+    With one loss it is a suspect and runs only under a trial that the control leader grants; from
+    two losses on it is quarantined and does not run.
+    """
 
     fingerprint: str
+    losses: int = 1
     reason: str = ""
 
 
