--- /dev/null
+++ b/tests/system/callers.py
@@ -0,0 +1,125 @@
+"""Callers that send chat requests through the entry hosts and record what they got."""
+
+import asyncio
+import json
+import time
+from dataclasses import replace
+from random import Random
+
+from aiohttp import ClientConnectorError, ClientError, ClientTimeout
+
+from system.cluster import Cluster
+from system.history import CallerRecord
+
+__all__ = ["CUT", "NOT_CONNECTED", "Callers", "ask", "wall_ms"]
+
+REQUEST_TIMEOUT_S = 30.0
+CUT = -1
+NOT_CONNECTED = -2
+
+
+def wall_ms() -> int:
+    """Return the wall time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+async def ask(
+    cluster: Cluster,
+    entry: str,
+    api_key: str,
+    account: str,
+    marker: str,
+    tokens: int = 12,
+    headers: dict[str, str] | None = None,
+) -> CallerRecord:
+    """Send one streamed chat request to one entry host and record the outcome.
+
+    A connection that breaks gives a record with code ``CUT`` whose run state is unknown, one that
+    was refused the code ``NOT_CONNECTED``.
+    """
+    record = CallerRecord(marker, account, started_ms=wall_ms(), ran="unknown", code=CUT)
+    body = {
+        "model": "auto",
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": marker}],
+    }
+    try:
+        async with cluster.session.post(
+            f"{cluster.entry_url(entry)}/v1/chat/completions",
+            json=body,
+            headers={"Authorization": f"Bearer {api_key}"} | (headers or {}),
+            timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
+        ) as response:
+            record = replace(
+                record,
+                request_id=response.headers.get("X-Request-Id", ""),
+                version=response.headers.get("X-Model-Version", ""),
+                session=response.headers.get("X-Session-Token", ""),
+            )
+            if response.status != 200:
+                error = (await response.json())["error"]
+                return replace(record, code=error["code"], ran=error["ran"], ended_ms=wall_ms())
+            return await _read_stream(record, response)
+    except ClientConnectorError:
+        return replace(record, code=NOT_CONNECTED, ran="no", ended_ms=wall_ms())
+    except (ClientError, TimeoutError, ValueError):
+        return replace(record, ended_ms=wall_ms())
+
+
+async def _read_stream(record: CallerRecord, response) -> CallerRecord:
+    text, finished, code, ran = "", False, 0, "yes"
+    async for line in response.content:
+        data = line.removeprefix(b"data: ").strip()
+        if data == b"[DONE]":
+            finished = code == 0
+        elif data:
+            chunk = json.loads(data)
+            if "error" in chunk:
+                code, ran = chunk["error"]["code"], chunk["error"]["ran"]
+            elif chunk["id"] != f"chatcmpl-{record.request_id}":
+                text += f"<answer of {chunk['id']}>"
+            elif chunk.get("choices"):
+                text += chunk["choices"][0]["delta"].get("content") or ""
+    return replace(record, code=code, ran=ran, text=text, finished=finished, ended_ms=wall_ms())
+
+
+class Callers:
+    """Runs callers side by side until told to stop.
+
+    Parameters
+    ----------
+    cluster
+        The daemons.
+    random
+        Source of entry choice and pauses.
+    """
+
+    def __init__(self, cluster: Cluster, random: Random) -> None:
+        self._cluster = cluster
+        self._random = random
+        self._stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.records: list[CallerRecord] = []
+
+    def start(self, count: int, api_key: str, account: str, tokens: int = 12) -> None:
+        """Start callers of one account."""
+        for number in range(count):
+            work = self._run(f"{account}-{number}", api_key, account, tokens)
+            self._tasks.append(asyncio.create_task(work))
+
+    async def stop(self) -> list[CallerRecord]:
+        """Let each caller finish its request and return all records."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+        return self.records
+
+    async def _run(self, name: str, api_key: str, account: str, tokens: int) -> None:
+        number = 0
+        while not self._stopping:
+            number += 1
+            entry = self._random.choice(self._cluster.entries)
+            marker = f"{name}-{number}"
+            record = await ask(self._cluster, entry, api_key, account, marker, tokens)
+            self.records.append(record)
+            await asyncio.sleep(self._random.uniform(0.01, 0.05))
--- /dev/null
+++ b/tests/system/rows.py
@@ -0,0 +1,25 @@
+"""Configuration rows that the system tests put."""
+
+import hashlib
+from typing import Any
+
+__all__ = ["account_row", "class_row", "version_row"]
+
+
+def account_row(name: str, api_key: str, *models: str, **fields: Any) -> dict[str, Any]:
+    """Return the row of a client account."""
+    digest = hashlib.sha256(api_key.encode()).hexdigest()
+    row = {"type": "account", "name": name, "key_digest": digest, "models": list(models)}
+    return row | {"default_class": "question"} | fields
+
+
+def class_row(name: str = "question") -> dict[str, Any]:
+    """Return the row of a class of work with wide targets."""
+    targets = {"quality": 0.5, "first_token_ms": 2000, "total_ms": 20000}
+    return {"type": "class", "name": name} | targets
+
+
+def version_row(model: str, version: str, **fields: Any) -> dict[str, Any]:
+    """Return the row of a model version."""
+    row = {"type": "version", "model": model, "version": version, "cost_per_1k_tokens": 0.2}
+    return row | fields
--- /dev/null
+++ b/tests/system/test_planned_stop.py
@@ -0,0 +1,42 @@
+"""A planned stop of an entry host under load cuts no request."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from system.callers import Callers
+from system.cluster import Cluster, EngineSpec, wait_for
+from system.rows import account_row, class_row, version_row
+
+API_KEY = "api-key-of-the-desk"
+
+
+async def test_stop_of_an_entry_cuts_no_stream(tmp_path: Path) -> None:
+    """Guards against streams that end early when their entry host is stopped."""
+    engines = tuple(EngineSpec(f"engine-{n}", ("small@1",)) for n in (1, 2))
+    cluster = Cluster(tmp_path, engines=engines, entry_count=2)
+    try:
+        await cluster.start()
+        rows = (class_row(), version_row("small", "1"), account_row("desk", API_KEY, "small"))
+        await cluster.put(*rows)
+        await wait_for(lambda: entries_serve(cluster), 10)
+        callers = Callers(cluster, Random(7))
+        callers.start(8, API_KEY, "desk", tokens=60)
+        await asyncio.sleep(1)
+        code = await cluster.terminate("entry-1")
+        records = await callers.stop()
+        assert_that(code, Equals(0))
+        cut = [record for record in records if not record.finished and record.ran != "no"]
+        assert_that(cut, Equals([]))
+        assert_that(sum(record.finished for record in records), GreaterThan(8))
+    finally:
+        await cluster.stop()
+
+
+async def entries_serve(cluster: Cluster) -> bool:
+    """Return whether each entry host reports ready and knows the backend servers."""
+    status = await cluster.status()
+    return status is not None and len(status["backends"]) == 2 and len(status["entries"]) == 2
