--- /dev/null
+++ b/tests/system/records.py
@@ -0,0 +1,44 @@
+"""Reads what the processes of a cluster recorded."""
+
+from pathlib import Path
+
+from baobabstream.telemetry.merge import read_timelines
+from baobabstream.telemetry.timeline import EventKind, TimelineEvent
+from system.cluster import Cluster
+from system.history import EngineRun
+
+__all__ = ["attempts_of", "entries_serve", "events_of", "runs_of"]
+
+
+def events_of(folder: Path, *kinds: EventKind) -> list[TimelineEvent]:
+    """Return the timeline events of some kinds over all processes, in order."""
+    files = sorted((folder / "timeline").glob("*.jsonl"))
+    return [event for event in read_timelines(files) if event.kind in kinds]
+
+
+def runs_of(folder: Path) -> list[EngineRun]:
+    """Return the runs that the stand-in engines recorded."""
+    return [
+        EngineRun(event.host, event.request_id, event.detail, event.time.wall_ms)
+        for event in events_of(folder, EventKind.ENGINE_REQUEST_STARTED)
+    ]
+
+
+def attempts_of(folder: Path) -> list[EngineRun]:
+    """Return the attempts that the entries sent; an engine may start them later."""
+    return [
+        EngineRun(
+            event.detail.split()[0], event.request_id, event.detail.split()[1], event.time.wall_ms
+        )
+        for event in events_of(folder, EventKind.ATTEMPT_SENT)
+    ]
+
+
+async def entries_serve(cluster: Cluster, entries: int, backends: int) -> bool:
+    """Return whether the leader knows so many live entry hosts and backend servers."""
+    status = await cluster.status()
+    return (
+        status is not None
+        and len(status["entries"]) >= entries
+        and len(status["backends"]) >= backends
+    )
--- a/tests/system/test_planned_stop.py
+++ b/tests/system/test_planned_stop.py
@@ -9,6 +9,7 @@
 
 from system.callers import Callers
 from system.cluster import Cluster, EngineSpec, wait_for
+from system.records import entries_serve
 from system.rows import account_row, class_row, version_row
 
 API_KEY = "api-key-of-the-desk"
@@ -22,7 +23,7 @@
         await cluster.start()
         rows = (class_row(), version_row("small", "1"), account_row("desk", API_KEY, "small"))
         await cluster.put(*rows)
-        await wait_for(lambda: entries_serve(cluster), 10)
+        await wait_for(lambda: entries_serve(cluster, 2, 2), 10)
         callers = Callers(cluster, Random(7))
         callers.start(8, API_KEY, "desk", tokens=60)
         await asyncio.sleep(1)
@@ -34,9 +35,3 @@
         assert_that(sum(record.finished for record in records), GreaterThan(8))
     finally:
         await cluster.stop()
-
-
-async def entries_serve(cluster: Cluster) -> bool:
-    """Return whether each entry host reports ready and knows the backend servers."""
-    status = await cluster.status()
-    return status is not None and len(status["backends"]) == 2 and len(status["entries"]) == 2
