--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -8,6 +8,7 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientTimeout
 
+from baobabstream.errors.codes import ResultCode
 from system.cluster import Cluster
 from system.history import CallerRecord
 
@@ -108,12 +109,33 @@
             work = self._run(f"{account}-{number}", api_key, account, tokens)
             self._tasks.append(asyncio.create_task(work))
 
+    def start_sessions(self, count: int, api_key: str, account: str, tokens: int = 12) -> None:
+        """Start callers that each hold a session and start a new one when it must restart."""
+        for number in range(count):
+            work = self._run_session(f"{account}-s{number}", api_key, account, tokens)
+            self._tasks.append(asyncio.create_task(work))
+
     async def stop(self) -> list[CallerRecord]:
         """Let each caller finish its request and return all records."""
         self._stopping = True
         await asyncio.gather(*self._tasks)
         return self.records
 
+    async def _run_session(self, name: str, api_key: str, account: str, tokens: int) -> None:
+        number, session_number, token = 0, 0, "new"
+        while not self._stopping:
+            number += 1
+            entry = self._random.choice(self._cluster.entries)
+            headers = {"X-Session-Token": token}
+            marker = f"{name}-{number}"
+            record = await ask(self._cluster, entry, api_key, account, marker, tokens, headers)
+            if record.finished and record.session:
+                token = record.session
+            elif record.code == int(ResultCode.SESSION_VERSION_WITHDRAWN):
+                session_number, token = session_number + 1, "new"
+            self.records.append(replace(record, session=f"{name}/{session_number}"))
+            await asyncio.sleep(self._random.uniform(0.01, 0.05))
+
     async def _run(self, name: str, api_key: str, account: str, tokens: int) -> None:
         number = 0
         while not self._stopping:
--- /dev/null
+++ b/tests/system/scenario.py
@@ -0,0 +1,149 @@
+"""Runs callers, operators and a fault on real daemons and checks the whole history."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from system.callers import Callers, wall_ms
+from system.cluster import Cluster, EngineSpec, wait_for
+from system.history import (
+    CallerRecord,
+    Violation,
+    check_allowed,
+    check_billed_once,
+    check_not_run,
+    check_sessions,
+    check_whole,
+    check_withdrawn,
+)
+from system.operators import ChangeRecord, Operators, check_changes
+from system.records import attempts_of, entries_serve, runs_of
+from system.rows import account_row, class_row, version_row
+
+__all__ = ["Fault", "ScenarioResult", "run_scenario"]
+
+DESK_KEY = "api-key-of-the-desk"
+CREW_KEY = "api-key-of-the-crew"
+TOKENS = 12
+ENGINES = (
+    EngineSpec("engine-1", ("small@1", "small@2")),
+    EngineSpec("engine-2", ("small@1", "small@2")),
+    EngineSpec("engine-3", ("large@1",)),
+)
+ALLOWED = {"desk": {"small@1", "small@2"}, "crew": {"large@1"}}
+Fault = Callable[[Cluster, Random], Awaitable[None]]
+
+
+@dataclass
+class ScenarioResult:
+    """Violations found, and figures of the run."""
+
+    violations: list[Violation] = field(default_factory=list)
+    finished: int = 0
+    refused: int = 0
+    cut: int = 0
+    changes_accepted: int = 0
+    in_force_ms: int = 0
+
+
+async def run_scenario(
+    folder: Path, fault: Fault, seed: int, before_s: float = 1.0, after_s: float = 2.0
+) -> ScenarioResult:
+    """Start a cluster, run load, cause a fault, heal it, withdraw a version, check.
+
+    Parameters
+    ----------
+    folder
+        Folder for the cluster's files.
+    fault
+        Causes the fault and heals it.
+    seed
+        Seed of callers, operators and fault.
+    before_s, after_s
+        Seconds of load before and after the fault.
+    """
+    random = Random(seed)
+    cluster = Cluster(folder, engines=ENGINES)
+    result = ScenarioResult()
+    try:
+        await cluster.start()
+        await _configure(cluster)
+        callers = Callers(cluster, random)
+        callers.start(3, DESK_KEY, "desk", TOKENS)
+        callers.start(2, CREW_KEY, "crew", TOKENS)
+        callers.start_sessions(2, DESK_KEY, "desk", TOKENS)
+        operators = Operators(cluster, random)
+        operators.start()
+        await asyncio.sleep(before_s)
+        await fault(cluster, random)
+        await asyncio.sleep(after_s)
+        changes = await operators.stop()
+        in_force_ms = await _withdraw(cluster, result)
+        await asyncio.sleep(0.5)
+        records = await callers.stop()
+        await asyncio.sleep(1.0)
+        await _collect(cluster, result, records, changes)
+    finally:
+        await cluster.stop()
+    attempts = attempts_of(folder)
+    result.violations += check_withdrawn(attempts, "small@1", in_force_ms)
+    result.violations += check_allowed(records, attempts, ALLOWED)
+    result.violations += check_not_run(records, runs_of(folder))
+    result.violations += check_sessions(records)
+    result.violations += check_whole(records, lambda _: expected_text(TOKENS))
+    return result
+
+
+def expected_text(tokens: int) -> str:
+    """Return the text that a stand-in engine generates."""
+    from baobabstream.emulator.engine import WORDS
+
+    return "".join(f"{WORDS[index % len(WORDS)]} " for index in range(tokens))
+
+
+async def _configure(cluster: Cluster) -> None:
+    versions = [
+        version_row("small", "1", cost_per_1k_tokens=0.1),
+        version_row("small", "2"),
+        version_row("large", "1", cost_per_1k_tokens=2.0),
+    ]
+    accounts = [
+        account_row("desk", DESK_KEY, "small"),
+        account_row("crew", CREW_KEY, "large"),
+    ]
+    await cluster.put(class_row(), class_row("raced"), *versions, *accounts)
+    await wait_for(lambda: entries_serve(cluster, 2, len(ENGINES)), 15)
+
+
+async def _withdraw(cluster: Cluster, result: ScenarioResult) -> int:
+    started_ms = wall_ms()
+    row = version_row("small", "1", cost_per_1k_tokens=0.1, state="withdrawn")
+    answer = await cluster.put(row)
+
+    async def in_force() -> bool:
+        code, document = await cluster.admin("GET", f"/in-force?revision={answer['revision']}")
+        return code == 200 and document["in_force"]
+
+    await wait_for(in_force, 15)
+    result.in_force_ms = wall_ms() - started_ms
+    return wall_ms()
+
+
+async def _collect(
+    cluster: Cluster,
+    result: ScenarioResult,
+    records: list[CallerRecord],
+    changes: list[ChangeRecord],
+) -> None:
+    _, bills = await cluster.admin("GET", "/bills")
+    billed_ids = [bill["request_id"] for bill in bills]
+    _, config = await cluster.admin("GET", "/config")
+    raced = next(entry["row"] for entry in config["rows"] if entry["key"] == "class/raced")
+    result.violations += check_billed_once(records, billed_ids)
+    result.violations += check_changes(changes, raced["total_ms"])
+    result.finished = sum(record.finished for record in records)
+    result.refused = sum(record.ran == "no" for record in records)
+    result.cut = sum(not record.finished and record.ran != "no" for record in records)
+    result.changes_accepted = sum(change.accepted for change in changes)
