Replicate the control log with Raft

Cause: the control hosts each kept a log of their own in memory; changes were lost with a process and no host could take over.

The control daemon uses it in place of LocalLog.

--- /dev/null
+++ b/src/baobabstream/consensus/file_storage.py
@@ -0,0 +1,258 @@
+"""Storage in files under one folder."""
+
+import fcntl
+import os
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+
+from msgspec import DecodeError, Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from baobabstream.consensus.frames import frame, frames, whole_file_frame
+from baobabstream.consensus.records import DurableState, Save, Snapshot, VoteState
+from baobabstream.consensus.storage import LogStorage, StoredState
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import StorageError
+from baobabstream.wire.consensus_messages import LogEntry, Member
+
+__all__ = ["FileStorage"]
+
+_KEPT_SNAPSHOTS = 2
+
+
+class _Identity(Struct, frozen=True):
+    cluster: str
+    member: Member
+
+
+class _LogFrame(Struct, frozen=True, array_like=True):
+    """The first frame of a log file gives the base; the others carry entries."""
+
+    base_index: int
+    base_term: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+class FileStorage(LogStorage):
+    """Log, vote, snapshots and identity of one member.
+
+    Parameters
+    ----------
+    folder
+        Folder of the log; created with a new identity if it does not exist.
+    cluster, host
+        The identity that the folder must have.
+
+    Raises
+    ------
+    StorageError
+        ``DATA_FOLDER_IN_USE`` if another process holds the lock, ``DATA_FOLDER_FOREIGN`` if the
+        folder belongs to another cluster or host, ``LOG_DAMAGED`` if a file is damaged or
+        missing, ``DISK_FAILED`` if a file cannot be written.
+    """
+
+    def __init__(self, folder: Path, cluster: str, host: str) -> None:
+        self._folder = folder
+        self._encoder = Encoder()
+        self._log_path = folder / "log"
+        self._vote_path = folder / "vote"
+        self._identity_path = folder / "identity"
+        self._failed = False
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._lock = self._take_lock()
+            if not self._identity_path.exists():
+                self._create(cluster, host)
+            self._identity = self._check_identity(cluster, host)
+            self._stored = StoredState(self._read())
+            self._log_file = os.open(self._log_path, os.O_WRONLY | os.O_APPEND)
+        except OSError as error:
+            raise StorageError(ResultCode.DISK_FAILED, f"{folder}: {error}") from error
+
+    @property
+    def member(self) -> Member:
+        """Identity that was made together with the folder."""
+        return self._identity.member
+
+    def load(self) -> DurableState:
+        """Return what the files hold."""
+        return self._stored.durable_state()
+
+    def save(self, saves: Sequence[Save]) -> None:
+        """Write and sync; consecutive entries share one sync."""
+        if self._failed:
+            raise StorageError(ResultCode.DISK_FAILED, f"{self._folder}: an earlier write failed")
+        try:
+            self._save(saves)
+        except OSError as error:
+            # After a failed sync the kernel may have dropped the data, so a retry proves nothing.
+            self._failed = True
+            raise StorageError(ResultCode.DISK_FAILED, f"{self._folder}: {error}") from error
+
+    def close(self) -> None:
+        """Close the files and release the lock."""
+        os.close(self._log_file)
+        os.close(self._lock)
+
+    def _save(self, saves: Sequence[Save]) -> None:
+        pending: list[LogEntry] = []
+        for save in saves:
+            self._stored.apply(save)
+            if save.vote is not None:
+                self._flush(pending)
+                self._write_whole(self._vote_path, self._encoder.encode(save.vote))
+            pending.extend(save.entries)
+            if save.snapshot is not None:
+                self._flush(pending)
+                self._write_snapshot(save.snapshot)
+                self._rewrite_log()
+        self._flush(pending)
+
+    def _flush(self, pending: list[LogEntry]) -> None:
+        if not pending:
+            return
+        body = self._encoder.encode(_LogFrame(0, 0, tuple(pending)))
+        _write_all(self._log_file, frame(body))
+        os.fdatasync(self._log_file)
+        pending.clear()
+
+    def _write_snapshot(self, snapshot: Snapshot) -> None:
+        path = self._folder / f"snapshot-{snapshot.index:020d}"
+        self._write_whole(path, self._encoder.encode(snapshot))
+        for old in self._snapshot_paths()[:-_KEPT_SNAPSHOTS]:
+            old.unlink()
+
+    def _rewrite_log(self) -> None:
+        log = self._stored.log
+        head = frame(self._encoder.encode(_LogFrame(log.base_index, log.base_term)))
+        entries = tuple(log)
+        tail = frame(self._encoder.encode(_LogFrame(0, 0, entries))) if entries else b""
+        self._write_file(self._log_path, head + tail)
+        os.close(self._log_file)
+        self._log_file = os.open(self._log_path, os.O_WRONLY | os.O_APPEND)
+
+    def _write_whole(self, path: Path, body: bytes) -> None:
+        self._write_file(path, frame(body))
+
+    def _write_file(self, path: Path, data: bytes) -> None:
+        aside = path.with_name(f"{path.name}.new")
+        number = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(number, data)
+            os.fsync(number)
+        finally:
+            os.close(number)
+        aside.rename(path)
+        self._sync_folder(self._folder)
+
+    @staticmethod
+    def _sync_folder(folder: Path) -> None:
+        number = os.open(folder, os.O_RDONLY)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+    def _take_lock(self) -> int:
+        number = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(number, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            os.close(number)
+            raise StorageError(ResultCode.DATA_FOLDER_IN_USE, str(self._folder)) from error
+        return number
+
+    def _create(self, cluster: str, host: str) -> None:
+        """Make the files of a new member; the identity comes last and makes them valid."""
+        if self._snapshot_paths():
+            detail = f"{self._identity_path} is missing beside a snapshot"
+            raise StorageError(ResultCode.LOG_DAMAGED, detail)
+        if self._log_path.exists() and len(self._read_log()[2]) > 0:
+            detail = f"{self._identity_path} is missing beside a log"
+            raise StorageError(ResultCode.LOG_DAMAGED, detail)
+        self._write_file(self._log_path, frame(self._encoder.encode(_LogFrame(0, 0))))
+        self._write_whole(self._vote_path, self._encoder.encode(VoteState()))
+        identity = _Identity(cluster, Member(f"{host}#{uuid.uuid4().hex[:12]}", host))
+        self._write_whole(self._identity_path, self._encoder.encode(identity))
+        self._sync_folder(self._folder.parent)
+
+    def _check_identity(self, cluster: str, host: str) -> _Identity:
+        identity = self._decode(self._identity_path, _Identity)
+        if (identity.cluster, identity.member.host) != (cluster, host):
+            detail = (
+                f"{self._folder} belongs to {identity.member.host} of cluster {identity.cluster}"
+            )
+            raise StorageError(ResultCode.DATA_FOLDER_FOREIGN, detail)
+        return identity
+
+    def _decode(self, path: Path, kind):
+        if not path.exists():
+            raise StorageError(ResultCode.LOG_DAMAGED, f"{path} is missing")
+        body = whole_file_frame(path, path.read_bytes())
+        try:
+            return Decoder(kind).decode(body)
+        except DecodeError as error:
+            raise StorageError(ResultCode.LOG_DAMAGED, f"{path}: {error}") from error
+
+    def _snapshot_paths(self) -> list[Path]:
+        paths = sorted(self._folder.glob("snapshot-*"))
+        return [path for path in paths if not path.name.endswith(".new")]
+
+    def _read(self) -> DurableState:
+        vote = self._decode(self._vote_path, VoteState)
+        base_index, base_term, entries = self._read_log()
+        stored = StoredState(DurableState(vote, Snapshot(), base_index, base_term, entries))
+        paths = self._snapshot_paths()
+        if paths:
+            snapshot = self._decode(paths[-1], Snapshot)
+            if stored.log.term_at(snapshot.index) == snapshot.term:
+                stored.snapshot = snapshot
+            else:
+                # The process stopped between writing the snapshot and rewriting the log.
+                stored.take_snapshot(snapshot, snapshot.index, snapshot.term)
+        if stored.log.base_index > stored.snapshot.index:
+            detail = f"{self._log_path} starts after the snapshot at {stored.snapshot.index}"
+            raise StorageError(ResultCode.LOG_DAMAGED, detail)
+        return stored.durable_state()
+
+    def _read_log(self) -> tuple[int, int, tuple[LogEntry, ...]]:
+        if not self._log_path.exists():
+            raise StorageError(ResultCode.LOG_DAMAGED, f"{self._log_path} is missing")
+        data = self._log_path.read_bytes()
+        decoder = Decoder(_LogFrame)
+        state: StoredState | None = None
+        start = 0
+        for end, body in frames(self._log_path, data):
+            try:
+                record = decoder.decode(body)
+            except DecodeError as error:
+                raise self._damaged(start) from error
+            if state is None:
+                state = StoredState(
+                    DurableState(base_index=record.base_index, base_term=record.base_term)
+                )
+            for entry in record.entries:
+                if not state.log.base_index < entry.index <= state.log.last_index + 1:
+                    raise self._damaged(start)
+                state.log.put((entry,))
+            start = end
+        if state is None:
+            raise self._damaged(0)
+        if start < len(data):
+            os.truncate(self._log_path, start)
+            number = os.open(self._log_path, os.O_WRONLY)
+            os.fsync(number)
+            os.close(number)
+        log = state.log
+        return log.base_index, log.base_term, tuple(log)
+
+    def _damaged(self, offset: int) -> StorageError:
+        return StorageError(ResultCode.LOG_DAMAGED, f"{self._log_path}: record at byte {offset}")
+
+
+def _write_all(number: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.write(number, view)
+        view = view[written:]
--- /dev/null
+++ b/src/baobabstream/consensus/frames.py
@@ -0,0 +1,75 @@
+"""Checksummed frames of the files of the log."""
+
+import zlib
+from collections.abc import Iterator
+from pathlib import Path
+
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import StorageError
+
+__all__ = ["HEADER_BYTES", "frame", "frames", "whole_file_frame"]
+
+# Length, checksum of the body, checksum of the two fields before.
+HEADER_BYTES = 12
+
+
+def frame(body: bytes) -> bytes:
+    """Return a frame: the header, then the body."""
+    head = len(body).to_bytes(4, "big") + zlib.crc32(body).to_bytes(4, "big")
+    return head + zlib.crc32(head).to_bytes(4, "big") + body
+
+
+def frames(path: Path, data: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield the end offset and body of each frame, up to a torn tail.
+
+    Parameters
+    ----------
+    path
+        File that the data is from, for messages.
+    data
+        Contents of the file.
+
+    Raises
+    ------
+    StorageError
+        ``LOG_DAMAGED`` with file and offset for damage that an interrupted write cannot cause.
+
+    Notes
+    -----
+    Each sync covers one frame, so an interrupted write leaves one incomplete frame at the end.
+    The header has its own checksum: a damaged length field must not make the rest of the file
+    look like a torn tail. File systems may extend a file before its data is written, so zeros up
+    to the end count as torn.
+    """
+    offset = 0
+    while offset < len(data):
+        header = data[offset : offset + HEADER_BYTES]
+        if len(header) < HEADER_BYTES or not any(data[offset:]):
+            return
+        if zlib.crc32(header[:8]) != int.from_bytes(header[8:], "big"):
+            raise _damaged(path, offset)
+        end = offset + HEADER_BYTES + int.from_bytes(header[:4], "big")
+        body = data[offset + HEADER_BYTES : end]
+        if end > len(data):
+            return
+        if zlib.crc32(body) != int.from_bytes(header[4:8], "big"):
+            if end == len(data):
+                return
+            raise _damaged(path, offset)
+        yield end, body
+        offset = end
+
+
+def whole_file_frame(path: Path, data: bytes) -> bytes:
+    """Return the body of a file that is one frame.
+
+    Such files are written aside, synced and renamed, so an interrupted write cannot damage them.
+    """
+    bodies = list(frames(path, data))
+    if len(bodies) != 1 or bodies[0][0] != len(data):
+        raise _damaged(path, 0)
+    return bodies[0][1]
+
+
+def _damaged(path: Path, offset: int) -> StorageError:
+    return StorageError(ResultCode.LOG_DAMAGED, f"{path}: record at byte {offset}")
--- /dev/null
+++ b/src/baobabstream/consensus/membership_log.py
@@ -0,0 +1,101 @@
+"""Membership in effect at each position of the log, and the next step of a repair."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from msgspec.msgpack import Decoder, Encoder
+
+from baobabstream.wire.consensus_messages import EntryKind, LogEntry, Member, Membership
+
+__all__ = ["MembershipLog", "decode_membership", "encode_membership", "next_membership"]
+
+_decoder = Decoder(Membership)
+_encoder = Encoder()
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Return the payload of a membership entry."""
+    return _encoder.encode(membership)
+
+
+def decode_membership(payload: bytes) -> Membership:
+    """Return the membership that an entry carries."""
+    return _decoder.decode(payload)
+
+
+class MembershipLog:
+    """Memberships by log index; the latest one is in effect, committed or not.
+
+    Parameters
+    ----------
+    index, membership
+        Membership of the snapshot and its position.
+    """
+
+    def __init__(self, index: int, membership: Membership) -> None:
+        self._history = [(index, membership)]
+
+    @property
+    def current(self) -> Membership:
+        """Membership in effect."""
+        return self._history[-1][1]
+
+    @property
+    def current_index(self) -> int:
+        """Index of the entry that holds the membership in effect."""
+        return self._history[-1][0]
+
+    def at(self, index: int) -> Membership:
+        """Return the membership in effect at an index."""
+        return next(item for position, item in reversed(self._history) if position <= index)
+
+    def put(self, entries: Iterable[LogEntry], first_index: int) -> None:
+        """Follow entries that replace the log from ``first_index`` on."""
+        while len(self._history) > 1 and self._history[-1][0] >= first_index:
+            self._history.pop()
+        self._history += [
+            (entry.index, decode_membership(entry.payload))
+            for entry in entries
+            if entry.kind is EntryKind.MEMBERSHIP
+        ]
+
+    def reset(self, index: int, membership: Membership) -> None:
+        """Start over at a snapshot."""
+        self._history = [(index, membership)]
+
+
+def next_membership(
+    membership: Membership,
+    joiners: Mapping[str, Member],
+    caught_up: Callable[[str], bool],
+) -> Membership | None:
+    """Return the next single-server change that a repair needs, or None.
+
+    Parameters
+    ----------
+    membership
+        Membership in effect, committed.
+    joiners
+        For each host, the member that asked to join last.
+    caught_up
+        Whether a learner holds everything that is committed now.
+
+    Notes
+    -----
+    A new member becomes a learner. Once it has caught up, the voter that its host had before is
+    removed, and then the learner is promoted. Removal comes first because the lost voter cannot
+    answer: promoting first would need three answers of four.
+    """
+    known = {member.member_id for member in membership.voters + membership.learners}
+    for joiner in joiners.values():
+        if joiner.member_id not in known:
+            kept = tuple(item for item in membership.learners if item.host != joiner.host)
+            return Membership(membership.voters, (*kept, joiner))
+    for learner in membership.learners:
+        if not caught_up(learner.member_id):
+            continue
+        voters = tuple(item for item in membership.voters if item.host != learner.host)
+        if len(voters) < len(membership.voters):
+            return Membership(voters, membership.learners)
+        others = tuple(item for item in membership.learners if item != learner)
+        return Membership((*voters, learner), others)
+    return None
--- /dev/null
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -0,0 +1,395 @@
+"""Asyncio shell of the Raft core: peers, storage, proposals and the state machine."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Coroutine, Mapping, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from msgspec import Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from baobabstream.consensus.command_log import CommandLog
+from baobabstream.consensus.core import RaftCore, Role
+from baobabstream.consensus.records import (
+    Action,
+    Answer,
+    Apply,
+    LeaderChanged,
+    Restore,
+    Save,
+    Timing,
+)
+from baobabstream.consensus.state_machine import StateMachine
+from baobabstream.consensus.storage import LogStorage
+from baobabstream.consensus.storage_writer import StorageWriter
+from baobabstream.control.commands import Command, LeaderStarted
+from baobabstream.control.outcome import Outcome
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
+from baobabstream.telemetry.logs import get_logger
+from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.consensus_messages import (
+    EntryKind,
+    JoinReply,
+    JoinRequest,
+    LogEntry,
+    Member,
+    Membership,
+    SnapshotRequest,
+)
+from baobabstream.wire.rpc import RpcClient
+
+__all__ = ["LogListener", "LogOptions", "ReplicatedLog"]
+
+TICK_S = 0.025
+# A reply waits for the peer's sync; half a second keeps two tries within a leader lease.
+CALL_TIMEOUT_S = 0.5
+SNAPSHOT_TIMEOUT_S = 2.0
+RETRY_DELAY_S = 0.05
+JOIN_INTERVAL_S = 0.5
+# Covers catching up the successor and its election; a planned stop goes on without it.
+TRANSFER_TIMEOUT_S = 2.0
+
+_log = get_logger("consensus")
+
+
+@dataclass(frozen=True, slots=True)
+class LogOptions:
+    """Times, and the number of applied entries after which a snapshot is taken."""
+
+    timing: Timing = field(default_factory=Timing)
+    snapshot_entries: int = 2000
+
+
+class LogListener(ABC):
+    """What the owner of a log wants to hear about."""
+
+    @abstractmethod
+    def on_applied(self) -> None:
+        """Note that commands were applied or a snapshot was restored."""
+
+    @abstractmethod
+    def on_leader_changed(self, change: LeaderChanged) -> None:
+        """Note that another leader is known, or that this member leads or stopped leading."""
+
+    @abstractmethod
+    def on_storage_failed(self, error: StorageError) -> None:
+        """End the process: nothing may be answered any more."""
+
+
+class ReplicatedLog(CommandLog):
+    """Orders commands over the control hosts and applies them here.
+
+    Parameters
+    ----------
+    storage
+        Durable state of this member.
+    machine
+        State that the commands build.
+    addresses
+        nng address of each control host by name, this one included. The first named host forms
+        a new group once all of them answer that they have no log.
+    codec
+        Codec of this cluster.
+    listener
+        Told about applied commands, leader changes and failures.
+    random
+        Source of the election timeouts.
+    options
+        Times and snapshot interval.
+    """
+
+    def __init__(
+        self,
+        storage: LogStorage,
+        machine: StateMachine,
+        addresses: Mapping[str, str],
+        codec: WireCodec,
+        listener: LogListener,
+        random: Random,
+        options: LogOptions,
+    ) -> None:
+        self._storage = storage
+        self._machine = machine
+        self._addresses = addresses
+        self._codec = codec
+        self._listener = listener
+        self._options = options
+        self._loop = asyncio.get_running_loop()
+        self._encoder = Encoder()
+        self._commands: Decoder[Command] = Decoder(Command)
+        self.core = RaftCore(
+            storage.member,
+            storage.load(),
+            options.timing,
+            random,
+            self._loop.time(),
+            self._first_payload,
+        )
+        if self.core.snapshot.index > 0:
+            machine.restore(self.core.snapshot.data)
+        self._writer = StorageWriter(storage, self._on_saved, listener.on_storage_failed)
+        self._pending: dict[int, tuple[int, asyncio.Future[Outcome]]] = {}
+        self._peers: dict[str, tuple[asyncio.Event, asyncio.Task[None]]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._open = False
+
+    @property
+    def leader(self) -> str:
+        """Host name of the leader, or empty."""
+        members = self.core.membership.voters + self.core.membership.learners
+        leader_id = self.core.leader_id
+        return next((item.host for item in members if item.member_id == leader_id), "")
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.core.term
+
+    def holds_leader_lease(self) -> bool:
+        """Return whether this member leads and a quorum has confirmed it recently."""
+        return self._open and self.core.holds_lease(self._loop.time())
+
+    async def start(self) -> None:
+        """Start to take part; the listener for peers must be open."""
+        self._open = True
+        self._start(self._writer.run())
+        self._start(self._tick())
+        self._start(self._ask_to_join())
+        self._follow_membership()
+
+    async def stop(self) -> None:
+        """Hand leadership over, then stop."""
+        if self.core.transfer():
+            deadline_s = self._loop.time() + TRANSFER_TIMEOUT_S
+            while self.core.role is Role.LEADER and self._loop.time() < deadline_s:
+                self._wake_peers()
+                await asyncio.sleep(TICK_S)
+        self._open = False
+        tasks = [*self._tasks, *(task for _, task in self._peers.values())]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._fail_pending()
+        await self._loop.run_in_executor(None, self._writer.close)
+        self._storage.close()
+
+    async def propose(self, command: Command, timeout_s: float) -> Outcome:
+        """Commit a command and return what applying it gave."""
+        if not self.holds_leader_lease():
+            raise self._no_leader()
+        entry, actions = self.core.propose(self._encoder.encode(command))
+        if entry is None:
+            raise self._no_leader()
+        outcome: asyncio.Future[Outcome] = self._loop.create_future()
+        self._pending[entry.index] = (entry.term, outcome)
+        self._run(actions)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await outcome
+        except TimeoutError as error:
+            raise BaobabstreamError(ResultCode.CHANGE_UNKNOWN) from error
+        finally:
+            self._pending.pop(entry.index, None)
+
+    async def handle(self, sender: str, message: Any) -> Struct:
+        """Answer a replication message of a peer.
+
+        Raises
+        ------
+        PeerError
+            If the message is for another member, for example one whose disk was lost, or its
+            sender is not a control host.
+        """
+        if not self._open or sender not in self._addresses:
+            raise PeerError(ResultCode.PEER_UNREACHABLE, "this member takes no part in the log")
+        if isinstance(message, JoinRequest):
+            return self._on_join(sender, message)
+        if message.receiver != self.core.member.member_id:
+            detail = f"this member is {self.core.member.member_id}"
+            raise PeerError(ResultCode.DATA_FOLDER_FOREIGN, detail)
+        answer = self._run(self.core.handle(message, self._loop.time()))
+        assert answer is not None
+        await self._writer.wait_saved(answer.after_sequence)
+        return answer.message
+
+    def _first_payload(self, term: int) -> bytes:
+        return self._encoder.encode(LeaderStarted(self.core.member.host, term))
+
+    def _no_leader(self) -> PeerError:
+        error = PeerError(ResultCode.NO_LEADER)
+        error.leader = self.leader if self.leader != self.core.member.host else ""
+        return error
+
+    def _run(self, actions: Sequence[Action]) -> Answer | None:
+        answer = None
+        for action in actions:
+            match action:
+                case Save():
+                    self._writer.submit(action)
+                case Apply():
+                    self._apply(action.entries)
+                case Restore():
+                    self._machine.restore(action.snapshot.data)
+                    self._listener.on_applied()
+                case LeaderChanged():
+                    self._on_leader_changed(action)
+                case Answer():
+                    answer = action
+        if actions:
+            self._follow_membership()
+            self._wake_peers()
+        return answer
+
+    def _apply(self, entries: Sequence[LogEntry]) -> None:
+        for entry in entries:
+            if entry.kind is EntryKind.COMMAND:
+                outcome = self._machine.apply(self._commands.decode(entry.payload))
+                self._settle(entry, outcome)
+            else:
+                self._log_membership(self.core.memberships.at(entry.index))
+        core = self.core
+        if core.applied_index - core.snapshot.index >= self._options.snapshot_entries:
+            self._run(core.compact(core.applied_index, self._machine.snapshot()))
+        self._listener.on_applied()
+
+    def _settle(self, entry: LogEntry, outcome: Outcome) -> None:
+        term, future = self._pending.get(entry.index, (0, None))
+        if future is None or future.done():
+            return
+        if term == entry.term:
+            future.set_result(outcome)
+        else:
+            future.set_exception(BaobabstreamError(ResultCode.CHANGE_UNKNOWN))
+
+    def _on_leader_changed(self, change: LeaderChanged) -> None:
+        if change.lost:
+            self._fail_pending()
+        self._listener.on_leader_changed(change)
+
+    def _fail_pending(self) -> None:
+        for _, future in self._pending.values():
+            if not future.done():
+                future.set_exception(BaobabstreamError(ResultCode.CHANGE_UNKNOWN))
+
+    def _on_saved(self, sequence: int) -> None:
+        self._run(self.core.saved(sequence, self._loop.time()))
+        self._wake_peers()
+
+    def _on_join(self, sender: str, request: JoinRequest) -> JoinReply:
+        if sender == request.member.host:
+            self.core.join(request.member, self._loop.time())
+        return JoinReply(self.core.member, self.core.initialised)
+
+    async def _tick(self) -> None:
+        while True:
+            self._run(self.core.tick(self._loop.time()))
+            await asyncio.sleep(TICK_S)
+
+    async def _ask_to_join(self) -> None:
+        """Ask the other hosts until this member is part of a group, forming it if it is new."""
+        others = {host: url for host, url in self._addresses.items() if host != self._own_host}
+        clients = [RpcClient(url, self._codec) for url in others.values()]
+        try:
+            while True:
+                members = self.core.membership.voters + self.core.membership.learners
+                if self.core.member not in members:
+                    calls = (self._ask(client) for client in clients)
+                    replies = [reply for reply in await asyncio.gather(*calls) if reply]
+                    self._form_group(replies)
+                await asyncio.sleep(JOIN_INTERVAL_S)
+        finally:
+            for client in clients:
+                client.close()
+
+    @property
+    def _own_host(self) -> str:
+        return self.core.member.host
+
+    async def _ask(self, client: RpcClient) -> JoinReply | None:
+        try:
+            return await client.call(JoinRequest(self.core.member), CALL_TIMEOUT_S)
+        except PeerError:
+            return None
+
+    def _form_group(self, replies: list[JoinReply]) -> None:
+        complete = len(replies) == len(self._addresses) - 1
+        first = next(iter(self._addresses)) == self._own_host
+        if self.core.initialised or not (complete and first):
+            return
+        if any(reply.initialised for reply in replies):
+            return
+        members = (self.core.member, *(reply.member for reply in replies))
+        _log.info("Forming a new group of %d members.", len(members))
+        self._run(self.core.bootstrap(Membership(voters=members)))
+
+    def _follow_membership(self) -> None:
+        if not self._open:
+            return
+        wanted = {member.member_id: member for member in self.core.peers}
+        for member_id in set(self._peers) - set(wanted):
+            _, task = self._peers.pop(member_id)
+            task.cancel()
+        for member_id in set(wanted) - set(self._peers):
+            url = self._addresses.get(wanted[member_id].host)
+            if url is not None:
+                wake = asyncio.Event()
+                task = self._watched(self._talk_to(wanted[member_id], url, wake))
+                self._peers[member_id] = (wake, task)
+
+    def _wake_peers(self) -> None:
+        for wake, _ in self._peers.values():
+            wake.set()
+
+    async def _talk_to(self, peer: Member, url: str, wake: asyncio.Event) -> None:
+        client = RpcClient(url, self._codec)
+        try:
+            while True:
+                wake.clear()
+                request = self.core.request_for(peer.member_id, self._loop.time())
+                if request is None:
+                    await self._wait(wake)
+                    continue
+                sent_s = self._loop.time()
+                large = isinstance(request, SnapshotRequest)
+                timeout_s = SNAPSHOT_TIMEOUT_S if large else CALL_TIMEOUT_S
+                try:
+                    reply = await client.call(request, timeout_s)
+                except PeerError as error:
+                    _log.debug("Call to %s failed: %s.", peer.member_id, error)
+                    await asyncio.sleep(RETRY_DELAY_S)
+                    continue
+                now_s = self._loop.time()
+                self._run(self.core.handle_reply(request, reply, sent_s, now_s))
+        finally:
+            client.close()
+
+    @staticmethod
+    async def _wait(wake: asyncio.Event) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                await wake.wait()
+        except TimeoutError:
+            pass
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(self._watched(work))
+
+    @staticmethod
+    def _watched(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report_failure)
+        return task
+
+    @staticmethod
+    def _log_membership(membership: Membership) -> None:
+        voters = ", ".join(item.member_id for item in membership.voters)
+        learners = ", ".join(item.member_id for item in membership.learners) or "none"
+        _log.info("Members are now %s; learners: %s.", voters, learners)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("A task of the log failed.", exc_info=task.exception())
--- /dev/null
+++ b/src/baobabstream/consensus/storage_writer.py
@@ -0,0 +1,80 @@
+"""Runs a storage's blocking saves in one thread, several saves to a sync."""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from baobabstream.consensus.records import Save
+from baobabstream.consensus.storage import LogStorage
+from baobabstream.errors.exceptions import StorageError
+
+__all__ = ["StorageWriter"]
+
+
+class StorageWriter:
+    """Makes saves durable in order without blocking the event loop.
+
+    Parameters
+    ----------
+    storage
+        Storage to write to.
+    on_saved
+        Called with the sequence number up to which all saves are durable.
+    on_failure
+        Called once when the storage fails; nothing is reported as saved after it.
+    """
+
+    def __init__(
+        self,
+        storage: LogStorage,
+        on_saved: Callable[[int], None],
+        on_failure: Callable[[StorageError], None],
+    ) -> None:
+        self._storage = storage
+        self._on_saved = on_saved
+        self._on_failure = on_failure
+        self._queue: list[Save] = []
+        self._pending = asyncio.Event()
+        self._saved_sequence = 0
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="log-storage")
+
+    def submit(self, save: Save) -> None:
+        """Queue a save."""
+        self._queue.append(save)
+        self._pending.set()
+
+    async def wait_saved(self, sequence: int) -> None:
+        """Wait until all saves up to a sequence number are durable."""
+        if sequence <= self._saved_sequence:
+            return
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append((sequence, waiter))
+        await waiter
+
+    async def run(self) -> None:
+        """Write until cancelled or the storage fails."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._pending.wait()
+            self._pending.clear()
+            saves, self._queue = self._queue, []
+            try:
+                await loop.run_in_executor(self._executor, self._storage.save, saves)
+            except StorageError as error:
+                self._on_failure(error)
+                return
+            self._saved_sequence = saves[-1].sequence
+            self._on_saved(self._saved_sequence)
+            self._wake()
+
+    def close(self) -> None:
+        """Wait for the write in progress and end the thread."""
+        self._executor.shutdown(wait=True)
+
+    def _wake(self) -> None:
+        ready = [item for item in self._waiters if item[0] <= self._saved_sequence]
+        self._waiters = [item for item in self._waiters if item[0] > self._saved_sequence]
+        for _, waiter in ready:
+            if not waiter.done():
+                waiter.set_result(None)
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -6,10 +6,10 @@
 from aiohttp import web
 
 from baobabstream.billing.ledger import Ledger
-from baobabstream.consensus.command_log import CommandLog, LocalLog
 from baobabstream.control.admin_api import AdminApi
 from baobabstream.control.commands import RecordLoss, UpdateClaim
 from baobabstream.control.entry_leases import EntryLeases
+from baobabstream.control.log_setup import open_log
 from baobabstream.control.poll_service import PollService
 from baobabstream.control.registry import BackendRegistry
 from baobabstream.control.state import ConfigState
@@ -20,6 +20,13 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.consensus_messages import (
+    AppendRequest,
+    JoinRequest,
+    SnapshotRequest,
+    TransferRequest,
+    VoteRequest,
+)
 from baobabstream.wire.messages import (
     BillReply,
     BillRequest,
@@ -55,13 +62,13 @@
         self.settings = settings
         self.timeline = TimeLine(settings.timeline_file, settings.host, "control", HybridClock())
         self.state = ConfigState()
-        self.log: CommandLog = LocalLog(settings.control[0].host, self.state.apply)
         self.registry = BackendRegistry(time.time_ns(), settings.announcement_expiry_s)
         self.leases = EntryLeases(settings.entry_lease_s, 0.0)
         self.polls = PollService(self.state, self.registry, self.leases)
-        settings.data_folder.mkdir(parents=True, exist_ok=True)
-        self.ledger = Ledger(settings.data_folder / "ledger.log")
         self._codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
+        # Takes the lock on the data folder, so it comes before the ledger.
+        self.log = open_log(settings, self.state, self._codec, self.timeline, self.polls.notify)
+        self.ledger = Ledger(settings.data_folder / "ledger.log")
         self._peers = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
             for peer in settings.control
@@ -87,6 +94,7 @@
             raise BaobabstreamError(
                 ResultCode.ADDRESS_IN_USE, f"{own.ip}:{own.http_port}"
             ) from error
+        await self.log.start()
         self._tasks.append(asyncio.create_task(self._expire_backends()))
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on ports %d and %d.", own.port, own.http_port)
@@ -94,6 +102,7 @@
     async def stop(self) -> None:
         """Close the listeners and files."""
         self.timeline.emit(EventKind.DAEMON_STOPPING)
+        await self.log.stop()
         for task in self._tasks:
             task.cancel()
         await self._runner.cleanup()
@@ -129,6 +138,10 @@
             case ForwardRequest():
                 self._require_leadership()
                 return await AdminApi(self).answer_forwarded(message)
+            case VoteRequest() | AppendRequest() | SnapshotRequest() | TransferRequest():
+                return await self.log.handle(sender, message)
+            case JoinRequest():
+                return await self.log.handle(sender, message)
         raise PeerError(ResultCode.MESSAGE_MALFORMED, f"unexpected {type(message).__name__}")
 
     def _require_leadership(self) -> None:
--- a/src/baobabstream/wire/registry.py
+++ b/src/baobabstream/wire/registry.py
@@ -1,5 +1,17 @@
 """Union of all messages of the inner protocol; the codec decodes into it."""
 
+from baobabstream.wire.consensus_messages import (
+    AppendReply,
+    AppendRequest,
+    JoinReply,
+    JoinRequest,
+    SnapshotReply,
+    SnapshotRequest,
+    TransferReply,
+    TransferRequest,
+    VoteReply,
+    VoteRequest,
+)
 from baobabstream.wire.messages import (
     BillReply,
     BillRequest,
@@ -40,4 +52,14 @@
     | TrialEndReply
     | ForwardRequest
     | ForwardReply
+    | VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | SnapshotReply
+    | TransferRequest
+    | TransferReply
+    | JoinRequest
+    | JoinReply
 )
