Run attempts as tasks; add plain services, claims, ratings, suspects and graceful stop

Cause: one task relayed one attempt, so hedges could not run side by side, a lost stream could not resume, and plain services, claims and loss reports were missing.

--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -1,34 +1,29 @@
 """Streams chat answers from model engines."""
 
+import asyncio
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
-
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    TCPConnector,
+)
+
+from baobabstream.backends.attempt_error import AttemptError
+from baobabstream.backends.event_scanner import EventScanner, StreamPart
+from baobabstream.backends.silence_watch import SilenceWatch
 from baobabstream.policy.events import FailureKind
 
-__all__ = ["AttemptError", "EngineClient", "EngineRequest", "StreamPart"]
-
-SSE_PREFIX = b"data: "
-SSE_DONE = b"[DONE]"
+__all__ = ["EngineClient", "EngineLimits", "EngineRequest"]
 
-
-class AttemptError(Exception):
-    """An attempt on a backend server failed.
-
-    Parameters
-    ----------
-    kind
-        Why it failed.
-    retry_after_s
-        Seconds after which the backend server wants to be asked again, or None.
-    """
-
-    def __init__(self, kind: FailureKind, retry_after_s: float | None = None) -> None:
-        self.kind = kind
-        self.retry_after_s = retry_after_s
-        super().__init__(kind.value)
+READ_BUFFER_BYTES = 256 * 1024
+_REFUSED_STATUSES = (429, 503)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,14 +39,23 @@
     resume_tokens: int
     body: dict[str, Any] = field(repr=False)
 
+    @property
+    def identity(self) -> str:
+        """Identity of request and attempt, which the answer must carry."""
+        return f"{self.request_id}.{self.attempt}"
+
 
 @dataclass(frozen=True, slots=True)
-class StreamPart:
-    """Server-sent events as received, and how many of them carry tokens."""
+class EngineLimits:
+    """Time limits in seconds on a connection to a backend server.
 
-    data: bytes
-    tokens: int
-    done: bool
+    ``idle_connection_s`` is the longest time that a connection stays in the pool without use.
+    """
+
+    connect_timeout_s: float = 1.0
+    first_byte_timeout_s: float = 30.0
+    gap_timeout_s: float = 5.0
+    idle_connection_s: float = 15.0
 
 
 class EngineClient:
@@ -59,64 +63,117 @@
 
     Parameters
     ----------
-    connect_timeout_s, first_byte_timeout_s, gap_timeout_s
-        Limits on connecting, on the first byte and on the gap between bytes.
-    idle_connection_s
-        Longest time that a connection stays in the pool without use.
+    limits
+        Time limits on connections.
     """
 
-    def __init__(
-        self,
-        connect_timeout_s: float,
-        first_byte_timeout_s: float,
-        gap_timeout_s: float,
-        idle_connection_s: float,
-    ) -> None:
-        connector = TCPConnector(limit=0, keepalive_timeout=idle_connection_s)
-        timeout = ClientTimeout(total=None, sock_connect=connect_timeout_s, sock_read=gap_timeout_s)
-        self._first_byte_timeout_s = first_byte_timeout_s
-        self.session = ClientSession(connector=connector, timeout=timeout)
-
-    async def stream(self, request: EngineRequest) -> AsyncGenerator[StreamPart, None]:
+    def __init__(self, limits: EngineLimits) -> None:
+        self._limits = limits
+        timeout = ClientTimeout(total=None, sock_connect=limits.connect_timeout_s)
+        self._pooled = ClientSession(
+            connector=TCPConnector(limit=0, keepalive_timeout=limits.idle_connection_s),
+            timeout=timeout,
+            read_bufsize=READ_BUFFER_BYTES,
+        )
+        self._fresh = ClientSession(
+            connector=TCPConnector(limit=0, force_close=True), timeout=timeout
+        )
+
+    async def stream(
+        self, request: EngineRequest, *, new_connection: bool = False
+    ) -> AsyncGenerator[StreamPart, None]:
         """Yield an answer's server-sent events as they arrive.
 
+        Parameters
+        ----------
+        request
+            What to send, and where.
+        new_connection
+            Whether to leave the pooled connections aside.
+
         Raises
         ------
         AttemptError
-            If the engine refuses, fails, stalls or is lost before the answer is whole.
+            If the engine refuses, fails, stalls or is lost before the answer is whole, or if the
+            answer belongs to another request or attempt.
         """
-        headers = {
-            "X-Request-Id": f"{request.request_id}.{request.attempt}",
-            "X-Priority": str(request.priority),
-            "X-Model-Version": request.version,
-            "X-Resume-Tokens": str(request.resume_tokens),
-        }
+        session = self._fresh if new_connection else self._pooled
         body = request.body | {"model": request.model, "stream": True}
         try:
-            async with self.session.post(
-                f"{request.url}/v1/chat/completions", json=body, headers=headers
-            ) as response:
-                if response.status != 200:
-                    raise _status_error(response.status, response.headers.get("Retry-After"))
-                done = False
-                async for line in response.content:
-                    if not line.startswith(SSE_PREFIX):
-                        continue
-                    done = line[len(SSE_PREFIX) :].strip() == SSE_DONE
-                    yield StreamPart(line + b"\n", 0 if done else 1, done)
-                if not done:
-                    raise AttemptError(FailureKind.LOST)
+            async with asyncio.timeout(self._limits.first_byte_timeout_s):
+                response = await session.post(
+                    f"{request.url}/v1/chat/completions", json=body, headers=_headers(request)
+                )
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            raise AttemptError(FailureKind.CONNECT, sent=False) from error
+        except TimeoutError as error:
+            raise AttemptError(FailureKind.STALLED, "no answer") from error
+        except (ClientError, OSError) as error:
+            raise AttemptError(FailureKind.LOST, lost=True) from error
+        try:
+            _check_head(request, response)
+            async for part in self._parts(request, response):
+                yield part
+        finally:
+            if response.content.at_eof():
+                response.release()
+            else:
+                response.close()
+
+    async def _parts(
+        self, request: EngineRequest, response: ClientResponse
+    ) -> AsyncGenerator[StreamPart, None]:
+        scanner = EventScanner(request.request_id, request.attempt)
+        reader = response.content
+        limits = self._limits
+        watch = SilenceWatch(reader, limits.first_byte_timeout_s, limits.gap_timeout_s)
+        done = False
+        try:
+            while not reader.at_eof():
+                watch.before_read()
+                data = await reader.readany()
+                watch.after_read()
+                part = scanner.feed(data)
+                if part is None:
+                    continue
+                if done:
+                    raise AttemptError(FailureKind.ERROR, "data after the final marker")
+                done = part.done
+                if not done or part.data:
+                    yield part
         except TimeoutError as error:
-            raise AttemptError(FailureKind.STALLED) from error
-        except ClientError as error:
-            raise AttemptError(FailureKind.LOST) from error
+            raise AttemptError(FailureKind.STALLED, "silent stream") from error
+        except (ClientError, OSError) as error:
+            raise AttemptError(FailureKind.LOST, lost=True) from error
+        finally:
+            watch.close()
+        if not done:
+            raise AttemptError(FailureKind.LOST, "the answer ended without its final marker")
+        yield StreamPart(b"", 0, True)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.session.close()
-
-
-def _status_error(status: int, retry_after: str | None) -> AttemptError:
-    retry_after_s = float(retry_after) if retry_after and retry_after.isdigit() else None
-    kind = FailureKind.REFUSED if status in (429, 503) else FailureKind.ERROR
-    return AttemptError(kind, retry_after_s)
+        await self._pooled.close()
+        await self._fresh.close()
+
+
+def _headers(request: EngineRequest) -> dict[str, str]:
+    return {
+        "X-Request-Id": request.identity,
+        "X-Priority": str(request.priority),
+        "X-Model-Version": request.version,
+        "X-Resume-Tokens": str(request.resume_tokens),
+    }
+
+
+def _check_head(request: EngineRequest, response: ClientResponse) -> None:
+    if response.status != 200:
+        kind = FailureKind.REFUSED if response.status in _REFUSED_STATUSES else FailureKind.ERROR
+        retry_after = response.headers.get("Retry-After", "")
+        retry_after_s = float(retry_after) if retry_after.isdecimal() else None
+        raise AttemptError(kind, f"status {response.status}", retry_after_s)
+    if response.headers.get("X-Request-Id") != request.identity:
+        raise AttemptError(FailureKind.ERROR, "the answer belongs to another request")
+    resumed = response.headers.get("X-Resume-Tokens", str(request.resume_tokens))
+    if resumed != str(request.resume_tokens):
+        raise AttemptError(FailureKind.ERROR, "the engine resumed at another token")
--- /dev/null
+++ b/src/baobabstream/backends/rating_client.py
@@ -0,0 +1,68 @@
+"""Asks the rating service whether an answer is good."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+
+from baobabstream.telemetry.logs import get_logger
+
+__all__ = ["RatingClient", "RatingQuestion"]
+
+# The rating service must not be flooded by background ratings.
+MAX_CONNECTIONS = 32
+
+_log = get_logger("backends")
+
+
+@dataclass(frozen=True, slots=True)
+class RatingQuestion:
+    """An answer to be rated, with the question that it answers."""
+
+    request: str
+    model: str
+    version: str
+    question: Any
+    answer: str
+
+
+class RatingClient:
+    """Client of the rating service.
+
+    Parameters
+    ----------
+    url
+        Address of the rating service.
+    timeout_s
+        Limit on one rating.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._url = f"{url.rstrip('/')}/v1/ratings"
+        self._session = ClientSession(
+            connector=TCPConnector(limit=MAX_CONNECTIONS), timeout=ClientTimeout(total=timeout_s)
+        )
+
+    async def rate(self, question: RatingQuestion) -> bool | None:
+        """Return whether the answer is good, or None if the service did not say."""
+        body = {
+            "request": question.request,
+            "model": question.model,
+            "version": question.version,
+            "question": question.question,
+            "answer": question.answer,
+        }
+        try:
+            async with self._session.post(self._url, json=body) as response:
+                if response.status != 200:
+                    return None
+                reply = await response.json()
+        except (ClientError, TimeoutError, OSError, ValueError) as error:
+            _log.warning("Rating of %s failed: %s.", question.request, type(error).__name__)
+            return None
+        good = reply.get("good") if isinstance(reply, dict) else None
+        return good if isinstance(good, bool) else None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
--- a/src/baobabstream/emulator/engine.py
+++ b/src/baobabstream/emulator/engine.py
@@ -91,7 +91,12 @@
         model = f"{body['model']}@{request.headers.get('X-Model-Version', '')}"
         tokens = body.get("max_tokens") or DEFAULT_TOKENS
         start = int(request.headers.get("X-Resume-Tokens", "0"))
-        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        headers = {
+            "Content-Type": "text/event-stream",
+            "X-Request-Id": request.headers.get("X-Request-Id", ""),
+            "X-Resume-Tokens": str(start),
+        }
+        response = web.StreamResponse(headers=headers)
         self._in_flight += 1
         try:
             async with self._slots:
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -6,15 +6,25 @@
 
 from aiohttp import web
 
-from baobabstream.backends.engine_client import EngineClient
+from baobabstream.backends.engine_client import EngineClient, EngineLimits
+from baobabstream.backends.probe import Prober
+from baobabstream.backends.rating_client import RatingClient
+from baobabstream.backends.service_client import ServiceClient
 from baobabstream.billing.sender import BillSender
 from baobabstream.entry.chat_handler import ChatHandler
+from baobabstream.entry.claims import Claims
 from baobabstream.entry.decision_loop import DecisionLoop
 from baobabstream.entry.http_errors import error_response
+from baobabstream.entry.in_flight import InFlightRequests
+from baobabstream.entry.leader_calls import BackgroundCalls
+from baobabstream.entry.listening_socket import open_listening_socket
+from baobabstream.entry.plain_handler import PlainHandler
 from baobabstream.entry.sessions import SessionTokens
+from baobabstream.entry.suspects import SuspectReporter
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
+from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.membership.control_session import ControlSession
+from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.baselines import LeastInFlight
 from baobabstream.policy.decisions import StopVersion
 from baobabstream.policy.events import ViewChanged
@@ -28,6 +38,8 @@
 
 __all__ = ["EntryDaemon"]
 
+ACCEPT_BACKLOG = 1024
+
 _log = get_logger("entry")
 
 
@@ -40,14 +52,19 @@
         Validated settings.
     random
         Source of randomness of the policy.
+    policy
+        The routing policy, by default ``LeastInFlight``.
     """
 
-    def __init__(self, settings: EntrySettings, random: Random) -> None:
+    def __init__(
+        self, settings: EntrySettings, random: Random, policy: RoutingPolicy | None = None
+    ) -> None:
         self.settings = settings
         self.timeline = TimeLine(settings.timeline_file, settings.host, "entry", HybridClock())
+        self.random = random
         self.view = ClusterView()
         self.sessions = SessionTokens(settings.session_secret)
-        self.decisions = DecisionLoop(LeastInFlight(random), self._version_stopped)
+        self.decisions = DecisionLoop(policy or LeastInFlight(random), self._version_stopped)
         codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
         self.control = ControlSession(
             settings.host,
@@ -58,47 +75,75 @@
             self._view_changed,
         )
         self.bills = BillSender(self.control, self.control.zones)
-        self._stopping = False
+        self.background = BackgroundCalls()
+        self.suspects = SuspectReporter(self.control, settings.host, self.background)
+        self.claims = Claims(self.control, settings.host, self.background)
+        self.in_flight = InFlightRequests()
+        self.ratings: RatingClient | None = None
 
     async def start(self) -> None:
         """Open the listener and contact the control hosts."""
         settings = self.settings
-        self.engines = EngineClient(
-            settings.connect_timeout_s,
-            settings.first_byte_timeout_s,
-            settings.gap_timeout_s,
-            settings.idle_connection_s,
-        )
+        listener = settings.listener
+        listening_socket = open_listening_socket(listener.ip, listener.port)
+        self._open_clients()
         self._poller = asyncio.create_task(self.control.run())
-        app = web.Application(client_max_size=settings.max_body_bytes)
-        app.router.add_post("/v1/chat/completions", ChatHandler(self).handle)
+        app = web.Application(
+            client_max_size=settings.max_body_bytes, middlewares=[self.in_flight.middleware]
+        )
+        app.on_response_prepare.append(self.in_flight.on_prepare)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
+        ChatHandler(self).add_routes(app.router)
+        app.router.add_route("*", "/{path:.*}", PlainHandler(self).handle)
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, settings.listener.ip, settings.listener.port)
-        try:
-            await site.start()
-        except OSError as error:
-            where = f"{settings.listener.ip}:{settings.listener.port}"
-            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, where) from error
+        self._site = web.SockSite(self._runner, listening_socket, backlog=ACCEPT_BACKLOG)
+        await self._site.start()
         self.timeline.emit(EventKind.DAEMON_STARTED)
-        _log.info("Listening on port %d.", settings.listener.port)
+        _log.info("Listening on port %d.", listener.port)
 
     async def stop(self) -> None:
         """Stop gracefully: finish every request, deliver every bill, then close."""
         self.timeline.emit(EventKind.DAEMON_STOPPING)
         self._stopping = True
+        self.in_flight.closing = True
         self.control.draining = True
         await asyncio.sleep(self.settings.drain_notice_s)
+        await self._site.stop()
+        await self.in_flight.wait_until_idle()
         await self._runner.cleanup()
+        await self.background.drain()
         await self.bills.drain()
         self._poller.cancel()
-        await self.engines.close()
+        await asyncio.gather(self._poller, return_exceptions=True)
+        await self._close_clients()
         self.control.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
 
+    def _open_clients(self) -> None:
+        settings = self.settings
+        self.engines = EngineClient(
+            EngineLimits(
+                settings.connect_timeout_s,
+                settings.first_byte_timeout_s,
+                settings.gap_timeout_s,
+                settings.idle_connection_s,
+            )
+        )
+        self.services = ServiceClient(settings.connect_timeout_s, settings.idle_connection_s)
+        self.prober = Prober(settings.probe_timeout_s)
+        if settings.rating_url is not None:
+            self.ratings = RatingClient(settings.rating_url, settings.rating_timeout_s)
+
+    async def _close_clients(self) -> None:
+        await self.engines.close()
+        await self.services.close()
+        await self.prober.close()
+        if self.ratings is not None:
+            await self.ratings.close()
+
     def require_ready(self) -> None:
         """Raise RequestRefused if this entry may not take new work."""
         now_s = asyncio.get_running_loop().time()
--- a/src/baobabstream/entry/decision_loop.py
+++ b/src/baobabstream/entry/decision_loop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.decisions import Decision, StopVersion
@@ -24,14 +25,13 @@
     def __init__(self, policy: RoutingPolicy, on_stop: Callable[[StopVersion], None]) -> None:
         self._policy = policy
         self._on_stop = on_stop
-        self._inboxes: dict[str, asyncio.Queue[Decision]] = {}
+        self._inboxes: dict[str, asyncio.Queue[Any]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_s: float | None = None
 
-    def open(self, request_id: str) -> asyncio.Queue[Decision]:
-        """Return the queue that will get the decisions about a request."""
-        inbox: asyncio.Queue[Decision] = asyncio.Queue()
+    def open(self, request_id: str, inbox: asyncio.Queue[Any]) -> None:
+        """Put the decisions about a request into its queue from now on."""
         self._inboxes[request_id] = inbox
-        return inbox
 
     def close(self, request_id: str) -> None:
         """Forget a request."""
@@ -53,10 +53,17 @@
             inbox.put_nowait(decision)
 
     def _arm(self) -> None:
+        at_s = self._policy.next_timer_s()
+        if at_s == self._timer_s:
+            return
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        at_s = self._policy.next_timer_s()
+        self._timer_s = at_s
         if at_s is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(at_s, self.feed, TimerFired())
+            self._timer = asyncio.get_running_loop().call_at(at_s, self._fire)
+
+    def _fire(self) -> None:
+        self._timer = None
+        self._timer_s = None
+        self.feed(TimerFired())
--- /dev/null
+++ b/src/baobabstream/entry/listening_socket.py
@@ -0,0 +1,36 @@
+"""Listening socket whose connections find out when their caller has vanished."""
+
+import socket
+
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError
+
+__all__ = ["open_listening_socket"]
+
+# A vanished caller is noticed after 15 + 3 * 5 = 30 seconds.
+KEEPALIVE_IDLE_S = 15
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+
+
+def open_listening_socket(ip: str, port: int) -> socket.socket:
+    """Return a bound socket; accepted connections inherit its keepalive options.
+
+    Raises
+    ------
+    BaobabstreamError
+        ``ADDRESS_IN_USE`` if the address cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    try:
+        listener.bind((ip, port))
+    except OSError as error:
+        listener.close()
+        raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, f"{ip}:{port}") from error
+    return listener
--- /dev/null
+++ b/src/baobabstream/entry/request_run.py
@@ -0,0 +1,328 @@
+"""Carries out the policy's decisions about one chat request."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from baobabstream.backends.attempt_error import AttemptError
+from baobabstream.backends.engine_client import EngineRequest
+from baobabstream.backends.event_scanner import StreamPart
+from baobabstream.entry.attempt import Attempt, AttemptEnded, stream_attempt
+from baobabstream.entry.caller_stream import CallerLost, CallerStalled
+from baobabstream.entry.chat_request import ChatRequest
+from baobabstream.entry.delivery import Delivery
+from baobabstream.entry.refusals import Refused
+from baobabstream.errors.codes import ResultCode
+from baobabstream.policy.decisions import AskTrial, Cancel, Decision, Dispatch, GiveUp, Refuse
+from baobabstream.policy.events import (
+    AnswerRated,
+    AttemptFailed,
+    AttemptFinished,
+    CallerGone,
+    FailureKind,
+    FirstToken,
+    RequestArrived,
+    TokensReceived,
+    TrialGranted,
+)
+from baobabstream.telemetry.logs import get_logger
+from baobabstream.telemetry.timeline import EventKind
+
+if TYPE_CHECKING:
+    from baobabstream.entry.daemon import EntryDaemon
+
+__all__ = ["RequestRun"]
+
+# The policy needs token rates over fractions of a second; a call per token would cost more than
+# the relay of the token.
+TOKENS_PER_REPORT = 16
+# After a bad rating the policy may queue the next step; without one the rated answer is released.
+ESCALATION_WAIT_S = 1.0
+
+_Item = Decision | AttemptEnded | CallerStalled
+
+_log = get_logger("entry")
+
+
+class RequestRun:
+    """One chat request from its arrival to its last byte.
+
+    Parameters
+    ----------
+    daemon
+        The entry daemon.
+    request
+        The caller's HTTP request.
+    chat
+        The decoded chat request.
+    """
+
+    def __init__(self, daemon: "EntryDaemon", request: web.Request, chat: ChatRequest) -> None:
+        self._daemon = daemon
+        self._chat = chat
+        self._info = chat.info
+        self._delivery = Delivery(daemon, request, chat)
+        self._inbox: asyncio.Queue[_Item] = asyncio.Queue()
+        self._attempts: dict[int, Attempt] = {}
+        self._owner: Attempt | None = None
+        self._sent = False
+        self._trial_server = ""
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._finished = False
+
+    async def run(self) -> web.StreamResponse:
+        """Serve the request.
+
+        Raises
+        ------
+        Refused
+            If the request is refused or given up before the head of an answer was sent.
+        """
+        decisions = self._daemon.decisions
+        decisions.open(self._info.request_id, self._inbox)
+        try:
+            decisions.feed(RequestArrived(self._info))
+            while True:
+                response = await self._take(await self._inbox.get())
+                if response is not None:
+                    return response
+        finally:
+            decisions.close(self._info.request_id)
+            if not self._finished:
+                decisions.feed(CallerGone(self._info.request_id))
+            self._end_trial(lost=False)
+            await self._stop_tasks()
+
+    async def _take(self, item: _Item) -> web.StreamResponse | None:
+        match item:
+            case Refuse() | GiveUp():
+                return await self._refuse(item)
+            case Cancel():
+                self._cancel(item.attempt)
+            case AskTrial():
+                self._start_task(self._ask_trial(item))
+            case Dispatch():
+                self._dispatch(item)
+            case AttemptEnded():
+                return await self._attempt_ended(item)
+            case CallerStalled():
+                return self._cut()
+        return None
+
+    def _dispatch(self, dispatch: Dispatch) -> None:
+        record = self._daemon.view.backends.get(dispatch.backend_server)
+        if record is None:
+            gone = AttemptError(FailureKind.CONNECT, "the server has left", sent=False)
+            missing = Attempt(dispatch, 0, 0)
+            self._attempts[dispatch.attempt] = missing
+            self._inbox.put_nowait(AttemptEnded(missing, gone))
+            return
+        # The tokens delivered by now count, not those when the policy decided: the earlier
+        # attempt may have delivered more in between.
+        offset = 0 if dispatch.rate_first else self._delivery.offset(dispatch, self._owner is None)
+        attempt = Attempt(dispatch, offset, record.incarnation)
+        engine_request = EngineRequest(
+            record.url,
+            self._info.request_id,
+            dispatch.attempt,
+            dispatch.model,
+            dispatch.version,
+            dispatch.priority,
+            offset,
+            self._delivery.engine_body,
+        )
+        detail = f"{dispatch.backend_server} {dispatch.model}@{dispatch.version}"
+        self._emit(EventKind.ATTEMPT_SENT, detail)
+        self._attempts[dispatch.attempt] = attempt
+        attempt.task = self._start_task(self._run_attempt(attempt, engine_request))
+
+    async def _run_attempt(self, attempt: Attempt, request: EngineRequest) -> None:
+        daemon = self._daemon
+        error = None
+        try:
+            await stream_attempt(attempt, request, daemon.engines, daemon.prober, self._deliver)
+        except AttemptError as failure:
+            error = failure
+        except CallerStalled as stalled:
+            self._inbox.put_nowait(stalled)
+            return
+        except CallerLost:
+            # The handler's task is cancelled when the connection closes.
+            return
+        if error is not None and error.lost:
+            await daemon.suspects.report(
+                attempt.dispatch.backend_server, attempt.incarnation, self._info.fingerprint
+            )
+        self._inbox.put_nowait(AttemptEnded(attempt, error))
+
+    async def _deliver(self, attempt: Attempt, part: StreamPart) -> None:
+        if part.tokens:
+            if not attempt.tokens:
+                self._first_token(attempt)
+            attempt.tokens += part.tokens
+            attempt.unreported_tokens += part.tokens
+            if attempt.unreported_tokens >= TOKENS_PER_REPORT:
+                self._report_tokens(attempt)
+        if attempt.dispatch.rate_first:
+            attempt.collected.add(part.data, part.tokens)
+        elif attempt is self._owner:
+            await self._delivery.add(part.data, part.tokens)
+        elif part.data:
+            attempt.head.append(part.data)
+
+    def _first_token(self, attempt: Attempt) -> None:
+        self._emit(EventKind.FIRST_TOKEN, str(attempt.number))
+        if not attempt.dispatch.rate_first:
+            self._own(attempt)
+        self._daemon.decisions.feed(FirstToken(self._info.request_id, attempt.number))
+
+    def _own(self, attempt: Attempt) -> None:
+        """Let an attempt deliver the answer from here on, and cancel all others."""
+        if attempt.offset != self._delivery.tokens:
+            raise AttemptError(FailureKind.ERROR, "another attempt has delivered these tokens")
+        self._owner = attempt
+        self._delivery.use(attempt.dispatch, attempt.head if not attempt.offset else [])
+        for number in list(self._attempts):
+            if number != attempt.number:
+                self._cancel(number)
+
+    def _report_tokens(self, attempt: Attempt) -> None:
+        if attempt.unreported_tokens:
+            event = TokensReceived(self._info.request_id, attempt.number, attempt.unreported_tokens)
+            attempt.unreported_tokens = 0
+            self._daemon.decisions.feed(event)
+
+    async def _attempt_ended(self, ended: AttemptEnded) -> web.StreamResponse | None:
+        attempt, error = ended.attempt, ended.error
+        if self._attempts.pop(attempt.number, None) is None:
+            return None
+        self._sent = self._sent or error is None or error.sent
+        self._report_tokens(attempt)
+        if attempt.dispatch.backend_server == self._trial_server:
+            self._end_trial(lost=error is not None and error.lost)
+        if error is not None:
+            self._fail(attempt, error)
+            return None
+        if attempt is not self._owner and not attempt.dispatch.rate_first:
+            try:
+                self._own(attempt)
+            except AttemptError as overtaken:
+                self._fail(attempt, overtaken)
+                return None
+        return await self._whole(attempt)
+
+    def _fail(self, attempt: Attempt, error: AttemptError) -> None:
+        if attempt is self._owner:
+            self._owner = None
+        self._emit(EventKind.ATTEMPT_FAILED, f"{error.kind.value}: {error.detail}")
+        self._daemon.decisions.feed(
+            AttemptFailed(
+                self._info.request_id,
+                attempt.number,
+                error.kind,
+                self._delivery.tokens,
+                error.retry_after_s,
+            )
+        )
+
+    async def _whole(self, attempt: Attempt) -> web.StreamResponse | None:
+        for number in list(self._attempts):
+            self._cancel(number)
+        self._daemon.decisions.feed(
+            AttemptFinished(self._info.request_id, attempt.number, attempt.tokens)
+        )
+        self._finished = True
+        if attempt.dispatch.rate_first:
+            if await self._escalated(attempt):
+                self._finished = False
+                return None
+            self._owner = attempt
+            await self._delivery.release(attempt.dispatch, attempt.collected)
+        response = await self._delivery.finish()
+        if not attempt.dispatch.rate_first:
+            self._delivery.rate_sample()
+        return response
+
+    async def _escalated(self, attempt: Attempt) -> bool:
+        """Rate a collected answer and return whether the policy goes on with another attempt."""
+        good = await self._delivery.rate(attempt.dispatch, attempt.collected)
+        if good is None:
+            # The policy waits for a rating; CallerGone at the end lets it forget the request.
+            self._finished = False
+            return False
+        dispatch = attempt.dispatch
+        self._daemon.decisions.feed(
+            AnswerRated(self._info.request_id, dispatch.model, dispatch.version, good)
+        )
+        if good:
+            return False
+        try:
+            item = await asyncio.wait_for(self._inbox.get(), ESCALATION_WAIT_S)
+        except TimeoutError:
+            return False
+        if isinstance(item, Refuse | GiveUp):
+            return False
+        self._inbox.put_nowait(item)
+        return True
+
+    async def _refuse(self, decision: Refuse | GiveUp) -> web.StreamResponse:
+        self._finished = True
+        sent = self._sent or any(item.task is not None for item in self._attempts.values())
+        refused = Refused(decision.code, decision.reason, decision.retry_after_s, sent=sent)
+        self._emit(EventKind.REQUEST_REFUSED, refused.code.name)
+        return await self._delivery.refuse(refused)
+
+    def _cut(self) -> web.StreamResponse:
+        _log.warning(
+            "%d %s: request %s is cut, its caller does not read.",
+            ResultCode.CALLER_STALLED,
+            ResultCode.CALLER_STALLED.name,
+            self._info.request_id,
+        )
+        self._emit(EventKind.REQUEST_REFUSED, ResultCode.CALLER_STALLED.name)
+        return self._delivery.cut()
+
+    def _cancel(self, number: int) -> None:
+        attempt = self._attempts.pop(number, None)
+        if attempt is None:
+            return
+        self._sent = self._sent or attempt.task is not None
+        if attempt is self._owner:
+            self._owner = None
+        self._emit(EventKind.ATTEMPT_CANCELLED, str(number))
+        if attempt.dispatch.backend_server == self._trial_server:
+            self._end_trial(lost=False)
+        if attempt.task is not None and attempt.task is not asyncio.current_task():
+            attempt.task.cancel()
+
+    async def _ask_trial(self, decision: AskTrial) -> None:
+        event = await self._daemon.suspects.ask_trial(
+            self._info.fingerprint, self._info.request_id, decision.candidates
+        )
+        if isinstance(event, TrialGranted):
+            self._trial_server = event.backend_server
+        self._daemon.decisions.feed(event)
+
+    def _end_trial(self, *, lost: bool) -> None:
+        if self._trial_server:
+            self._trial_server = ""
+            self._daemon.suspects.end_trial(
+                self._info.fingerprint, self._info.request_id, lost=lost
+            )
+
+    def _start_task(self, work) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _stop_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _emit(self, kind: EventKind, detail: str = "") -> None:
+        view = self._daemon.view
+        self._daemon.timeline.emit(kind, self._info.request_id, view.revision, detail)
--- a/src/baobabstream/entry/sessions.py
+++ b/src/baobabstream/entry/sessions.py
@@ -41,12 +41,13 @@
         Raises
         ------
         RequestRefused
-            ``SESSION_INVALID`` if the token is forged, damaged or another account's.
+            ``SESSION_INVALID`` if the token is forged or damaged, ``SESSION_FOREIGN`` if it is
+            another account's.
         """
         try:
             owner, model, version = self._serializer.loads(token)
         except (BadData, ValueError, TypeError) as error:
             raise RequestRefused(ResultCode.SESSION_INVALID) from error
         if owner != client_account:
-            raise RequestRefused(ResultCode.SESSION_INVALID)
+            raise RequestRefused(ResultCode.SESSION_FOREIGN)
         return SessionPin(owner, model, version)
--- a/src/baobabstream/errors/codes.py
+++ b/src/baobabstream/errors/codes.py
@@ -49,6 +49,11 @@
     UNKNOWN_ROUTE = 1023
     ACCOUNT_LIMIT = 1024
     CLAIM_UNAVAILABLE = 1025
+    CALLER_STALLED = 1030
+    MALFORMED_HEADER = 1031
+    SESSION_FOREIGN = 1032
+    SERVICE_NOT_ALLOWED = 1033
+    INTERNAL_ERROR = 1034
     CHANGE_INVALID = 2001
     REVISION_CONFLICT = 2002
     NO_LEADER = 2003
@@ -133,6 +138,11 @@
         CodeRow(_C.UNKNOWN_ROUTE, 404, _NO, False, "No route matches this path."),
         CodeRow(_C.ACCOUNT_LIMIT, 429, _NO, True, "The account has used its allowance."),
         CodeRow(_C.CLAIM_UNAVAILABLE, 503, _NO, True, "The claim could not be recorded."),
+        CodeRow(_C.CALLER_STALLED, 408, _UNKNOWN, False, "The caller did not read its answer."),
+        CodeRow(_C.MALFORMED_HEADER, 400, _NO, False, "A header is not valid."),
+        CodeRow(_C.SESSION_FOREIGN, 403, _NO, False, "The session is another account's."),
+        CodeRow(_C.SERVICE_NOT_ALLOWED, 403, _NO, False, "The account may not use this service."),
+        CodeRow(_C.INTERNAL_ERROR, 500, _UNKNOWN, False, "The entry host failed unexpectedly."),
         CodeRow(_C.CHANGE_INVALID, 400, _NO, False, "The change is not valid."),
         CodeRow(_C.REVISION_CONFLICT, 409, _NO, False, "The change is based on an old revision."),
         CodeRow(_C.NO_LEADER, 503, _NO, True, "No control leader can be reached."),
--- a/src/baobabstream/policy/decisions.py
+++ b/src/baobabstream/policy/decisions.py
@@ -4,7 +4,7 @@
 
 from baobabstream.errors.codes import ResultCode
 
-__all__ = ["Cancel", "Decision", "Dispatch", "GiveUp", "Refuse", "StopVersion"]
+__all__ = ["AskTrial", "Cancel", "Decision", "Dispatch", "GiveUp", "Refuse", "StopVersion"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,4 +74,12 @@
     reason: str = ""
 
 
-Decision = Dispatch | Cancel | Refuse | GiveUp | StopVersion
+@dataclass(frozen=True, slots=True)
+class AskTrial:
+    """Ask the control leader for the right to run a suspect on one of the candidates."""
+
+    request_id: str
+    candidates: tuple[str, ...]
+
+
+Decision = Dispatch | Cancel | Refuse | GiveUp | StopVersion | AskTrial
--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -17,6 +17,8 @@
     "RequestInfo",
     "TimerFired",
     "TokensReceived",
+    "TrialDenied",
+    "TrialGranted",
     "ViewChanged",
 ]
 
@@ -142,6 +144,23 @@
     good: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TrialGranted:
+    """The control leader lets a suspect run on a backend server."""
+
+    request_id: str
+    backend_server: str
+
+
+@dataclass(frozen=True, slots=True)
+class TrialDenied:
+    """The control leader does not let a suspect run now, or never if it is quarantined."""
+
+    request_id: str
+    retry_after_s: float
+    quarantined: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """The time that the policy asked for has come."""
@@ -156,5 +175,7 @@
     | AttemptFinished
     | AttemptFailed
     | AnswerRated
+    | TrialGranted
+    | TrialDenied
     | TimerFired
 )
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -82,6 +82,10 @@
     drain_notice_s: Annotated[float, Field(ge=0, le=600)] = 5.0
     bill_sync_timeout_s: PositiveSeconds = 1.0
     rating_url: str | None = None
+    rating_timeout_s: PositiveSeconds = 5.0
+    rating_sample: Annotated[float, Field(ge=0, le=1)] = 0.05
+    probe_timeout_s: PositiveSeconds = 1.0
+    caller_write_timeout_s: PositiveSeconds = 10.0
 
 
 class ControlSettings(_DaemonSettings):
