Stand-in engine batches, caches, resumes, takes orders and shows faults

Cause: the stand-in engine slept per token and showed no fault, so nothing above it could be tested. Change: continuous batching with priorities, prefix cache with late and lossy events, lagging load reports, resume, cancel, KV export and import, fenced orders, faults by option and at run time; a plain service that counts runs; a rating service. Announcements may carry role, adapters and cache events, which the registry does not pass on yet. Conclusion: failure tests can run against in-process stand-ins.

--- a/src/baobabstream/cli/emulate.py
+++ b/src/baobabstream/cli/emulate.py
@@ -9,6 +9,10 @@
 from baobabstream.cli.run_daemon import stop_event
 from baobabstream.emulator.announcer import Announcer
 from baobabstream.emulator.engine import EngineApp, EngineOptions
+from baobabstream.emulator.engine_options import CRASH_MARKER
+from baobabstream.emulator.faults import Faults
+from baobabstream.emulator.rating import RatingApp, RatingOptions
+from baobabstream.emulator.service import ServiceApp, ServiceOptions
 from baobabstream.telemetry.logs import configure_logging
 from baobabstream.wire.rows import LoadedVersion
 
@@ -16,6 +20,16 @@
 
 emulate_app = typer.Typer(help="Stand-in backend servers for development.", no_args_is_help=True)
 
+Identity = Annotated[str, typer.Option()]
+Port = Annotated[int, typer.Option()]
+Ip = Annotated[str, typer.Option()]
+ControlUrls = Annotated[list[str], typer.Option(help="Control host, may be repeated.")]
+BackendKey = Annotated[str, typer.Option(envvar="BAOBABSTREAM_BACKEND_KEY")]
+Zone = Annotated[str, typer.Option()]
+TimelineFile = Annotated[Path | None, typer.Option()]
+FaultText = Annotated[str, typer.Option(help="Faults from the start, as JSON.")]
+Seed = Annotated[int, typer.Option(help="Seed of the randomness of the faults.")]
+
 
 @emulate_app.callback()
 def emulate() -> None:
@@ -24,30 +38,117 @@
 
 @emulate_app.command()
 def engine(
-    identity: Annotated[str, typer.Option()],
-    port: Annotated[int, typer.Option()],
+    identity: Identity,
+    port: Port,
     load: Annotated[list[str], typer.Option(help="MODEL@VERSION, may be repeated.")],
-    control_url: Annotated[list[str], typer.Option(help="Control host, may be repeated.")],
-    backend_key: Annotated[str, typer.Option(envvar="BAOBABSTREAM_BACKEND_KEY")],
-    availability_zone: Annotated[str, typer.Option()] = "zone-a",
-    ip: Annotated[str, typer.Option()] = "127.0.0.1",
+    control_url: ControlUrls,
+    backend_key: BackendKey,
+    availability_zone: Zone = "zone-a",
+    ip: Ip = "127.0.0.1",
+    first_token_s: Annotated[float, typer.Option()] = 0.02,
     token_gap_s: Annotated[float, typer.Option()] = 0.005,
-    timeline_file: Annotated[Path | None, typer.Option()] = None,
+    slots: Annotated[int, typer.Option()] = 8,
+    tokens_per_s: Annotated[float, typer.Option(help="Rate of the whole batch.")] = 1600.0,
+    prefill_tokens_per_s: Annotated[float, typer.Option()] = 20_000.0,
+    cache_tokens: Annotated[int, typer.Option(help="Memory of the prefix cache.")] = 50_000,
+    cache_event_delay_s: Annotated[float, typer.Option()] = 1.0,
+    cache_event_loss: Annotated[float, typer.Option(help="Share of lost events.")] = 0.1,
+    report_lag_s: Annotated[float, typer.Option(help="Age of load reports.")] = 1.0,
+    load_s: Annotated[float, typer.Option(help="Time to load a version.")] = 1.0,
+    fencing: Annotated[bool, typer.Option(help="Refuse orders with an old number.")] = True,
+    crash_marker: Annotated[str, typer.Option(help="Prompt text that ends it.")] = CRASH_MARKER,
+    bad_share: Annotated[
+        list[str] | None, typer.Option(help="MODEL@VERSION=SHARE, may be repeated.")
+    ] = None,
+    faults: FaultText = "{}",
+    seed: Seed = 1,
+    timeline_file: TimelineFile = None,
 ) -> None:
     """Run a stand-in model engine."""
     configure_logging("INFO", False, identity)
-    loaded = tuple(LoadedVersion(*item.split("@", 1)) for item in load)
     options = EngineOptions(
         identity,
         ip,
         port,
         availability_zone,
-        loaded,
+        tuple(LoadedVersion(*item.split("@", 1)) for item in load),
+        first_token_s=first_token_s,
         token_gap_s=token_gap_s,
+        slots=slots,
+        timeline_path=timeline_file,
+        tokens_per_s=tokens_per_s,
+        prefill_tokens_per_s=prefill_tokens_per_s,
+        cache_tokens=cache_tokens,
+        cache_event_delay_s=cache_event_delay_s,
+        cache_event_loss=cache_event_loss,
+        report_lag_s=report_lag_s,
+        load_s=load_s,
+        honours_fencing=fencing,
+        crash_marker=crash_marker,
+        bad_shares=dict(_share(item) for item in bad_share or ()),
+        faults=Faults.model_validate_json(faults),
+        seed=seed,
+    )
+
+    async def run() -> None:
+        await EngineApp(options).run(Announcer(control_url, backend_key), stop_event())
+
+    asyncio.run(run())
+
+
+@emulate_app.command()
+def service(
+    identity: Identity,
+    port: Port,
+    service: Annotated[str, typer.Option(help="Name of the service.")],
+    control_url: ControlUrls,
+    backend_key: BackendKey,
+    availability_zone: Zone = "zone-a",
+    ip: Ip = "127.0.0.1",
+    work_s: Annotated[float, typer.Option(help="Time that a call takes.")] = 0.01,
+    faults: FaultText = "{}",
+    seed: Seed = 1,
+    timeline_file: TimelineFile = None,
+) -> None:
+    """Run a stand-in plain service that records each run of a call."""
+    configure_logging("INFO", False, identity)
+    options = ServiceOptions(
+        identity,
+        ip,
+        port,
+        availability_zone,
+        service,
+        work_s=work_s,
         timeline_path=timeline_file,
+        faults=Faults.model_validate_json(faults),
+        seed=seed,
     )
-    asyncio.run(_run_engine(options, Announcer(control_url, backend_key)))
+
+    async def run() -> None:
+        await ServiceApp(options).run(Announcer(control_url, backend_key), stop_event())
+
+    asyncio.run(run())
+
+
+@emulate_app.command()
+def rating(
+    port: Port,
+    ip: Ip = "127.0.0.1",
+    work_s: Annotated[float, typer.Option(help="Time that a rating takes.")] = 0.01,
+    noise: Annotated[float, typer.Option(help="Share of wrong ratings.")] = 0.0,
+    faults: FaultText = "{}",
+    seed: Seed = 1,
+) -> None:
+    """Run a stand-in rating service."""
+    configure_logging("INFO", False, "rating")
+    options = RatingOptions(ip, port, work_s, noise, Faults.model_validate_json(faults), seed)
+
+    async def run() -> None:
+        await RatingApp(options).run(stop_event())
+
+    asyncio.run(run())
 
 
-async def _run_engine(options: EngineOptions, announcer: Announcer) -> None:
-    await EngineApp(options).run(announcer, stop_event())
+def _share(item: str) -> tuple[str, float]:
+    version, _, share = item.rpartition("=")
+    return version, float(share)
--- a/src/baobabstream/emulator/engine.py
+++ b/src/baobabstream/emulator/engine.py
@@ -1,38 +1,33 @@
-"""Stand-in model engine: streams a generated answer at a fixed token rate."""
+"""Stand-in model engine: announcements, health, orders and chat requests."""
 
 import asyncio
-import json
-import time
-from dataclasses import dataclass, field
-from typing import Any
+import os
+from collections.abc import Callable
+from random import Random
+from typing import Any, NoReturn
 
 from aiohttp import web
 
 from baobabstream.emulator.announcer import Announcer
+from baobabstream.emulator.batching import BatchSpeed, ContinuousBatch
+from baobabstream.emulator.chat import ChatStreams
+from baobabstream.emulator.engine_options import EngineOptions
+from baobabstream.emulator.faults import FaultSwitch
+from baobabstream.emulator.kv_store import KvStore
+from baobabstream.emulator.load_reports import LaggingReports, LoadReport
+from baobabstream.emulator.orders import OrderDesk
+from baobabstream.emulator.prefix_cache import CacheFeed, PrefixCache
 from baobabstream.telemetry.hybrid_clock import HybridClock
-from baobabstream.telemetry.timeline import EventKind, TimeLine
-from baobabstream.wire.rows import LoadedVersion
+from baobabstream.telemetry.timeline import TimeLine
 
 __all__ = ["EngineApp", "EngineOptions"]
 
-DEFAULT_TOKENS = 32
-WORDS = ("the", "dune", "gate", "bearing", "waiver", "grease", "is", "ready", "and", "checked")
+CRASH_EXIT_CODE = 70
+REPORT_SAMPLE_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class EngineOptions:
-    """Options of a stand-in engine; times in seconds."""
-
-    identity: str
-    ip: str
-    port: int
-    availability_zone: str
-    loaded: tuple[LoadedVersion, ...]
-    first_token_s: float = 0.02
-    token_gap_s: float = 0.005
-    slots: int = 8
-    timeline_path: Any = None
-    incarnation: int = field(default_factory=time.time_ns)
+def _exit_process() -> NoReturn:
+    os._exit(CRASH_EXIT_CODE)
 
 
 class EngineApp:
@@ -41,33 +36,66 @@
     Parameters
     ----------
     options
-        What the engine announces and how fast it is.
+        What the engine announces, how fast it is and which faults it shows.
+    crash
+        Called for a prompt with the crash marker; ends the process.
     """
 
-    def __init__(self, options: EngineOptions) -> None:
+    def __init__(self, options: EngineOptions, crash: Callable[[], object] = _exit_process) -> None:
+        random = Random(options.seed)
         self._options = options
-        self._in_flight = 0
-        self._slots = asyncio.Semaphore(options.slots)
+        self.faults = FaultSwitch(options.faults, random)
+        self.orders = OrderDesk(options.loaded, options.load_s, options.honours_fencing)
+        speed = BatchSpeed(
+            options.slots, options.token_gap_s, options.tokens_per_s, options.prefill_tokens_per_s
+        )
+        self.batch = ContinuousBatch(speed, lambda: self.faults.faults.slow_factor)
+        self._cache_feed = CacheFeed(options.cache_event_delay_s, options.cache_event_loss, random)
+        self._reports = LaggingReports(options.report_lag_s)
+        self._kv_store = KvStore()
         self._timeline = TimeLine(options.timeline_path, options.identity, "engine", HybridClock())
+        self._chat = ChatStreams(
+            options,
+            self.batch,
+            PrefixCache(options.cache_tokens, self._cache_feed),
+            self._kv_store,
+            self.orders,
+            self.faults,
+            self._timeline,
+            crash,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
 
     def application(self) -> web.Application:
         """Return the aiohttp application."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
-        app.router.add_post("/v1/chat/completions", self._chat)
+        app.router.add_post("/v1/chat/completions", self._chat.handle)
+        app.router.add_get("/healthz", self._health)
+        for part in (self.orders, self.faults, self._kv_store):
+            part.add_routes(app)
+        app.on_startup.append(self._start_tasks)
+        app.on_cleanup.append(self._stop_tasks)
         return app
 
     def announcement(self) -> dict[str, Any]:
         """Return the body of an announcement."""
         options = self._options
+        now_s = asyncio.get_running_loop().time()
+        report = self._reports.reported(now_s)
         return {
             "identity": options.identity,
             "incarnation": options.incarnation,
             "kind": "engine",
             "url": f"http://{options.ip}:{options.port}",
             "availability_zone": options.availability_zone,
-            "loaded": [{"model": x.model, "version": x.version} for x in options.loaded],
+            "loaded": [{"model": x.model, "version": x.version} for x in self.orders.loaded],
             "slots": options.slots,
-            "in_flight": self._in_flight,
+            "honours_fencing": options.honours_fencing,
+            "role": self.orders.role,
+            "adapters": sorted(self.orders.adapters),
+            "in_flight": report.in_flight,
+            "queued_tokens": report.queued_tokens,
+            "cache_events": self._cache_feed.take_due(now_s),
         }
 
     async def run(self, announcer: Announcer, stop: asyncio.Event) -> None:
@@ -85,41 +113,25 @@
         await announcer.send("leave", leave)
         await runner.cleanup()
 
-    async def _chat(self, request: web.Request) -> web.StreamResponse:
-        body = await request.json()
-        request_id = request.headers.get("X-Request-Id", "").partition(".")[0]
-        model = f"{body['model']}@{request.headers.get('X-Model-Version', '')}"
-        tokens = body.get("max_tokens") or DEFAULT_TOKENS
-        start = int(request.headers.get("X-Resume-Tokens", "0"))
-        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-        self._in_flight += 1
-        try:
-            async with self._slots:
-                self._timeline.emit(EventKind.ENGINE_REQUEST_STARTED, request_id, detail=model)
-                await asyncio.sleep(self._options.first_token_s)
-                await response.prepare(request)
-                for index in range(start, tokens):
-                    await response.write(_chunk(request_id, model, index, tokens))
-                    await asyncio.sleep(self._options.token_gap_s)
-                await response.write(b"data: [DONE]\n\n")
-                self._timeline.emit(EventKind.ENGINE_REQUEST_FINISHED, request_id, detail=model)
-        finally:
-            self._in_flight -= 1
-        return response
-
-
-def _chunk(request_id: str, model: str, index: int, tokens: int) -> bytes:
-    chunk = {
-        "id": f"chatcmpl-{request_id}",
-        "object": "chat.completion.chunk",
-        "created": int(time.time()),
-        "model": model,
-        "choices": [
-            {
-                "index": 0,
-                "delta": {"content": WORDS[index % len(WORDS)] + " "},
-                "finish_reason": "stop" if index == tokens - 1 else None,
-            }
-        ],
-    }
-    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
+    async def _start_tasks(self, _: web.Application) -> None:
+        self._tasks = [
+            asyncio.create_task(self.batch.run()),
+            asyncio.create_task(self._sample_load()),
+        ]
+
+    async def _stop_tasks(self, _: web.Application) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._timeline.close()
+
+    async def _sample_load(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            report = LoadReport(self.batch.in_flight, self.batch.queued_tokens)
+            self._reports.add(report, loop.time())
+            await asyncio.sleep(REPORT_SAMPLE_S)
+
+    async def _health(self, _: web.Request) -> web.Response:
+        return web.json_response(
+            {"identity": self._options.identity, "in_flight": self.batch.in_flight}
+        )
