Settings: secret types, files, checked TLS files, errors that say what is allowed

Cause: secrets were plain text that a repr printed, TLS files were not read, unknown keys and missing keys did not say what is allowed. Conclusion: a settings file can be checked on any host before a daemon starts.

--- a/src/baobabstream/cli/app.py
+++ b/src/baobabstream/cli/app.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from baobabstream.cli.check_settings import check_settings
 from baobabstream.cli.daemons import control, entry
 from baobabstream.cli.emulate import emulate_app
 from baobabstream.cli.operate import operate_app
@@ -20,6 +21,7 @@
 app.command()(entry)
 app.command()(control)
 app.command()(timeline)
+app.command("check-settings")(check_settings)
 app.add_typer(emulate_app, name="emulate")
 app.registered_groups.extend(operate_app.registered_groups)
 app.registered_commands.extend(operate_app.registered_commands)
--- a/src/baobabstream/control/admin_api.py
+++ b/src/baobabstream/control/admin_api.py
@@ -65,17 +65,20 @@
         return await self._serve(request, operator)
 
     async def _backend(self, request: web.Request) -> web.Response:
-        key = _bearer(request)
-        if not hmac.compare_digest(key.encode(), self._daemon.settings.backend_key.encode()):
+        expected = self._daemon.settings.backend_key.get_secret_value()
+        if not hmac.compare_digest(_bearer(request).encode(), expected.encode()):
             return _error_response(RequestRefused(ResultCode.ANNOUNCEMENT_UNAUTHENTICATED))
         return await self._serve(request, "")
 
     def _operator(self, request: web.Request) -> str | None:
         key = _bearer(request).encode()
         keys = self._daemon.settings.operator_keys.items()
-        return next(
-            (name for name, value in keys if hmac.compare_digest(value.encode(), key)), None
+        matches = (
+            name
+            for name, value in keys
+            if hmac.compare_digest(value.get_secret_value().encode(), key)
         )
+        return next(matches, None)
 
     async def _serve(self, request: web.Request, operator: str) -> web.Response:
         body = await request.read()
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -61,7 +61,8 @@
         self.polls = PollService(self.state, self.registry, self.leases)
         settings.data_folder.mkdir(parents=True, exist_ok=True)
         self.ledger = Ledger(settings.data_folder / "ledger.log")
-        self._codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
+        secret = settings.peer_secret.get_secret_value()
+        self._codec = WireCodec(settings.cluster, settings.host, secret)
         self._peers = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
             for peer in settings.control
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -46,9 +46,10 @@
         self.settings = settings
         self.timeline = TimeLine(settings.timeline_file, settings.host, "entry", HybridClock())
         self.view = ClusterView()
-        self.sessions = SessionTokens(settings.session_secret)
+        self.sessions = SessionTokens(settings.session_secret.get_secret_value())
         self.decisions = DecisionLoop(LeastInFlight(random), self._version_stopped)
-        codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
+        secret = settings.peer_secret.get_secret_value()
+        codec = WireCodec(settings.cluster, settings.host, secret)
         self.control = ControlSession(
             settings.host,
             settings.availability_zone,
--- a/src/baobabstream/settings/load.py
+++ b/src/baobabstream/settings/load.py
@@ -2,12 +2,14 @@
 
 import tomllib
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from pydantic import BaseModel, ValidationError
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import SettingsError
+from baobabstream.settings.describe import describe_error
+from baobabstream.settings.tls import TLS_ERROR_TYPE
 
 __all__ = ["load_settings"]
 
@@ -17,6 +19,8 @@
 def load_settings(path: Path, model: type[ModelT]) -> ModelT:
     """Read a TOML file into a settings model.
 
+    Relative paths in the file are relative to its folder.
+
     Parameters
     ----------
     path
@@ -32,21 +36,22 @@
     Raises
     ------
     SettingsError
-        ``SETTINGS_UNREADABLE`` if the file is missing or not TOML, ``SETTINGS_INVALID`` if a
-        value is not allowed. The text names file, key, value and what is allowed.
+        ``SETTINGS_UNREADABLE`` if the file is missing or not TOML, ``TLS_FILES_INVALID`` if
+        certificate files cannot be used, else ``SETTINGS_INVALID`` if a value is not allowed.
+        The text names file, key, value and what is allowed.
     """
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}") from error
     try:
-        return model.model_validate(document)
+        return model.model_validate(document, context={"folder": path.absolute().parent})
     except ValidationError as error:
-        lines = [f"{path}: {_describe(item)}" for item in error.errors()]
-        raise SettingsError(ResultCode.SETTINGS_INVALID, "\n".join(lines)) from error
+        raise _refusal(path, model, error.errors()) from None
 
 
-def _describe(item) -> str:
-    key = ".".join(str(part) for part in item["loc"])
-    value = "" if "secret" in key or "key" in key else f" (got {item['input']!r})"
-    return f"{key}: {item['msg']}{value}"
+def _refusal(path: Path, model: type[BaseModel], items: list[Any]) -> SettingsError:
+    tls_only = all(item["type"] == TLS_ERROR_TYPE for item in items)
+    code = ResultCode.TLS_FILES_INVALID if tls_only else ResultCode.SETTINGS_INVALID
+    lines = [f"{path}: {describe_error(item, model)}" for item in items]
+    return SettingsError(code, "\n".join(lines))
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -1,9 +1,12 @@
 """Pydantic models of the TOML settings files."""
 
-from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from baobabstream.settings.paths import SettingsPath
+from baobabstream.settings.secrets import Secret
+from baobabstream.settings.tls import PeerTlsFiles, TlsFiles
 
 __all__ = [
     "ControlPeer",
@@ -11,87 +14,142 @@
     "EntrySettings",
     "HttpListener",
     "LogSettings",
+    "PeerTlsFiles",
     "TlsFiles",
 ]
 
 Port = Annotated[int, Field(ge=1, le=65535)]
 Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
-Secret = Annotated[str, Field(min_length=16, max_length=256)]
 PositiveSeconds = Annotated[float, Field(gt=0, le=3600)]
+Ip = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:]+$", max_length=45)]
 
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class TlsFiles(_Model):
-    """Certificate files of a listener."""
-
-    certificate_file: Path
-    key_file: Path
-    ca_file: Path | None = None
-
-
 class HttpListener(_Model):
     """Address of an HTTP listener."""
 
-    ip: str = "127.0.0.1"
-    port: Port
-    tls: TlsFiles | None = None
+    ip: Ip = Field(default="127.0.0.1", description="Address to listen on.")
+    port: Port = Field(description="TCP port.")
+    tls: TlsFiles | None = Field(
+        default=None, description="Certificate files; without them plain HTTP."
+    )
 
 
 class ControlPeer(_Model):
-    """Address of a control host's inner-protocol listener."""
+    """One control host; every daemon lists all of them."""
 
-    host: Name
-    availability_zone: Name
-    ip: str = "127.0.0.1"
-    port: Port
-    http_port: Port
+    host: Name = Field(description="Name of the control host.")
+    availability_zone: Name = Field(description="Availability zone of the control host.")
+    ip: Ip = Field(default="127.0.0.1", description="Address of the control host.")
+    port: Port = Field(description="TCP port of the protocol between daemons.")
+    http_port: Port = Field(description="TCP port for operators and backend servers.")
 
 
 class LogSettings(_Model):
-    """Format and level of the log."""
+    """Format and level of the log, which goes to standard error."""
 
-    level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
-    json_lines: bool = False
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = Field(
+        default="INFO", description="Least level that is written."
+    )
+    json_lines: bool = Field(default=False, description="Whether each record is one JSON object.")
 
 
 class _DaemonSettings(_Model):
-    cluster: Name
-    host: Name
-    availability_zone: Name
-    peer_secret: Secret
-    control: Annotated[list[ControlPeer], Field(min_length=1, max_length=16)]
-    timeline_file: Path | None = None
-    log: LogSettings = LogSettings()
-    metrics_port: Port | None = None
+    cluster: Name = Field(description="Name of the cluster; daemons of others are refused.")
+    host: Name = Field(description="Name of this host.")
+    availability_zone: Name = Field(description="Availability zone of this host.")
+    peer_secret: Secret = Field(description="Secret shared by all daemons of the cluster.")
+    control: Annotated[list[ControlPeer], Field(min_length=1, max_length=16)] = Field(
+        description="The control hosts."
+    )
+    peer_tls: PeerTlsFiles | None = Field(
+        default=None, description="TLS between daemons; set it on every host or on none."
+    )
+    timeline_file: SettingsPath | None = Field(
+        default=None, description="File for the event timeline; without it no events are written."
+    )
+    log: LogSettings = Field(default_factory=LogSettings, description="The log.")
+    metrics_port: Port | None = Field(
+        default=None, description="TCP port of the Prometheus exporter on the loopback address."
+    )
+
+    @model_validator(mode="after")
+    def _check_control_hosts(self) -> Self:
+        names = [peer.host for peer in self.control]
+        repeated = sorted({name for name in names if names.count(name) > 1})
+        if repeated:
+            raise ValueError(f"control lists {', '.join(repeated)} more than once")
+        return self
 
 
 class EntrySettings(_DaemonSettings):
     """Settings of an entry daemon."""
 
-    listener: HttpListener
-    session_secret: Secret
-    max_body_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
-    body_timeout_s: PositiveSeconds = 10.0
-    connect_timeout_s: PositiveSeconds = 1.0
-    first_byte_timeout_s: PositiveSeconds = 30.0
-    gap_timeout_s: PositiveSeconds = 5.0
-    idle_connection_s: PositiveSeconds = 15.0
-    drain_notice_s: Annotated[float, Field(ge=0, le=600)] = 5.0
-    bill_sync_timeout_s: PositiveSeconds = 1.0
-    rating_url: str | None = None
+    listener: HttpListener = Field(description="Where callers connect.")
+    session_secret: Secret = Field(
+        description="Secret that signs session tokens; the same on all entry hosts."
+    )
+    max_body_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = Field(
+        default=4 * 1024 * 1024, description="Largest request body."
+    )
+    body_timeout_s: PositiveSeconds = Field(
+        default=10.0, description="Time within which a request body must arrive."
+    )
+    connect_timeout_s: PositiveSeconds = Field(
+        default=1.0, description="Limit on connecting to a backend server."
+    )
+    first_byte_timeout_s: PositiveSeconds = Field(
+        default=30.0, description="Limit on the first byte of a backend server's answer."
+    )
+    gap_timeout_s: PositiveSeconds = Field(
+        default=5.0, description="Limit on the gap between two parts of an answer."
+    )
+    idle_connection_s: PositiveSeconds = Field(
+        default=15.0,
+        description="Connections to backend servers idle for longer are not used again.",
+    )
+    drain_notice_s: Annotated[float, Field(ge=0, le=600)] = Field(
+        default=5.0,
+        description="Time between reporting unready and closing the listener at a stop.",
+    )
+    bill_sync_timeout_s: PositiveSeconds = Field(
+        default=1.0, description="Time to wait for the second copy of a bill."
+    )
+    rating_url: Annotated[str, Field(pattern=r"^https?://", max_length=512)] | None = Field(
+        default=None, description="Address of the rating service."
+    )
 
 
 class ControlSettings(_DaemonSettings):
     """Settings of a control daemon."""
 
-    data_folder: Path
-    operator_keys: Annotated[dict[Name, Secret], Field(min_length=1)]
-    backend_key: Secret
-    admin_tls: TlsFiles | None = None
-    entry_lease_s: Annotated[float, Field(ge=0.5, le=60)] = 4.0
-    announcement_expiry_s: Annotated[float, Field(ge=0.5, le=60)] = 3.0
-    weight_store_loads: Annotated[int, Field(ge=1, le=1000)] = 2
-    snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = 2000
+    data_folder: SettingsPath = Field(description="Folder of the log and the billing ledger.")
+    operator_keys: Annotated[dict[Name, Secret], Field(min_length=1)] = Field(
+        description="Key of each operator by name."
+    )
+    backend_key: Secret = Field(description="Key that backend servers announce with.")
+    admin_tls: TlsFiles | None = Field(
+        default=None, description="TLS for operators and backend servers; without it plain HTTP."
+    )
+    entry_lease_s: Annotated[float, Field(ge=0.5, le=60)] = Field(
+        default=4.0, description="Time that an entry host serves without contact to the leader."
+    )
+    announcement_expiry_s: Annotated[float, Field(ge=0.5, le=60)] = Field(
+        default=3.0, description="Backend servers silent for this time are dropped."
+    )
+    weight_store_loads: Annotated[int, Field(ge=1, le=1000)] = Field(
+        default=2, description="Most loads from the weight store at once."
+    )
+    snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = Field(
+        default=2000, description="Log entries after which a snapshot is taken."
+    )
+
+    @model_validator(mode="after")
+    def _check_own_host(self) -> Self:
+        names = [peer.host for peer in self.control]
+        if self.host not in names:
+            raise ValueError(f"host {self.host} is not in control; allowed are {', '.join(names)}")
+        return self
