Operator commands, exit codes, explain and a picture of one request

Cause: operators had four commands, one exit code and no way to see why a request was decided. Conclusion: all operator paths are on the command line; members, bills/totals, quarantine and the actions need the control host's part.

--- a/src/baobabstream/cli/operate.py
+++ b/src/baobabstream/cli/operate.py
@@ -1,134 +1,87 @@
-"""Operator commands: accounts, classes, versions, status, bills."""
+"""Operator commands on the whole cluster: status, members, bills, quarantine, waiting."""
 
-import hashlib
-import json
 from typing import Annotated, Any
+from urllib.parse import urlencode
 
 import typer
-from rich.console import Console
-from rich.table import Table
 
-from baobabstream.cli.admin_client import with_client
+from baobabstream.cli.accounts import account_app, allowance_app
+from baobabstream.cli.configuration import class_app, route_app, version_app
+from baobabstream.cli.exit_codes import ExitCode
+from baobabstream.cli.operator_session import OperatorSession, operator_command
+from baobabstream.cli.output import print_table
+from baobabstream.cli.rollouts import rollout_app
 
 __all__ = ["operate_app"]
 
 operate_app = typer.Typer(no_args_is_help=True)
-account_app = typer.Typer(help="Client accounts.", no_args_is_help=True)
-class_app = typer.Typer(help="Classes of work and their targets.", no_args_is_help=True)
-version_app = typer.Typer(help="Model versions.", no_args_is_help=True)
+quarantine_app = typer.Typer(help="Requests that crashed backend servers.", no_args_is_help=True)
 operate_app.add_typer(account_app, name="account")
+operate_app.add_typer(allowance_app, name="allowance")
 operate_app.add_typer(class_app, name="class")
 operate_app.add_typer(version_app, name="version")
+operate_app.add_typer(route_app, name="route")
+operate_app.add_typer(rollout_app, name="rollout")
+operate_app.add_typer(quarantine_app, name="quarantine")
 
-Urls = Annotated[list[str], typer.Option("--control-url", envvar="BAOBABSTREAM_CONTROL_URLS")]
-Key = Annotated[str, typer.Option("--key", envvar="BAOBABSTREAM_OPERATOR_KEY")]
-AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
-Base = Annotated[int | None, typer.Option("--base-revision")]
 
-
-def _print(document: Any, as_json: bool) -> None:
-    if as_json:
-        typer.echo(json.dumps(document))
-        return
-    rows = document if isinstance(document, list) else [document]
-    if not rows:
-        typer.echo("nothing to show")
+@operator_command(operate_app, "status")
+def status(session: OperatorSession) -> None:
+    """Show leader, revision, entry hosts and backend servers."""
+    document = session.get("status")
+    if session.as_json:
+        session.show(document)
         return
-    table = Table()
-    for column in rows[0]:
-        table.add_column(column)
-    for row in rows:
-        table.add_row(*(str(value) for value in row.values()))
-    Console().print(table)
-
-
-def _change(urls: list[str], key: str, row: dict[str, Any], base: int | None, as_json: bool):
-    _print(with_client(urls, key, lambda client: client.change([row], base_revision=base)), as_json)
-
-
-@account_app.command("set")
-def account_set(
-    name: str,
-    api_key: Annotated[str, typer.Option(envvar="BAOBABSTREAM_ACCOUNT_KEY")],
-    control_url: Urls,
-    key: Key,
-    model: Annotated[
-        list[str], typer.Option(help="MODEL or MODEL@VERSION; repeatable.")
-    ] = [],  # noqa: B006
-    service: Annotated[list[str], typer.Option()] = [],  # noqa: B006
-    default_class: Annotated[str, typer.Option()] = "",
-    share: Annotated[float, typer.Option()] = 1.0,
-    base_revision: Base = None,
-    as_json: AsJson = False,
-) -> None:
-    """Create or change a client account."""
-    row = {
-        "type": "account",
-        "name": name,
-        "key_digest": hashlib.sha256(api_key.encode()).hexdigest(),
-        "models": model,
-        "services": service,
-        "default_class": default_class,
-        "share": share,
-    }
-    _change(control_url, key, row, base_revision, as_json)
-
-
-@class_app.command("set")
-def class_set(
-    name: str,
-    quality: Annotated[float, typer.Option()],
-    first_token_ms: Annotated[float, typer.Option()],
-    total_ms: Annotated[float, typer.Option()],
-    control_url: Urls,
-    key: Key,
-    cost_per_1k_tokens: Annotated[float, typer.Option()] = 0.0,
-    priority: Annotated[int, typer.Option()] = 0,
-    base_revision: Base = None,
-    as_json: AsJson = False,
+    lists: dict[str, Any] = {"entries": [], "backends": []}
+    print_table([{key: document[key] for key in document if key not in lists}], "control")
+    print_table(document["entries"], "entry hosts")
+    print_table(document["backends"], "backend servers")
+
+
+@operator_command(operate_app, "members")
+def members(session: OperatorSession) -> None:
+    """Show the members of the replicated log."""
+    session.show(session.get("members"), "members")
+
+
+@operator_command(operate_app, "bills")
+def bills(
+    session: OperatorSession,
+    account: Annotated[str, typer.Option(help="Only this client account.")] = "",
+    since_ms: Annotated[int, typer.Option(help="Only bills from this wall time on.")] = 0,
+    limit: Annotated[int, typer.Option(help="Most bills to show.")] = 1000,
+    totals: Annotated[bool, typer.Option(help="Sums by client account instead.")] = False,
 ) -> None:
-    """Create or change a class of work and its targets."""
-    row = {
-        "type": "class",
-        "name": name,
-        "quality": quality,
-        "first_token_ms": first_token_ms,
-        "total_ms": total_ms,
-        "cost_per_1k_tokens": cost_per_1k_tokens,
-        "priority": priority,
-    }
-    _change(control_url, key, row, base_revision, as_json)
-
-
-@version_app.command("set")
-def version_set(
-    model: str,
-    version: str,
-    cost_per_1k_tokens: Annotated[float, typer.Option()],
-    control_url: Urls,
-    key: Key,
-    prior_quality: Annotated[float, typer.Option()] = 0.9,
-    base_revision: Base = None,
-    as_json: AsJson = False,
+    """Show the billing ledger."""
+    if totals:
+        session.show(session.get("bills/totals"), "totals")
+        return
+    query = {"since_ms": since_ms, "limit": limit} | ({"account": account} if account else {})
+    session.show(session.get(f"bills?{urlencode(query)}"), "bills")
+
+
+@operator_command(operate_app, "wait")
+def wait(
+    session: OperatorSession,
+    revision: Annotated[int | None, typer.Argument(help="Default: the present one.")] = None,
+    timeout_s: Annotated[float, typer.Option(help="Longest time to wait.")] = 30.0,
 ) -> None:
-    """Create or change a model version."""
-    row = {
-        "type": "version",
-        "model": model,
-        "version": version,
-        "cost_per_1k_tokens": cost_per_1k_tokens,
-        "prior_quality": prior_quality,
-    }
-    _change(control_url, key, row, base_revision, as_json)
-
-
-@operate_app.command()
-def status(control_url: Urls, key: Key, as_json: AsJson = False) -> None:
-    """Show leader, revision, entry hosts and backend servers."""
-    _print(with_client(control_url, key, lambda client: client.get("/admin/v1/status")), as_json)
+    """Wait until a revision is in force on every entry host."""
+    if revision is None:
+        revision = int(session.get("config")["revision"])
+    in_force = session.wait_in_force(revision, timeout_s)
+    session.show({"revision": revision, "in_force": in_force})
+    if not in_force:
+        raise typer.Exit(ExitCode.NOT_YET)
 
 
-@operate_app.command()
-def bills(control_url: Urls, key: Key, as_json: AsJson = False) -> None:
-    """Show the billing ledger."""
-    _print(with_client(control_url, key, lambda client: client.get("/admin/v1/bills")), as_json)
+@operator_command(quarantine_app, "list")
+def quarantine_list(session: OperatorSession) -> None:
+    """List suspects and quarantined requests."""
+    session.show(session.get("quarantine"), "quarantine")
+
+
+@operator_command(quarantine_app, "release", changes=True)
+def quarantine_release(session: OperatorSession, fingerprint: str) -> None:
+    """Let a quarantined request run again."""
+    session.act("quarantine/release", {"fingerprint": fingerprint}, based=False)
--- /dev/null
+++ b/src/baobabstream/cli/rollouts.py
@@ -0,0 +1,110 @@
+"""Commands on rollouts."""
+
+import asyncio
+from typing import Annotated, Any
+
+import typer
+
+from baobabstream.cli.admin_client import AdminClient
+from baobabstream.cli.exit_codes import ExitCode
+from baobabstream.cli.operator_session import OperatorSession, operator_command
+from baobabstream.cli.output import progress
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
+
+__all__ = ["rollout_app"]
+
+rollout_app = typer.Typer(help="Rollouts of model versions.", no_args_is_help=True)
+
+WATCH_INTERVAL_S = 0.5
+ENDED_STATES = frozenset({"completed", "stopped", "withdrawn"})
+
+
+@operator_command(rollout_app, "start", changes=True)
+def rollout_start(
+    session: OperatorSession,
+    name: str,
+    model: Annotated[str, typer.Option()],
+    from_version: Annotated[str, typer.Option(help="Version that is replaced.")],
+    to_version: Annotated[str, typer.Option(help="Version that replaces it.")],
+    step: Annotated[
+        list[float] | None, typer.Option(help="Share of traffic, 0 to 1; repeatable, ends at 1.")
+    ] = None,
+    step_s: Annotated[float, typer.Option(help="Least time of each step.")] = 60.0,
+) -> None:
+    """Start to roll out a version in place of another."""
+    row: dict[str, Any] = {
+        "type": "rollout",
+        "name": name,
+        "model": model,
+        "from_version": from_version,
+        "to_version": to_version,
+        "step_s": step_s,
+    }
+    session.change([row | ({"steps": step} if step else {})])
+
+
+@operator_command(rollout_app, "list")
+def rollout_list(session: OperatorSession) -> None:
+    """List rollouts with state, step and share of traffic."""
+    session.show(session.rows("rollout"), "rollouts")
+
+
+@operator_command(rollout_app, "pause", changes=True)
+def rollout_pause(session: OperatorSession, name: str) -> None:
+    """Keep a rollout at its present share."""
+    session.act("rollouts/pause", {"name": name})
+
+
+@operator_command(rollout_app, "resume", changes=True)
+def rollout_resume(session: OperatorSession, name: str) -> None:
+    """Go on with a paused rollout."""
+    session.act("rollouts/resume", {"name": name})
+
+
+@operator_command(rollout_app, "withdraw", changes=True)
+def rollout_withdraw(session: OperatorSession, name: str) -> None:
+    """End a rollout and send all traffic back to the version it was to replace."""
+    session.act("rollouts/withdraw", {"name": name})
+
+
+@operator_command(rollout_app, "delete", changes=True)
+def rollout_delete(session: OperatorSession, name: str) -> None:
+    """Delete the row of a rollout that has ended."""
+    session.change([], [f"rollout/{name}"])
+
+
+@operator_command(rollout_app, "watch")
+def rollout_watch(
+    session: OperatorSession,
+    name: str,
+    timeout_s: Annotated[float, typer.Option(help="Longest time to watch.")] = 3600.0,
+) -> None:
+    """Show each step of a rollout until it has ended."""
+    row = session.call(lambda client: _watch(client, name, timeout_s))
+    session.show(row)
+    if row["state"] not in ENDED_STATES:
+        raise typer.Exit(ExitCode.NOT_YET)
+
+
+async def _watch(client: AdminClient, name: str, timeout_s: float) -> dict[str, Any]:
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    seen = None
+    while True:
+        row = _find(await client.get("/admin/v1/config"), name)
+        now = (row["state"], row["step"], row["share"], row["reason"])
+        if now != seen:
+            seen = now
+            progress(f"{name}: {row['state']}, step {row['step']}, share {row['share']:g}"
+                     f" {row['reason']}".rstrip())  # fmt: skip
+        if row["state"] in ENDED_STATES or loop.time() >= deadline_s:
+            return row
+        await asyncio.sleep(WATCH_INTERVAL_S)
+
+
+def _find(config: dict[str, Any], name: str) -> dict[str, Any]:
+    for entry in config["rows"]:
+        if entry["key"] == f"rollout/{name}":
+            return entry["row"]
+    raise RequestRefused(ResultCode.NOT_FOUND, f"rollout {name}")
--- a/src/baobabstream/cli/timeline.py
+++ b/src/baobabstream/cli/timeline.py
@@ -1,24 +1,67 @@
-"""Command that merges the timelines of all processes."""
+"""Commands on the event timelines of all processes."""
 
 from pathlib import Path
 from typing import Annotated
 
 import typer
+from msgspec import to_builtins
 
+from baobabstream.cli.output import print_document
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.telemetry.explain import explain_request, request_events
 from baobabstream.telemetry.merge import read_timelines
+from baobabstream.telemetry.picture import request_picture
+from baobabstream.telemetry.timeline import EventKind, TimelineEvent
 
-__all__ = ["timeline"]
+__all__ = ["explain", "timeline"]
+
+Files = Annotated[list[Path], typer.Argument(help="Timeline files of the daemons.")]
 
 
 def timeline(
-    files: Annotated[list[Path], typer.Argument(help="Timeline files of the daemons.")],
+    files: Files,
     request_id: Annotated[str, typer.Option("--request", help="Only this request.")] = "",
+    host: Annotated[str, typer.Option(help="Only this host.")] = "",
+    kind: Annotated[EventKind | None, typer.Option(help="Only this kind.")] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+    picture: Annotated[Path | None, typer.Option(help="Write an HTML picture here.")] = None,
 ) -> None:
     """Merge timeline files of several processes and print the events in order."""
-    for event in read_timelines(files):
-        if request_id and event.request_id != request_id:
-            continue
-        typer.echo(
-            f"{event.time.wall_ms}.{event.time.counter:03d} {event.host:12} {event.role:8}"
-            f" {event.kind.value:24} {event.request_id[:8]:8} r{event.revision} {event.detail}"
-        )
+    events = [
+        event
+        for event in request_events(read_timelines(files), request_id)
+        if host in ("", event.host) and kind in (None, event.kind)
+    ]
+    if picture is not None:
+        picture.write_text(request_picture(request_id, events), encoding="utf-8")
+        typer.echo(f"wrote {picture}", err=True)
+    if as_json:
+        print_document([to_builtins(event) for event in events], True)
+        return
+    for event in events:
+        typer.echo(_line(event))
+
+
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Identity of the request, or its start.")],
+    files: Files,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Say why one request was decided as it was."""
+    events = request_events(read_timelines(files), request_id)
+    if not events:
+        raise RequestRefused(ResultCode.NOT_FOUND, f"no events of request {request_id}")
+    lines = explain_request(events)
+    if as_json:
+        print_document({"request_id": events[0].request_id, "lines": lines}, True)
+        return
+    for line in lines:
+        typer.echo(line)
+
+
+def _line(event: TimelineEvent) -> str:
+    return (
+        f"{event.time.wall_ms}.{event.time.counter:03d} {event.host:12} {event.role:8}"
+        f" {event.kind.value:24} {event.request_id[:8]:8} r{event.revision} {event.detail}"
+    )
--- a/src/baobabstream/emulator/chat.py
+++ b/src/baobabstream/emulator/chat.py
@@ -153,7 +153,11 @@
         if faults.crossed and self._previous is not None:
             shown = self._previous
         self._previous = prompt
-        headers = {"Content-Type": "text/event-stream", "X-Request-Id": shown.request_id}
+        headers = {
+            "Content-Type": "text/event-stream",
+            "X-Request-Id": shown.request_id,
+            "X-Resume-Tokens": str(prompt.start_token),
+        }
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         sent: list[bytes] = []
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -121,6 +121,16 @@
     rating_url: Annotated[str, Field(pattern=r"^https?://", max_length=512)] | None = Field(
         default=None, description="Address of the rating service."
     )
+    rating_timeout_s: PositiveSeconds = Field(default=5.0, description="Limit on one rating.")
+    rating_sample: Annotated[float, Field(ge=0, le=1)] = Field(
+        default=0.05, description="Share of answers that are sent to the rating service."
+    )
+    probe_timeout_s: PositiveSeconds = Field(
+        default=1.0, description="Limit on the probe of a backend server that went silent."
+    )
+    caller_write_timeout_s: PositiveSeconds = Field(
+        default=10.0, description="Time after which a caller that does not read is cut off."
+    )
 
 
 class ControlSettings(_DaemonSettings):
--- /dev/null
+++ b/tests/telemetry/test_timeline.py
@@ -0,0 +1,72 @@
+"""Timelines of several processes: order, filters, explanation and picture."""
+
+import json
+from itertools import count
+
+from typer.testing import CliRunner
+
+from baobabstream.cli.app import app
+from baobabstream.telemetry.hybrid_clock import HybridClock, HybridTime
+from baobabstream.telemetry.timeline import EventKind, TimeLine
+
+
+def write_timelines(folder):
+    """Write two files; the engine's wall clock runs 5 s behind the entry's."""
+    ticks = count(100)
+    entry_clock = HybridClock(lambda: next(ticks))
+    engine_clock = HybridClock(lambda: 95)
+    entry = TimeLine(folder / "entry.jsonl", "entry-1", "entry", entry_clock)
+    engine = TimeLine(folder / "engine.jsonl", "engine-1", "engine", engine_clock)
+    entry.emit(EventKind.REQUEST_RECEIVED, "abc", 7, "desk checks")
+    entry.emit(EventKind.ATTEMPT_SENT, "abc", 7, "engine-1 small@1 <cheapest>")
+    engine_clock.observe(entry_clock.now())
+    engine.emit(EventKind.ENGINE_REQUEST_STARTED, "abc", 0, "small@1")
+    entry_clock.observe(engine_clock.now())
+    entry.emit(EventKind.ANSWER_FINISHED, "abc", 7)
+    entry.emit(EventKind.REQUEST_RECEIVED, "other", 7)
+    with (folder / "entry.jsonl").open("ab") as file:
+        file.write(b'{"time": [1')
+    return [str(folder / "entry.jsonl"), str(folder / "engine.jsonl")]
+
+
+def test_observed_clock_orders_events_of_hosts_whose_clocks_differ(tmp_path):
+    """Guards against an engine that seems to start before the request was sent."""
+    files = write_timelines(tmp_path)
+    result = CliRunner().invoke(app, ["timeline", *files, "--request", "abc", "--json"])
+    kinds = [event["kind"] for event in json.loads(result.stdout)]
+    assert kinds == [
+        "request_received",
+        "attempt_sent",
+        "engine_request_started",
+        "answer_finished",
+    ]
+
+
+def test_explanation_names_reason_and_revision(tmp_path):
+    """Guards against an explanation that leaves out why a backend server was chosen."""
+    files = write_timelines(tmp_path)
+    text = CliRunner().invoke(app, ["explain", "abc", *files]).stdout
+    assert "sent to engine-1 small@1 <cheapest>" in text
+    assert "under configuration revision 7" in text
+    assert "other" not in text
+
+
+def test_picture_escapes_details_and_has_one_lane_per_host(tmp_path):
+    """Guards against a page that details of a request can break."""
+    files = write_timelines(tmp_path)
+    page = tmp_path / "request.html"
+    arguments = ["timeline", *files, "--request", "abc", "--picture", str(page)]
+    assert CliRunner().invoke(app, arguments).exit_code == 0
+    text = page.read_text()
+    assert "&lt;cheapest&gt;" in text
+    assert text.count("<circle") == 4
+    assert text.count(">entry-1</text>") == 1
+
+
+def test_clock_never_goes_back():
+    """Guards against events out of order after the wall clock is set back."""
+    wall = iter([10.0, 9.0, 9.0])
+    clock = HybridClock(lambda: next(wall))
+    times = [clock.now(), clock.now()]
+    clock.observe(HybridTime(20_000, 3))
+    assert times[0] < times[1] < clock.now()
