--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -65,7 +65,8 @@
         self.registry = BackendRegistry(time.time_ns(), settings.announcement_expiry_s)
         self.leases = EntryLeases(settings.entry_lease_s, 0.0)
         self.polls = PollService(self.state, self.registry, self.leases)
-        self._codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
+        secret = settings.peer_secret.get_secret_value()
+        self._codec = WireCodec(settings.cluster, settings.host, secret)
         # Takes the lock on the data folder, so it comes before the ledger.
         self.log = open_log(settings, self.state, self._codec, self.timeline, self.polls.notify)
         self.ledger = Ledger(settings.data_folder / "ledger.log")
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -63,9 +63,10 @@
         self.timeline = TimeLine(settings.timeline_file, settings.host, "entry", HybridClock())
         self.random = random
         self.view = ClusterView()
-        self.sessions = SessionTokens(settings.session_secret)
+        self.sessions = SessionTokens(settings.session_secret.get_secret_value())
         self.decisions = DecisionLoop(policy or LeastInFlight(random), self._version_stopped)
-        codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
+        secret = settings.peer_secret.get_secret_value()
+        codec = WireCodec(settings.cluster, settings.host, secret)
         self.control = ControlSession(
             settings.host,
             settings.availability_zone,
@@ -80,6 +81,7 @@
         self.claims = Claims(self.control, settings.host, self.background)
         self.in_flight = InFlightRequests()
         self.ratings: RatingClient | None = None
+        self._stopping = False
 
     async def start(self) -> None:
         """Open the listener and contact the control hosts."""
