policy: sequential health test of versions

Cause: versions that become bad must be found from pooled evidence. Change: VersionHealth with cumulative-sum tests on errors and ratings against the replaced version, and a check whether other versions share the fault. Conclusion: the interface stands; attribution and false alarms need work.

--- /dev/null
+++ b/src/baobabstream/policy/version_health.py
@@ -0,0 +1,202 @@
+"""Finds versions that have become worse than the version they replace."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import log, sqrt
+
+from baobabstream.policy.change_test import ChangeTest, Counts, ReferenceRate
+from baobabstream.wire.messages import VersionEvidence
+
+__all__ = ["HealthVerdict", "VersionHealth"]
+
+# Runs of the tests that start in one rollout: about 1,000 bad answers among 10,000, three rises,
+# two kinds of result.
+RUNS_PER_ROLLOUT = 6000
+# Results of the baseline from which it serves as the reference; below, the version's own history.
+MIN_BASELINE_RESULTS = 100
+RECENT_S = 20.0
+SHARED_DEVIATIONS = 3.0
+SHARED_RISE = 0.05
+MIN_SHARED_RESULTS = 8
+# Time for results of other versions to arrive before a crossing is blamed on one version.
+ATTRIBUTION_WAIT_S = 1.0
+HEALTHY_LOG_RATIO = -1.5
+
+
+class _Kind(StrEnum):
+    ERRORS = "errors"
+    RATINGS = "bad ratings"
+
+
+_PRIORS = {_Kind.ERRORS: (0.4, 20.0), _Kind.RATINGS: (3.0, 20.0)}
+
+
+@dataclass(frozen=True, slots=True)
+class HealthVerdict:
+    """A version whose test has crossed; ``reason`` names the rates compared."""
+
+    model: str
+    version: str
+    reason: str
+
+
+@dataclass(slots=True)
+class _Stream:
+    """One kind of result of one version."""
+
+    kind: _Kind
+    test: ChangeTest
+    reference: ReferenceRate
+
+
+@dataclass(slots=True)
+class _VersionRecord:
+    model: str
+    version: str
+    streams: dict[_Kind, _Stream]
+    baseline_version: str = ""
+    stopped: bool = field(default=False)
+
+
+class VersionHealth:
+    """Sequential tests on errors and ratings of each version.
+
+    Parameters
+    ----------
+    false_alarm_rate
+        Upper bound of the share of healthy rollouts (of 10,000 answers) that are stopped.
+
+    Notes
+    -----
+    The reference of a test is the rate of the version that was replaced, frozen once it gets no
+    more traffic, or the version's own undisturbed history when there is no such version. Results
+    enter a reference only when the run of the test that holds them has ended at zero. Tests pause
+    while all other versions together are worse than their own references, since such a fault is
+    shared; a crossing waits shortly until results of other versions tell.
+    """
+
+    def __init__(self, false_alarm_rate: float = 0.001) -> None:
+        self._limit = log(RUNS_PER_ROLLOUT / false_alarm_rate)
+        self._records: dict[tuple[str, str], _VersionRecord] = {}
+
+    def set_baseline(self, model: str, version: str, baseline_version: str) -> None:
+        """Name the version that a version replaces."""
+        self._record(model, version).baseline_version = baseline_version
+
+    def observe(self, evidence: VersionEvidence, now_s: float) -> None:
+        """Count results of a version."""
+        record = self._record(evidence.model, evidence.version)
+        if evidence.successes or evidence.errors:
+            self._count(record, _Kind.ERRORS, evidence.successes, evidence.errors, now_s)
+        if evidence.rated_good or evidence.rated_bad:
+            self._count(record, _Kind.RATINGS, evidence.rated_good, evidence.rated_bad, now_s)
+
+    def verdicts(self, now_s: float) -> list[HealthVerdict]:
+        """Return versions newly found bad; each version is returned once."""
+        found = []
+        for record in self._records.values():
+            reason = "" if record.stopped else self._verdict(record, now_s)
+            if reason:
+                record.stopped = True
+                found.append(HealthVerdict(record.model, record.version, reason))
+        return found
+
+    def forget(self, model: str, version: str) -> None:
+        """Drop a version, for instance when an operator makes it active again."""
+        self._records.pop((model, version), None)
+
+    def _record(self, model: str, version: str) -> _VersionRecord:
+        record = self._records.get((model, version))
+        if record is None:
+            streams = {
+                kind: _Stream(kind, ChangeTest(self._limit), ReferenceRate(*_PRIORS[kind]))
+                for kind in _Kind
+            }
+            record = _VersionRecord(model, version, streams)
+            self._records[model, version] = record
+        return record
+
+    def _count(
+        self, record: _VersionRecord, kind: _Kind, good: int, bad: int, now_s: float
+    ) -> None:
+        stream = record.streams[kind]
+        ended = stream.test.observe(good, bad, self._reference(record, kind).upper(), now_s)
+        if self._shared_fault(record, kind, now_s):
+            stream.test.reset()
+            return
+        stream.reference.add(ended.good, ended.bad)
+
+    def _reference(self, record: _VersionRecord, kind: _Kind) -> ReferenceRate:
+        baseline = self._records.get((record.model, record.baseline_version))
+        if baseline is not None:
+            reference = baseline.streams[kind].reference
+            if reference.counts.total >= MIN_BASELINE_RESULTS:
+                return reference
+        return record.streams[kind].reference
+
+    def _others(self, record: _VersionRecord, kind: _Kind) -> Iterator[_Stream]:
+        return (
+            other.streams[kind]
+            for other in self._records.values()
+            if other is not record and not other.stopped
+        )
+
+    def _others_since(
+        self, record: _VersionRecord, kind: _Kind, start_s: float
+    ) -> tuple[Counts, float]:
+        """Return the results of all other versions since a time, and their expected rate."""
+        seen, expected_bad = Counts(), 0.0
+        for stream in self._others(record, kind):
+            recent = stream.test.since(start_s)
+            seen.add(recent.good, recent.bad)
+            expected_bad += recent.total * stream.reference.mean()
+        return seen, expected_bad / seen.total if seen.total else 0.0
+
+    def _shared_fault(self, record: _VersionRecord, kind: _Kind, now_s: float) -> bool:
+        seen, expected = self._others_since(record, kind, now_s - RECENT_S)
+        if seen.total < MIN_SHARED_RESULTS:
+            return False
+        rise = seen.bad / seen.total - expected
+        deviation = sqrt(expected * (1 - expected) / seen.total)
+        return rise > max(SHARED_RISE, SHARED_DEVIATIONS * deviation)
+
+    def _verdict(self, record: _VersionRecord, now_s: float) -> str:
+        for stream in record.streams.values():
+            if stream.test.crossed_s > now_s:
+                continue
+            if self._attributed(record, stream, now_s):
+                return self._reason(record, stream)
+        return ""
+
+    def _attributed(self, record: _VersionRecord, stream: _Stream, now_s: float) -> bool:
+        """Return whether a crossing is the version's own fault."""
+        seen, expected = self._others_since(record, stream.kind, stream.test.onset_s)
+        earlier, _ = self._others_since(record, stream.kind, now_s - RECENT_S)
+        if not seen.total and not earlier.total:
+            return True
+        ratio = self._shared_log_ratio(record, stream, seen, expected)
+        if ratio <= HEALTHY_LOG_RATIO:
+            return True
+        return ratio <= 0.0 and now_s - stream.test.crossed_s >= ATTRIBUTION_WAIT_S
+
+    def _shared_log_ratio(
+        self, record: _VersionRecord, stream: _Stream, seen: Counts, expected: float
+    ) -> float:
+        """Return the evidence in others' results for the same rise as this version's."""
+        if not seen.total:
+            return 0.0
+        pending = stream.test.pending
+        rise = pending.bad / pending.total - self._reference(record, stream.kind).mean()
+        base = min(max(expected, 0.005), 0.9)
+        raised = min(max(base + rise, base + 0.02), 0.95)
+        return seen.bad * log(raised / base) + seen.good * log((1 - raised) / (1 - base))
+
+    def _reason(self, record: _VersionRecord, stream: _Stream) -> str:
+        pending = stream.test.pending
+        reference = self._reference(record, stream.kind)
+        against = record.baseline_version or "its own history"
+        return (
+            f"{stream.kind}: {pending.bad:.0f} of {pending.total:.0f} recent results, "
+            f"expected {reference.mean():.1%} ({against})"
+        )
