--- a/src/baobabstream/emulator/service.py
+++ b/src/baobabstream/emulator/service.py
@@ -115,9 +115,7 @@
             await asyncio.sleep(self._options.work_s * faults.slow_factor)
             self.runs[key] += 1
             identity = request_id.partition(".")[0]
-            self._timeline.emit(
-                EventKind.ENGINE_REQUEST_FINISHED, identity, detail=f"run {self.runs[key]}"
-            )
+            self._timeline.emit(EventKind.ENGINE_REQUEST_FINISHED, identity, detail=key)
             await asyncio.sleep(faults.late_s)
             if faults.stall_after_tokens is not None:
                 await asyncio.Event().wait()
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 from msgspec import Struct
@@ -65,7 +66,8 @@
             self._discard(socket)
             raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
         finally:
-            context.close()
+            with suppress(NNGException):
+                context.close()
         _, reply = self._codec.decode(frame)
         if isinstance(reply, ErrorReply):
             refusal = PeerError(ResultCode(reply.code), reply.detail)
--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections import Counter
 from dataclasses import replace
 from random import Random
 
@@ -78,7 +79,7 @@
             chunk = json.loads(data)
             if "error" in chunk:
                 code, ran = chunk["error"]["code"], chunk["error"]["ran"]
-            elif chunk["id"] != f"chatcmpl-{record.request_id}":
+            elif not chunk["id"].startswith(f"chatcmpl-{record.request_id}."):
                 text += f"<answer of {chunk['id']}>"
             elif chunk.get("choices"):
                 text += chunk["choices"][0]["delta"].get("content") or ""
@@ -102,6 +103,7 @@
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self.records: list[CallerRecord] = []
+        self.signature_codes: Counter[int] = Counter()
 
     def start(self, count: int, api_key: str, account: str, tokens: int = 12) -> None:
         """Start callers of one account."""
@@ -115,6 +117,12 @@
             work = self._run_session(f"{account}-s{number}", api_key, account, tokens)
             self._tasks.append(asyncio.create_task(work))
 
+    def start_signatures(self, count: int, api_key: str, account: str) -> None:
+        """Start callers that record signatures and send each three times."""
+        for number in range(count):
+            work = self._sign(f"{account}-signature-{number}", api_key)
+            self._tasks.append(asyncio.create_task(work))
+
     async def stop(self) -> list[CallerRecord]:
         """Let each caller finish its request and return all records."""
         self._stopping = True
@@ -136,6 +144,30 @@
             self.records.append(replace(record, session=f"{name}/{session_number}"))
             await asyncio.sleep(self._random.uniform(0.01, 0.05))
 
+    async def _sign(self, name: str, api_key: str) -> None:
+        number = 0
+        while not self._stopping:
+            number += 1
+            headers = {
+                "Authorization": f"Bearer {api_key}",
+                "Idempotency-Key": f"{name}-{number}",
+            }
+            sends = [self._send_signature(headers) for _ in range(2)]
+            await asyncio.gather(*sends)
+            await self._send_signature(headers)
+            await asyncio.sleep(self._random.uniform(0.02, 0.1))
+
+    async def _send_signature(self, headers: dict[str, str]) -> None:
+        url = self._cluster.entry_url(self._random.choice(self._cluster.entries))
+        try:
+            async with self._cluster.session.post(
+                f"{url}/waiver/signatures", data=b"signed", headers=headers
+            ) as response:
+                await response.read()
+                self.signature_codes[response.status] += 1
+        except (ClientError, TimeoutError):
+            self.signature_codes[CUT] += 1
+
     async def _run(self, name: str, api_key: str, account: str, tokens: int) -> None:
         number = 0
         while not self._stopping:
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -214,7 +214,7 @@
         for host in self.controls:
             common += ["--control-url", self.admin_url(host)]
         if name in self.services:
-            return ["emulate", "service", *common]
+            return ["emulate", "service", "--service", name.rpartition("-")[0], *common]
         engine = next(item for item in self.engines if item.identity == name)
         loads = [part for load in engine.load for part in ("--load", load)]
         return ["emulate", "engine", *common, *loads, *engine.options]
--- a/tests/system/operators.py
+++ b/tests/system/operators.py
@@ -73,7 +73,7 @@
         body = {"change_id": change_id, "base_revision": base_revision, "put": [row]}
         hosts = self._random.sample(self._cluster.controls, 2)
         answers = [await self._send(body, host) for host in hosts]
-        while 0 in (answers[-1][0], answers[-1][0] // 500) and not self._stopping:
+        while not 200 <= answers[-1][0] < 500 and not self._stopping:
             answers.append(await self._send(body, self._random.choice(self._cluster.controls)))
         return ChangeRecord(change_id, base_revision, "class/raced", value, tuple(answers))
 
--- a/tests/system/records.py
+++ b/tests/system/records.py
@@ -7,7 +7,7 @@
 from system.cluster import Cluster
 from system.history import EngineRun
 
-__all__ = ["attempts_of", "entries_serve", "events_of", "runs_of"]
+__all__ = ["attempts_of", "entries_serve", "events_of", "runs_of", "service_runs_of"]
 
 
 def events_of(folder: Path, *kinds: EventKind) -> list[TimelineEvent]:
@@ -34,6 +34,15 @@
     ]
 
 
+def service_runs_of(folder: Path) -> list[str]:
+    """Return the idempotency key of each run that the stand-in services recorded."""
+    return [
+        event.detail
+        for event in events_of(folder, EventKind.ENGINE_REQUEST_FINISHED)
+        if event.role == "service"
+    ]
+
+
 async def entries_serve(cluster: Cluster, entries: int, backends: int) -> bool:
     """Return whether the leader knows so many live entry hosts and backend servers."""
     status = await cluster.status()
--- a/tests/system/rows.py
+++ b/tests/system/rows.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import Any
 
-__all__ = ["account_row", "class_row", "version_row"]
+__all__ = ["account_row", "class_row", "route_row", "version_row"]
 
 
 def account_row(name: str, api_key: str, *models: str, **fields: Any) -> dict[str, Any]:
@@ -23,3 +23,9 @@
     """Return the row of a model version."""
     row = {"type": "version", "model": model, "version": version, "cost_per_1k_tokens": 0.2}
     return row | fields
+
+
+def route_row() -> dict[str, Any]:
+    """Return the route of non-idempotent signatures."""
+    row = {"type": "route", "name": "signatures", "service": "waiver"}
+    return row | {"path_prefix": "/waiver/", "idempotent": False, "timeout_s": 5.0}
--- a/tests/system/scenario.py
+++ b/tests/system/scenario.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from random import Random
 
+from baobabstream.emulator.answers import answer_text
 from system.callers import Callers, wall_ms
 from system.cluster import Cluster, EngineSpec, wait_for
 from system.history import (
@@ -14,13 +15,14 @@
     check_allowed,
     check_billed_once,
     check_not_run,
+    check_run_at_most_once,
     check_sessions,
     check_whole,
     check_withdrawn,
 )
 from system.operators import ChangeRecord, Operators, check_changes
-from system.records import attempts_of, entries_serve, runs_of
-from system.rows import account_row, class_row, version_row
+from system.records import attempts_of, entries_serve, runs_of, service_runs_of
+from system.rows import account_row, class_row, route_row, version_row
 
 __all__ = ["Fault", "ScenarioResult", "run_scenario"]
 
@@ -32,6 +34,7 @@
     EngineSpec("engine-2", ("small@1", "small@2")),
     EngineSpec("engine-3", ("large@1",)),
 )
+SERVICES = ("waiver-1", "waiver-2")
 ALLOWED = {"desk": {"small@1", "small@2"}, "crew": {"large@1"}}
 Fault = Callable[[Cluster, Random], Awaitable[None]]
 
@@ -46,6 +49,7 @@
     cut: int = 0
     changes_accepted: int = 0
     in_force_ms: int = 0
+    signatures: int = 0
 
 
 async def run_scenario(
@@ -65,7 +69,7 @@
         Seconds of load before and after the fault.
     """
     random = Random(seed)
-    cluster = Cluster(folder, engines=ENGINES)
+    cluster = Cluster(folder, engines=ENGINES, services=SERVICES)
     result = ScenarioResult()
     try:
         await cluster.start()
@@ -74,6 +78,7 @@
         callers.start(3, DESK_KEY, "desk", TOKENS)
         callers.start(2, CREW_KEY, "crew", TOKENS)
         callers.start_sessions(2, DESK_KEY, "desk", TOKENS)
+        callers.start_signatures(2, DESK_KEY, "desk")
         operators = Operators(cluster, random)
         operators.start()
         await asyncio.sleep(before_s)
@@ -83,6 +88,7 @@
         in_force_ms = await _withdraw(cluster, result)
         await asyncio.sleep(0.5)
         records = await callers.stop()
+        result.signatures = callers.signature_codes[200]
         await asyncio.sleep(1.0)
         await _collect(cluster, result, records, changes)
     finally:
@@ -92,15 +98,14 @@
     result.violations += check_allowed(records, attempts, ALLOWED)
     result.violations += check_not_run(records, runs_of(folder))
     result.violations += check_sessions(records)
-    result.violations += check_whole(records, lambda _: expected_text(TOKENS))
+    result.violations += check_whole(records, expected_text)
+    result.violations += check_run_at_most_once(service_runs_of(folder))
     return result
 
 
-def expected_text(tokens: int) -> str:
-    """Return the text that a stand-in engine generates."""
-    from baobabstream.emulator.engine import WORDS
-
-    return "".join(f"{WORDS[index % len(WORDS)]} " for index in range(tokens))
+def expected_text(record: CallerRecord) -> str:
+    """Return the text that a stand-in engine generates for a caller's prompt."""
+    return answer_text([{"role": "user", "content": record.marker}], TOKENS)
 
 
 async def _configure(cluster: Cluster) -> None:
@@ -110,11 +115,11 @@
         version_row("large", "1", cost_per_1k_tokens=2.0),
     ]
     accounts = [
-        account_row("desk", DESK_KEY, "small"),
+        account_row("desk", DESK_KEY, "small", services=["waiver"]),
         account_row("crew", CREW_KEY, "large"),
     ]
-    await cluster.put(class_row(), class_row("raced"), *versions, *accounts)
-    await wait_for(lambda: entries_serve(cluster, 2, len(ENGINES)), 15)
+    await cluster.put(class_row(), class_row("raced"), *versions, *accounts, route_row())
+    await wait_for(lambda: entries_serve(cluster, 2, len(ENGINES) + len(SERVICES)), 15)
 
 
 async def _withdraw(cluster: Cluster, result: ScenarioResult) -> int:
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -20,3 +20,4 @@
     assert_that(result.violations, Equals([]))
     assert_that(result.finished, GreaterThan(10))
     assert_that(result.changes_accepted, GreaterThan(0))
+    assert_that(result.signatures, GreaterThan(0))
