--- /dev/null
+++ b/src/baobabstream/policy/backend_choice.py
@@ -0,0 +1,191 @@
+"""Choice of the backend server with the least expected completion time."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from math import ceil
+from random import Random
+
+import xxhash
+
+from baobabstream.policy.events import RequestInfo
+from baobabstream.policy.server_index import ServerIndex
+from baobabstream.policy.server_state import ServerState, ServerStates
+from baobabstream.policy.switches import PolicySwitches
+from baobabstream.policy.work_size import WorkSizes
+
+__all__ = ["BackendChoice", "Choice"]
+
+SAMPLE = 3
+# One way between availability zones takes about 1.5 ms; a request crosses twice.
+OTHER_ZONE_S = 0.003
+RECENT_FAILURE_S = 2.0
+RECENT_FAILURE_COST_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A backend server with the time expected there, in seconds."""
+
+    identity: str
+    first_token_s: float
+    total_s: float
+    cached_share: float
+    compared: int
+
+
+class BackendChoice:
+    """Samples a few servers and takes the one with the least expected completion time.
+
+    Parameters
+    ----------
+    index, states
+        Known servers and their measurements.
+    sizes
+        Estimates of prefill time and of the share of long work.
+    availability_zone
+        Zone of this entry; other zones cost a little.
+    random
+        Source for the samples. Entries sample apart, so that they do not all choose the one
+        server that looked idle in the last report.
+
+    Notes
+    -----
+    Long work goes to the first servers of an order that all entries derive from the identities,
+    so long work of all entries meets on few servers without any message between entries.
+
+    References
+    ----------
+    M. Mitzenmacher, "How Useful Is Old Information?", 2000.
+    """
+
+    def __init__(
+        self,
+        index: ServerIndex,
+        states: ServerStates,
+        sizes: WorkSizes,
+        availability_zone: str,
+        random: Random,
+        switches: PolicySwitches,
+    ) -> None:
+        self._index = index
+        self._states = states
+        self._sizes = sizes
+        self._zone = availability_zone
+        self._random = random
+        self._switches = switches
+        self._orders: dict[tuple[str, str], tuple[tuple[str, ...], list[str]]] = {}
+
+    def choose(
+        self,
+        request: RequestInfo,
+        key: tuple[str, str],
+        now_s: float,
+        exclude: Collection[str] = (),
+        respect_window: bool = True,
+    ) -> Choice | None:
+        """Return the best sampled server with room, or None.
+
+        Parameters
+        ----------
+        exclude
+            Servers that must not be used, such as those already tried.
+        respect_window
+            Whether a server on which this entry has a full window is left out.
+        """
+        pool = self._pool(request, key)
+        sample = self._sample(pool, request, exclude, respect_window)
+        if not sample and pool is not self._index.engines(key):
+            sample = self._sample(self._index.engines(key), request, exclude, respect_window)
+        choices = [self._estimate(identity, request, now_s) for identity in sample]
+        return min(choices, key=self._cost, default=None)
+
+    def has_room(self, key: tuple[str, str], request: RequestInfo) -> bool:
+        """Return whether a sampled server of a version would take a request now."""
+        return bool(self._sample(self._pool(request, key), request, (), True))
+
+    def _cost(self, choice: Choice) -> float:
+        state = self._states[choice.identity]
+        record = self._index.records[choice.identity]
+        cost = choice.total_s
+        if record.availability_zone != self._zone:
+            cost += OTHER_ZONE_S
+        return cost + 0.01 * state.in_flight / state.slots
+
+    def _pool(self, request: RequestInfo, key: tuple[str, str]) -> list[str]:
+        engines = self._index.engines(key)
+        if not self._switches.long_separation or len(engines) < 3:
+            return engines
+        share = self._sizes.long_share()
+        if share <= 0.0:
+            return engines
+        order = self._order(key, engines)
+        for_long = min(len(order) - 1, max(1, ceil(share * len(order))))
+        return order[:for_long] if self._sizes.is_long(request) else order[for_long:]
+
+    def _order(self, key: tuple[str, str], engines: list[str]) -> list[str]:
+        known = self._orders.get(key)
+        if known is None or len(known[0]) != len(engines) or known[0] != tuple(engines):
+            order = sorted(engines, key=lambda item: xxhash.xxh3_64_intdigest(item.encode()))
+            known = (tuple(engines), order)
+            self._orders[key] = known
+        return known[1]
+
+    def _sample(
+        self,
+        pool: list[str],
+        request: RequestInfo,
+        exclude: Collection[str],
+        respect_window: bool,
+    ) -> list[str]:
+        found: list[str] = []
+        holder = None
+        if self._switches.prefix_credit and request.prefix_digests:
+            holder = self._states.prefix_holder(request.prefix_digests)
+            if (
+                holder is not None
+                and holder in pool
+                and self._usable(holder, exclude, respect_window)
+            ):
+                found.append(holder)
+        tries = len(pool) if len(pool) <= 2 * SAMPLE else 2 * SAMPLE
+        for identity in self._random.sample(pool, tries):
+            if len(found) >= SAMPLE:
+                break
+            if identity != holder and self._usable(identity, exclude, respect_window):
+                found.append(identity)
+        return found
+
+    def _usable(self, identity: str, exclude: Collection[str], respect_window: bool) -> bool:
+        state = self._states.get(identity)
+        if state is None or identity in exclude:
+            return False
+        return not respect_window or state.in_flight < state.window
+
+    def _estimate(self, identity: str, request: RequestInfo, now_s: float) -> Choice:
+        state = self._states[identity]
+        gap_s = self._states.mean_gap_s
+        first_s = self._states.mean_first_s
+        if self._switches.straggler_rates:
+            gap_s = self._states.expected_gap_s(state, now_s)
+            first_s = self._states.expected_first_s(state, now_s)
+        cached = 0.0
+        if self._switches.prefix_credit:
+            cached = state.cached_tokens_share(request.prefix_digests)
+        prefill_s = (1 - cached) * self._sizes.prefill_s(request)
+        prefill_s *= max(1.0, gap_s / self._states.mean_gap_s)
+        wait_s = self._wait_s(state, gap_s, now_s)
+        first_token_s = first_s + prefill_s + wait_s
+        if now_s - state.failed_at_s < RECENT_FAILURE_S:
+            first_token_s += RECENT_FAILURE_COST_S
+        total_s = first_token_s + request.expected_output_tokens * gap_s
+        return Choice(identity, first_token_s, total_s, cached, SAMPLE)
+
+    def _wait_s(self, state: ServerState, gap_s: float, now_s: float) -> float:
+        """Return the expected wait for a batch slot, plus the load's effect on the gap."""
+        others = 0.0
+        if self._switches.load_reports:
+            others = state.expected_others(now_s, self._states.mean_others)
+        load = state.in_flight + others
+        beyond = max(0.0, load + 1 - state.slots)
+        service_s = self._sizes.mean_output_tokens * gap_s
+        return beyond * service_s / state.slots + 0.1 * load / state.slots * service_s
--- a/src/baobabstream/policy/change_test.py
+++ b/src/baobabstream/policy/change_test.py
@@ -12,10 +12,13 @@
 MAX_RATE = 0.95
 MIN_RATE = 0.005
 # Reference counts above this are halved, so that a reference follows months of service.
-REFERENCE_LIMIT = 4000.0
-# Two standard deviations keep the false-alarm rate when the reference has few results.
-REFERENCE_DEVIATIONS = 2.0
-KEEP_S = 120.0
+REFERENCE_LIMIT = 20_000.0
+# The margin keeps the false-alarm rate while the reference has few results.
+REFERENCE_DEVIATIONS = 1.5
+KEEP_S = 60.0
+BUCKET_S = 0.5
+# A sum is held this close above the limit, so that it falls soon after a disturbance ends.
+EXCESS = 2.0
 
 
 @dataclass(slots=True)
@@ -66,6 +69,13 @@
         weight = self.prior_total + self.counts.total
         return mean + REFERENCE_DEVIATIONS * sqrt(mean * (1 - mean) / weight)
 
+    def joined(self, other: "ReferenceRate") -> "ReferenceRate":
+        """Return a reference with the other's results too, at most as many as this one has."""
+        weight = min(1.0, self.counts.total / other.counts.total) if other.counts.total else 0.0
+        good = self.counts.good + weight * other.counts.good
+        bad = self.counts.bad + weight * other.counts.bad
+        return ReferenceRate(self.prior_bad, self.prior_total, Counts(good, bad))
+
 
 class ChangeTest:
     """Cumulative-sum tests for several rises of the rate of bad results.
@@ -84,21 +94,19 @@
     def __init__(self, limit: float) -> None:
         self._limit = limit
         self._sums = [0.0] * len(RISES)
-        self._buckets: deque[tuple[float, float, float]] = deque()
+        self._buckets: deque[tuple[float, Counts]] = deque()
         self.pending = Counts()
         self.onset_s = inf
         self.crossed_s = inf
 
     def observe(self, good: float, bad: float, reference_rate: float, now_s: float) -> Counts:
         """Count results and return those that no run of the test needs any more."""
-        self._buckets.append((now_s, good, bad))
-        while self._buckets and self._buckets[0][0] < now_s - KEEP_S:
-            self._buckets.popleft()
+        self._remember(good, bad, now_s)
         if self.onset_s == inf:
             self.onset_s = now_s
         self.pending.add(good, bad)
         self._sums = [
-            max(0.0, total + _log_ratio(good, bad, reference_rate, rise))
+            min(max(0.0, total + _log_ratio(good, bad, reference_rate, rise)), self._limit + EXCESS)
             for total, rise in zip(self._sums, RISES, strict=True)
         ]
         if max(self._sums) <= 0.0:
@@ -121,12 +129,19 @@
     def since(self, start_s: float) -> Counts:
         """Return the results from a time on, as far back as they are kept."""
         recent = Counts()
-        for at_s, good, bad in reversed(self._buckets):
+        for at_s, counts in reversed(self._buckets):
             if at_s < start_s:
                 break
-            recent.add(good, bad)
+            recent.add(counts.good, counts.bad)
         return recent
 
+    def _remember(self, good: float, bad: float, now_s: float) -> None:
+        if not self._buckets or now_s - self._buckets[-1][0] >= BUCKET_S:
+            self._buckets.append((now_s, Counts()))
+            while self._buckets[0][0] < now_s - KEEP_S:
+                self._buckets.popleft()
+        self._buckets[-1][1].add(good, bad)
+
 
 def _log_ratio(good: float, bad: float, reference_rate: float, rise: float) -> float:
     base = min(max(reference_rate, MIN_RATE), MAX_RATE - 0.01)
--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -17,6 +17,8 @@
     "RequestInfo",
     "TimerFired",
     "TokensReceived",
+    "TrialDenied",
+    "TrialGranted",
     "ViewChanged",
 ]
 
@@ -147,6 +149,23 @@
     """The time that the policy asked for has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class TrialGranted:
+    """The control leader lets a suspect run alone on a backend server."""
+
+    request_id: str
+    backend_server: str
+
+
+@dataclass(frozen=True, slots=True)
+class TrialDenied:
+    """The control leader grants no trial now, or the fingerprint is quarantined."""
+
+    request_id: str
+    retry_after_s: float
+    quarantined: bool = False
+
+
 PolicyEvent = (
     ViewChanged
     | RequestArrived
@@ -157,4 +176,6 @@
     | AttemptFailed
     | AnswerRated
     | TimerFired
+    | TrialGranted
+    | TrialDenied
 )
--- /dev/null
+++ b/src/baobabstream/policy/server_state.py
@@ -0,0 +1,178 @@
+"""What an entry knows of each backend server: its own measurements and the last load report."""
+
+from dataclasses import dataclass, field
+from math import exp
+
+from cachetools import LRUCache
+
+from baobabstream.wire.rows import BackendRecord
+
+__all__ = ["ServerState", "ServerStates"]
+
+# An own measurement loses its weight against that of the peers with this time constant, so that a
+# server that was slow gets probes again within a few seconds.
+MEASURE_AGE_S = 3.0
+# A load report loses its weight with this time constant; reports come about 2 s late.
+REPORT_AGE_S = 2.0
+GAIN = 0.3
+DEFAULT_GAP_S = 0.02
+DEFAULT_FIRST_S = 0.1
+MAX_PREFIXES = 512
+MIN_WINDOW = 1.0
+WINDOW_CUT = 0.8
+CUT_INTERVAL_S = 0.5
+# Share of the slots that one entry may use at first, before it has measured anything.
+FIRST_WINDOW_SHARE = 0.25
+
+
+@dataclass(slots=True)
+class ServerState:
+    """One backend server as seen by this entry.
+
+    Attributes
+    ----------
+    in_flight, long_in_flight
+        This entry's attempts on the server.
+    gap_s
+        Recent time between tokens of one stream.
+    first_s
+        Recent time to the first token beyond the estimated prefill.
+    others
+        Requests of other entries according to the last report.
+    window
+        Attempts that this entry may have on the server at once.
+    """
+
+    slots: int
+    in_flight: int = 0
+    long_in_flight: int = 0
+    tokens_in_flight: int = 0
+    gap_s: float = DEFAULT_GAP_S
+    gap_at_s: float = -1e9
+    first_s: float = DEFAULT_FIRST_S
+    first_at_s: float = -1e9
+    others: float = 0.0
+    reported_at_s: float = -1e9
+    window: float = 1.0
+    cut_at_s: float = -1e9
+    failed_at_s: float = -1e9
+    prefixes: LRUCache[str, None] = field(default_factory=lambda: LRUCache(MAX_PREFIXES))
+
+    def measure_gap(self, gap_s: float, now_s: float) -> None:
+        """Take a measured time between tokens."""
+        self.gap_s += GAIN * (gap_s - self.gap_s) if self.gap_at_s > 0 else gap_s - self.gap_s
+        self.gap_at_s = now_s
+
+    def measure_first(self, first_s: float, now_s: float) -> None:
+        """Take a measured time to first token beyond the prefill."""
+        self.first_s += (
+            GAIN * (first_s - self.first_s) if self.first_at_s > 0 else first_s - self.first_s
+        )
+        self.first_at_s = now_s
+
+    def adapt_window(self, slow: bool, now_s: float) -> None:
+        """Grow the window while first tokens come in time, cut it when they are late.
+
+        References
+        ----------
+        D.-M. Chiu, R. Jain, "Analysis of the Increase and Decrease Algorithms for Congestion
+        Avoidance in Computer Networks", 1989.
+        """
+        if slow:
+            if now_s - self.cut_at_s >= CUT_INTERVAL_S:
+                self.window = max(MIN_WINDOW, self.window * WINDOW_CUT)
+                self.cut_at_s = now_s
+        elif self.in_flight + 1 >= self.window:
+            self.window = min(float(self.slots), self.window + 1.0 / self.window)
+
+    def expected_others(self, now_s: float, mean_others: float) -> float:
+        """Return the other entries' requests, from the report as far as it is fresh."""
+        weight = exp(-max(0.0, now_s - self.reported_at_s) / REPORT_AGE_S)
+        return weight * self.others + (1 - weight) * mean_others
+
+    def cached_tokens_share(self, digests: tuple[str, ...]) -> float:
+        """Return the share of the prompt whose prefix this entry has sent to the server."""
+        for index in range(len(digests) - 1, -1, -1):
+            if digests[index] in self.prefixes:
+                return (index + 1) / len(digests)
+        return 0.0
+
+    def remember_prefixes(self, digests: tuple[str, ...]) -> None:
+        """Note that the server now caches a prompt's prefixes."""
+        for digest in digests:
+            self.prefixes[digest] = None
+
+
+class ServerStates:
+    """States of all backend servers, with the means that a server is compared with."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, ServerState] = {}
+        self._holders: LRUCache[str, str] = LRUCache(20_000)
+        self.mean_others = 0.0
+        self.mean_gap_s = DEFAULT_GAP_S
+        self.mean_first_s = DEFAULT_FIRST_S
+
+    def __getitem__(self, identity: str) -> ServerState:
+        return self._states[identity]
+
+    def get(self, identity: str) -> ServerState | None:
+        """Return a server's state, or None when it is gone."""
+        return self._states.get(identity)
+
+    def take_records(self, records: list[BackendRecord], gone: set[str], now_s: float) -> None:
+        """Take changed announcements."""
+        for identity in gone:
+            self._states.pop(identity, None)
+        for record in records:
+            state = self._states.get(record.identity)
+            if state is None:
+                window = max(MIN_WINDOW, record.slots * FIRST_WINDOW_SHARE)
+                state = ServerState(record.slots, window=window)
+                self._states[record.identity] = state
+            state.others = max(0.0, record.in_flight - state.in_flight)
+            state.reported_at_s = now_s
+            self.mean_others += 0.05 * (state.others - self.mean_others)
+
+    def measure_gap(self, identity: str, gap_s: float, now_s: float) -> None:
+        """Take a measured time between tokens of one server."""
+        state = self._states.get(identity)
+        if state is not None:
+            state.measure_gap(gap_s, now_s)
+            # The mean follows the faster peers: a minority of stragglers hardly moves it.
+            gain = 0.05 if gap_s < 2 * self.mean_gap_s else 0.005
+            self.mean_gap_s += gain * (gap_s - self.mean_gap_s)
+
+    def measure_first(self, identity: str, first_s: float, now_s: float) -> None:
+        """Take a measured time to first token of one server."""
+        state = self._states.get(identity)
+        if state is not None:
+            state.measure_first(first_s, now_s)
+            gain = 0.05 if first_s < 3 * self.mean_first_s else 0.005
+            self.mean_first_s += gain * (first_s - self.mean_first_s)
+
+    def expected_gap_s(self, state: ServerState, now_s: float) -> float:
+        """Return the expected time between tokens; an old measurement yields to the mean."""
+        weight = exp(-max(0.0, now_s - state.gap_at_s) / MEASURE_AGE_S)
+        return self.mean_gap_s + weight * (state.gap_s - self.mean_gap_s)
+
+    def expected_first_s(self, state: ServerState, now_s: float) -> float:
+        """Return the expected time to first token beyond the prefill."""
+        weight = exp(-max(0.0, now_s - state.first_at_s) / MEASURE_AGE_S)
+        return self.mean_first_s + weight * (state.first_s - self.mean_first_s)
+
+    def remember_prefixes(self, identity: str, digests: tuple[str, ...]) -> None:
+        """Note which server holds a prompt's prefixes."""
+        state = self._states.get(identity)
+        if state is not None and digests:
+            state.remember_prefixes(digests)
+            for digest in digests:
+                self._holders[digest] = identity
+
+    def prefix_holder(self, digests: tuple[str, ...]) -> str | None:
+        """Return the server that got the longest known prefix last."""
+        for digest in reversed(digests):
+            holder = self._holders.get(digest)
+            if holder is not None:
+                return holder
+        return None
--- a/src/baobabstream/policy/version_health.py
+++ b/src/baobabstream/policy/version_health.py
@@ -3,25 +3,31 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
-from math import log, sqrt
+from math import inf, log, sqrt
 
 from baobabstream.policy.change_test import ChangeTest, Counts, ReferenceRate
 from baobabstream.wire.messages import VersionEvidence
 
 __all__ = ["HealthVerdict", "VersionHealth"]
 
-# Runs of the tests that start in one rollout: about 1,000 bad answers among 10,000, three rises,
-# two kinds of result.
-RUNS_PER_ROLLOUT = 6000
+# Runs of the tests that start in one rollout: each starts with one of about 1,000 bad answers
+# among 10,000, and the three rises and two kinds of result cross mostly together.
+RUNS_PER_ROLLOUT = 1500
+# Without a baseline a version's first results enter its reference at once; fewer leave a reference
+# so low by chance that the test never returns to zero.
+LEARNING_RESULTS = 300
 # Results of the baseline from which it serves as the reference; below, the version's own history.
 MIN_BASELINE_RESULTS = 100
 RECENT_S = 20.0
-SHARED_DEVIATIONS = 3.0
+SHARED_DEVIATIONS = 4.0
 SHARED_RISE = 0.05
 MIN_SHARED_RESULTS = 8
-# Time for results of other versions to arrive before a crossing is blamed on one version.
-ATTRIBUTION_WAIT_S = 1.0
-HEALTHY_LOG_RATIO = -1.5
+CHECK_INTERVAL_S = 0.5
+# A crossing waits for results of other versions; the longer, the weaker evidence is accepted that
+# they are healthy. Pairs of seconds since the crossing and the log-likelihood ratio needed.
+ATTRIBUTION_STEPS = ((0.0, -2.0), (3.0, -1.2), (8.0, 0.0))
+SHARED_HOLD_S = 10.0
+SHARED_LOG_RATIO = 3.0
 
 
 class _Kind(StrEnum):
@@ -48,6 +54,8 @@
     kind: _Kind
     test: ChangeTest
     reference: ReferenceRate
+    checked_s: float = -inf
+    shared_until_s: float = -inf
 
 
 @dataclass(slots=True)
@@ -122,17 +130,27 @@
     ) -> None:
         stream = record.streams[kind]
         ended = stream.test.observe(good, bad, self._reference(record, kind).upper(), now_s)
-        if self._shared_fault(record, kind, now_s):
+        if now_s - stream.checked_s >= CHECK_INTERVAL_S:
+            stream.checked_s = now_s
+            if self._shared_fault(record, kind, now_s):
+                stream.shared_until_s = now_s + SHARED_HOLD_S
+        if now_s < stream.shared_until_s:
             stream.test.reset()
-            return
-        stream.reference.add(ended.good, ended.bad)
+        elif self._learns(record, stream):
+            stream.reference.add(good, bad)
+        else:
+            stream.reference.add(ended.good, ended.bad)
+
+    def _learns(self, record: _VersionRecord, stream: _Stream) -> bool:
+        own = stream.reference
+        return own.counts.total < LEARNING_RESULTS and self._reference(record, stream.kind) is own
 
     def _reference(self, record: _VersionRecord, kind: _Kind) -> ReferenceRate:
         baseline = self._records.get((record.model, record.baseline_version))
         if baseline is not None:
             reference = baseline.streams[kind].reference
             if reference.counts.total >= MIN_BASELINE_RESULTS:
-                return reference
+                return reference.joined(record.streams[kind].reference)
         return record.streams[kind].reference
 
     def _others(self, record: _VersionRecord, kind: _Kind) -> Iterator[_Stream]:
@@ -176,9 +194,11 @@
         if not seen.total and not earlier.total:
             return True
         ratio = self._shared_log_ratio(record, stream, seen, expected)
-        if ratio <= HEALTHY_LOG_RATIO:
-            return True
-        return ratio <= 0.0 and now_s - stream.test.crossed_s >= ATTRIBUTION_WAIT_S
+        if ratio >= SHARED_LOG_RATIO:
+            stream.test.reset()
+            return False
+        waited_s = now_s - stream.test.crossed_s
+        return any(waited_s >= wait_s and ratio <= need for wait_s, need in ATTRIBUTION_STEPS)
 
     def _shared_log_ratio(
         self, record: _VersionRecord, stream: _Stream, seen: Counts, expected: float
