--- a/src/baobabstream/cli/app.py
+++ b/src/baobabstream/cli/app.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from baobabstream.cli.bench import bench_app
 from baobabstream.cli.daemons import control, entry
 from baobabstream.cli.emulate import emulate_app
 from baobabstream.cli.operate import operate_app
@@ -21,6 +22,7 @@
 app.command()(control)
 app.command()(timeline)
 app.add_typer(emulate_app, name="emulate")
+app.add_typer(bench_app, name="bench")
 app.registered_groups.extend(operate_app.registered_groups)
 app.registered_commands.extend(operate_app.registered_commands)
 
--- a/src/baobabstream/policy/plan_choice.py
+++ b/src/baobabstream/policy/plan_choice.py
@@ -12,7 +12,7 @@
 from baobabstream.policy.switches import PolicySwitches
 from baobabstream.wire.rows import ClassRow, VersionRow
 
-__all__ = ["Plan", "PlanChoice"]
+__all__ = ["Plan", "PlanChoice", "cheapest_mix_cost"]
 
 # The target is compared with the mean less this many standard deviations. One keeps the target
 # while ratings are few and costs little once there are hundreds.
@@ -217,6 +217,16 @@
         return _Mix(hull[0], hull[0], 0.0, now_s, [])
 
 
+def cheapest_mix_cost(plans: Sequence[Plan], quality: float) -> float:
+    """Return the cost of the cheapest mix of plans with a mean quality; the best plan's if none."""
+    hull = _lower_hull(plans)
+    for low, high in pairwise(hull):
+        if low.quality <= quality <= high.quality:
+            share = (quality - low.quality) / max(1e-9, high.quality - low.quality)
+            return low.cost + share * (high.cost - low.cost)
+    return hull[-1].cost if hull[-1].quality < quality else hull[0].cost
+
+
 def _marked(plan: Plan, note: str) -> Plan:
     return Plan(plan.first, plan.then, plan.quality, plan.cost, False, note)
 
--- a/src/baobabstream/policy/version_health.py
+++ b/src/baobabstream/policy/version_health.py
@@ -25,7 +25,7 @@
 CHECK_INTERVAL_S = 0.5
 # A crossing waits for results of other versions; the longer, the weaker evidence is accepted that
 # they are healthy. Pairs of seconds since the crossing and the log-likelihood ratio needed.
-ATTRIBUTION_STEPS = ((0.0, -2.0), (3.0, -1.2), (8.0, 0.0))
+ATTRIBUTION_STEPS = ((0.0, -3.0), (5.0, -2.0), (12.0, 0.0))
 SHARED_HOLD_S = 10.0
 SHARED_LOG_RATIO = 3.0
 
