policy: windows from the entry's learned share, waits by Little's law

Cause: in the peak seven entries together put more on an engine than its slots, and the service rate was overestimated when the peak began. Change: an entry learns its part of all requests in flight from the reports and bounds its window by it; predicted waits use window over service time; retry times start as late as the overload has lasted.

--- a/src/baobabstream/bench/workload.py
+++ b/src/baobabstream/bench/workload.py
@@ -60,6 +60,7 @@
     extra_rows: tuple[ConfigRow, ...] = ()
     warm_up_s: float = 10.0
     duration_s: float = 60.0
+    tail_s: float = 20.0
     engines: int = 6
     entries: int = 7
     speed: EngineSpeed = field(default_factory=EngineSpeed)
--- a/src/baobabstream/bench/world.py
+++ b/src/baobabstream/bench/world.py
@@ -66,7 +66,7 @@
             self.time.after(self._random.random(), lambda name=name: self._report(name))  # type: ignore[misc]
         for entry in self.entries:
             self.time.after(self._random.random(), lambda entry=entry: self._poll(entry))  # type: ignore[misc]
-        self.time.run_until(self.workload.duration_s + 20.0)
+        self.time.run_until(self.workload.duration_s + self.workload.tail_s)
         return self.records
 
     def cancel(self, job: EngineJob, backend_server: str) -> None:
--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -1,6 +1,5 @@
 """Admission by deadline: queues, predicted waits and retry times."""
 
-from math import exp
 from random import Random
 
 from baobabstream.policy.fair_queue import FairQueue
@@ -11,34 +10,30 @@
 # A request is queued only when its predicted wait is below this part of its slack, since the
 # service rate may fall while it waits.
 WAIT_PART = 0.6
-RATE_AGE_S = 1.0
-DEFAULT_RATE = 2.0
+DEFAULT_SERVICE_S = 1.0
+SERVICE_GAIN = 0.05
+MIN_RATE = 0.2
 # Part of the service rate that retry times count on; the rest is for new requests.
-RETRY_RATE_PART = 0.5
+RETRY_RATE_PART = 0.35
 MIN_RETRY_S = 0.5
-MAX_RETRY_S = 60.0
+MAX_RETRY_S = 180.0
+# An overload ends when nothing was refused for this time.
+OVERLOAD_GAP_S = 2.0
 
 
 class _Lane:
-    """One queue with its recent service rate."""
+    """One queue with its service rate and the rate of arrivals."""
 
     def __init__(self, fair: bool) -> None:
         self.queue = FairQueue(fair)
-        self._rate = DEFAULT_RATE
-        self._at_s: float | None = None
+        self.service_s = DEFAULT_SERVICE_S
+        self.overloaded_since_s: float | None = None
+        self.refused_s = -1e9
+        self.retry_slot_s = 0.0
 
-    def served(self, now_s: float) -> None:
-        """Count a dispatch."""
-        if self._at_s is not None:
-            keep = exp(-(now_s - self._at_s) / RATE_AGE_S)
-            self._rate = self._rate * keep + 1.0 / RATE_AGE_S
-        self._at_s = now_s
-
-    def rate(self, now_s: float) -> float:
-        """Return recent dispatches per second."""
-        if self._at_s is None:
-            return DEFAULT_RATE
-        return max(0.2, self._rate * exp(-(now_s - self._at_s) / RATE_AGE_S))
+    def rate(self, window: float) -> float:
+        """Return requests per second that a full window serves, by Little's law."""
+        return max(MIN_RATE, window / self.service_s)
 
 
 class Admission:
@@ -61,29 +56,42 @@
         """Return the queue for long or for short work."""
         return self._lanes[long].queue
 
-    def served(self, running: Running, now_s: float) -> None:
-        """Count a dispatch of a request that was admitted."""
-        self._lanes[running.long].served(now_s)
+    def finished(self, long: bool, service_s: float) -> None:
+        """Take the time that a request held its place on a server."""
+        lane = self._lanes[long]
+        lane.service_s += SERVICE_GAIN * (service_s - lane.service_s)
+
+    def wait_s(self, account: str, share: float, long: bool, window: float) -> float:
+        """Return the predicted wait of a new request of an account.
 
-    def wait_s(self, account: str, share: float, long: bool, now_s: float) -> float:
-        """Return the predicted wait of a new request of an account."""
+        Parameters
+        ----------
+        window
+            Attempts that this entry may have in flight on the servers of the version.
+        """
         lane = self._lanes[long]
-        return (lane.queue.ahead(account, share) + 1) / lane.rate(now_s)
+        return (lane.queue.ahead(account, share) + 1) / lane.rate(window)
 
-    def fits(self, running: Running, share: float, now_s: float) -> bool:
+    def fits(self, running: Running, share: float, window: float, now_s: float) -> bool:
         """Return whether a request would be dispatched well before its deadline."""
-        wait_s = self.wait_s(running.request.client_account, share, running.long, now_s)
+        wait_s = self.wait_s(running.request.client_account, share, running.long, window)
         return wait_s <= WAIT_PART * (running.deadline_s - now_s)
 
-    def retry_after_s(self, long: bool, now_s: float) -> float:
+    def retry_after_s(self, long: bool, window: float, now_s: float) -> float:
         """Return a time after which a refused request is likely to be admitted.
 
         Notes
         -----
         Refused requests get places in a schedule that uses part of the service rate, so that they
-        do not all return at once.
+        do not all return at once. The schedule starts as long after now as the overload has
+        lasted, since an overload that began long ago is likely to last longer.
         """
-        rate = RETRY_RATE_PART * self._lanes[long].rate(now_s)
-        start_s = max(self._retry_slot_s, now_s + MIN_RETRY_S)
-        self._retry_slot_s = min(start_s + 1.0 / rate, now_s + MAX_RETRY_S)
-        return self._retry_slot_s - now_s + self._random.uniform(0.0, 0.5)
+        lane = self._lanes[long]
+        if lane.overloaded_since_s is None or now_s - lane.refused_s > OVERLOAD_GAP_S:
+            lane.overloaded_since_s = now_s
+        lane.refused_s = now_s
+        lasted_s = now_s - lane.overloaded_since_s
+        start_s = max(lane.retry_slot_s, now_s + MIN_RETRY_S + lasted_s)
+        slot_s = start_s + 1.0 / (RETRY_RATE_PART * lane.rate(window))
+        lane.retry_slot_s = min(slot_s, now_s + MAX_RETRY_S)
+        return lane.retry_slot_s - now_s + self._random.uniform(0.0, 0.5)
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -103,6 +103,11 @@
         """Return whether a sampled server of a version would take a request now."""
         return bool(self._sample(self._pool(request, key), request, (), True))
 
+    def window(self, key: tuple[str, str]) -> float:
+        """Return the attempts that this entry may have in flight on a version's servers."""
+        engines = self._index.engines(key)
+        return sum(self._states[identity].window for identity in engines)
+
     def _cost(self, choice: Choice) -> float:
         state = self._states[choice.identity]
         record = self._index.records[choice.identity]
--- a/src/baobabstream/policy/fair_queue.py
+++ b/src/baobabstream/policy/fair_queue.py
@@ -85,20 +85,15 @@
         """Return how many requests would be served before a new one of an account."""
         if not self._fair:
             return self._length
-        own = self._active.get(account)
-        own_length = len(own.items) if own is not None else 0
-        lag = (
-            max(0.0, self._accounts[account].finish - self._virtual) * share
-            if (account in self._accounts)
-            else 0.0
-        )
-        rounds = max(own_length, lag) + 1
+        known = self._accounts.get(account)
+        own = len(known.items) if known is not None else 0
+        start = max(known.finish if known is not None else 0.0, self._virtual) + own / share
         others = sum(
-            min(len(queue.items), rounds * queue.share / share)
+            min(len(queue.items), 1 + int((start - queue.finish) * queue.share))
             for name, queue in self._active.items()
-            if name != account
+            if name != account and queue.finish < start
         )
-        return own_length + others
+        return own + others
 
     def _of(self, running: Running, share: float) -> _AccountQueue:
         name = self._name(running)
--- a/src/baobabstream/policy/measurements.py
+++ b/src/baobabstream/policy/measurements.py
@@ -52,7 +52,7 @@
         state = self._states.get(attempt.backend_server)
         if state is not None:
             slow = beyond_s > WAIT_TARGET_PART * self.tightest_first_s
-            state.adapt_window(slow, now_s)
+            state.adapt_window(slow, self._states.window_limit(state.slots), now_s)
 
     def tokens(self, attempt: Attempt, tokens: int, now_s: float, last: bool = False) -> None:
         """Take delivered tokens; a rate is measured every few tokens and at the end."""
@@ -72,4 +72,4 @@
         self._states.measure_first(attempt.backend_server, now_s - attempt.sent_s, now_s)
         state = self._states.get(attempt.backend_server)
         if state is not None:
-            state.adapt_window(True, now_s)
+            state.adapt_window(True, self._states.window_limit(state.slots), now_s)
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -186,10 +186,10 @@
             return self._attempts.start(running, now_s, respect_window=False)
         if not len(queue) and self._plan_with_room(running, rows):
             self._keep(running)
-            self._admission.served(running, now_s)
             queue.charge(running, share)
             return self._attempts.start(running, now_s)
-        if not self._admission.fits(running, share, now_s):
+        window = self._attempts.backends.window(running.plan.key)
+        if not self._admission.fits(running, share, window, now_s):
             return [self._refuse_late(running, share, now_s)]
         self._keep(running)
         queue.push(running, share)
@@ -212,12 +212,13 @@
 
     def _refuse_late(self, running: Running, share: float, now_s: float) -> Refuse:
         account = running.request.client_account
-        wait_s = self._admission.wait_s(account, share, running.long, now_s)
+        window = self._attempts.backends.window(running.plan.key)
+        wait_s = self._admission.wait_s(account, share, running.long, window)
         kind = "long" if running.long else "short"
         return Refuse(
             running.request.request_id,
             ResultCode.DEADLINE_UNREACHABLE,
-            self._admission.retry_after_s(running.long, now_s),
+            self._admission.retry_after_s(running.long, window, now_s),
             f"predicted wait {wait_s:.2f} s for {kind} work of {account}, "
             f"target leaves {running.deadline_s - now_s:.2f} s",
         )
@@ -233,7 +234,6 @@
                     break
                 queue.pop(ready)
                 if self._runnable(ready):
-                    self._admission.served(ready, now_s)
                     decisions += self._attempts.start(ready, now_s)
                 else:
                     decisions += self._replan(ready, now_s)
@@ -260,6 +260,7 @@
         if attempt is None:
             return self._caller_gone(event.request_id)
         self._evidence.result(attempt.key, True, now_s)
+        self._admission.finished(running.long, now_s - attempt.sent_s)
         self._finished[event.request_id] = running.request.work_class
         decisions = self._attempts.finished(running, attempt, event, now_s)
         if running.stage is not Stage.RATING:
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -21,8 +21,12 @@
 MIN_WINDOW = 1.0
 WINDOW_CUT = 0.8
 CUT_INTERVAL_S = 0.5
-# Share of the slots that one entry may use at first, before it has measured anything.
-FIRST_WINDOW_SHARE = 0.25
+# An entry may use its share of a server's slots times this factor, so that slots do not stay empty
+# while entries are unevenly loaded.
+WINDOW_FACTOR = 1.2
+# Share of all requests in flight that this entry assumes before reports have come.
+FIRST_SHARE = 0.25
+SHARE_KEEP = 0.98
 
 
 @dataclass(slots=True)
@@ -70,9 +74,14 @@
         )
         self.first_at_s = now_s
 
-    def adapt_window(self, slow: bool, now_s: float) -> None:
+    def adapt_window(self, slow: bool, limit: float, now_s: float) -> None:
         """Grow the window while first tokens come in time, cut it when they are late.
 
+        Parameters
+        ----------
+        limit
+            Largest window, from this entry's share of the server's slots.
+
         References
         ----------
         D.-M. Chiu, R. Jain, "Analysis of the Increase and Decrease Algorithms for Congestion
@@ -83,7 +92,7 @@
                 self.window = max(MIN_WINDOW, self.window * WINDOW_CUT)
                 self.cut_at_s = now_s
         elif self.in_flight + 1 >= self.window:
-            self.window = min(float(self.slots), self.window + 1.0 / self.window)
+            self.window = min(limit, self.window + 0.5 / self.window)
 
     def expected_others(self, now_s: float, mean_others: float) -> float:
         """Return the other entries' requests, from the report as far as it is fresh."""
@@ -112,6 +121,24 @@
         self.mean_others = 0.0
         self.mean_gap_s = DEFAULT_GAP_S
         self.mean_first_s = DEFAULT_FIRST_S
+        self._own_in_flight = FIRST_SHARE
+        self._all_in_flight = 1.0
+
+    def window_limit(self, slots: int) -> float:
+        """Return the most attempts of this entry on a server of that many slots.
+
+        Notes
+        -----
+        The entry's share is its part of all requests in flight, which it learns from the load
+        reports without knowing the other entries.
+        """
+        share = min(1.0, self._own_in_flight / self._all_in_flight)
+        return max(MIN_WINDOW, WINDOW_FACTOR * slots * share)
+
+    def _learn_share(self, own: int, reported: int) -> None:
+        if reported > 0:
+            self._own_in_flight = self._own_in_flight * SHARE_KEEP + min(own, reported)
+            self._all_in_flight = self._all_in_flight * SHARE_KEEP + reported
 
     def __getitem__(self, identity: str) -> ServerState:
         return self._states[identity]
@@ -127,9 +154,10 @@
         for record in records:
             state = self._states.get(record.identity)
             if state is None:
-                window = max(MIN_WINDOW, record.slots * FIRST_WINDOW_SHARE)
-                state = ServerState(record.slots, window=window)
+                state = ServerState(record.slots, window=self.window_limit(record.slots))
                 self._states[record.identity] = state
+            self._learn_share(state.in_flight, record.in_flight)
+            state.window = min(state.window, self.window_limit(record.slots))
             state.others = max(0.0, record.in_flight - state.in_flight)
             state.reported_at_s = now_s
             self.mean_others += 0.05 * (state.others - self.mean_others)
