policy: bound prompts under way per engine; credit for accounts below share

Cause: at the start of a peak all engines read a batch of prompts at once, and first tokens came after 1.3 s. Change: a server gets no more prompts while those under way take too long.

--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -9,9 +9,13 @@
 
 # A request is queued only when its predicted wait is below this part of its slack, since the
 # service rate may fall while it waits.
-WAIT_PART = 0.6
+WAIT_PART = 0.45
+# The head of an account below its share is served next, so its wait is well known.
+BELOW_SHARE_WAIT_PART = 0.9
 DEFAULT_SERVICE_S = 1.0
 SERVICE_GAIN = 0.05
+# A rise is followed faster, since a rate taken too high lets requests expire in the queue.
+RISING_GAIN = 0.1
 MIN_RATE = 0.2
 # Part of the service rate that retry times count on; the rest is for new requests.
 RETRY_RATE_PART = 0.35
@@ -59,7 +63,8 @@
     def finished(self, long: bool, service_s: float) -> None:
         """Take the time that a request held its place on a server."""
         lane = self._lanes[long]
-        lane.service_s += SERVICE_GAIN * (service_s - lane.service_s)
+        gain = RISING_GAIN if service_s > lane.service_s else SERVICE_GAIN
+        lane.service_s += gain * (service_s - lane.service_s)
 
     def wait_s(self, account: str, share: float, long: bool, window: float) -> float:
         """Return the predicted wait of a new request of an account.
@@ -75,7 +80,9 @@
     def fits(self, running: Running, share: float, window: float, now_s: float) -> bool:
         """Return whether a request would be dispatched well before its deadline."""
         wait_s = self.wait_s(running.request.client_account, share, running.long, window)
-        return wait_s <= WAIT_PART * (running.deadline_s - now_s)
+        below = self._lanes[running.long].queue.below_share(running.request.client_account)
+        part = BELOW_SHARE_WAIT_PART if below else WAIT_PART
+        return wait_s <= part * (running.deadline_s - now_s)
 
     def retry_after_s(self, long: bool, window: float, now_s: float) -> float:
         """Return a time after which a refused request is likely to be admitted.
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -18,6 +18,9 @@
 SAMPLE = 3
 # One way between availability zones takes about 1.5 ms; a request crosses twice.
 OTHER_ZONE_S = 0.003
+# Engines read prompts one after another. A server gets no more prompts while those under way at
+# all entries are expected to take longer than this part of a second.
+PREFILL_WAIT_S = 0.25
 RECENT_FAILURE_S = 2.0
 RECENT_FAILURE_COST_S = 1.0
 
@@ -164,7 +167,10 @@
         state = self._states.get(identity)
         if state is None or identity in exclude:
             return False
-        return not respect_window or state.in_flight < state.window
+        if not respect_window:
+            return True
+        prefill_s = state.pending_prefill_s
+        return state.in_flight < state.window and prefill_s <= PREFILL_WAIT_S * self._states.share
 
     def _estimate(self, identity: str, request: RequestInfo, now_s: float) -> Choice:
         state = self._states[identity]
@@ -179,7 +185,7 @@
         prefill_s = (1 - cached) * self._sizes.prefill_s(request)
         prefill_s *= max(1.0, gap_s / self._states.mean_gap_s)
         wait_s = self._wait_s(state, gap_s, now_s)
-        first_token_s = first_s + prefill_s + wait_s
+        first_token_s = first_s + prefill_s + state.pending_prefill_s + wait_s
         if now_s - state.failed_at_s < RECENT_FAILURE_S:
             first_token_s += RECENT_FAILURE_COST_S
         total_s = first_token_s + request.expected_output_tokens * gap_s
--- a/src/baobabstream/policy/fair_queue.py
+++ b/src/baobabstream/policy/fair_queue.py
@@ -95,6 +95,13 @@
         )
         return own + others
 
+    def below_share(self, account: str) -> bool:
+        """Return whether an account has used less than its share and has nothing waiting."""
+        known = self._accounts.get(account)
+        if not self._fair or known is None:
+            return self._fair
+        return not known.items and known.finish <= self._virtual
+
     def _of(self, running: Running, share: float) -> _AccountQueue:
         name = self._name(running)
         queue = self._accounts.get(name)
--- a/src/baobabstream/policy/measurements.py
+++ b/src/baobabstream/policy/measurements.py
@@ -2,7 +2,7 @@
 
 from baobabstream.policy.latency import LatencyEstimates
 from baobabstream.policy.running import Attempt, Running
-from baobabstream.policy.server_state import ServerStates
+from baobabstream.policy.server_state import ServerState, ServerStates
 from baobabstream.policy.work_size import WorkSizes
 
 __all__ = ["Measurements"]
@@ -29,6 +29,8 @@
         if state is not None:
             state.in_flight += 1
             state.long_in_flight += attempt.long
+            attempt.prefill_s = self._sizes.prefill_s(running.request)
+            state.pending_prefill_s += attempt.prefill_s
 
     def ended(self, attempt: Attempt) -> None:
         """Take an attempt off its server."""
@@ -36,6 +38,12 @@
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
             state.long_in_flight = max(0, state.long_in_flight - attempt.long)
+            self._prefilled(attempt, state)
+
+    @staticmethod
+    def _prefilled(attempt: Attempt, state: ServerState) -> None:
+        state.pending_prefill_s = max(0.0, state.pending_prefill_s - attempt.prefill_s)
+        attempt.prefill_s = 0.0
 
     def first_token(self, running: Running, attempt: Attempt, now_s: float) -> None:
         """Take the time to first token."""
@@ -51,6 +59,7 @@
             self._latency.first_token(attempt.key, first_s, now_s)
         state = self._states.get(attempt.backend_server)
         if state is not None:
+            self._prefilled(attempt, state)
             slow = beyond_s > WAIT_TARGET_PART * self.tightest_first_s
             state.adapt_window(slow, self._states.window_limit(state.slots), now_s)
 
--- a/src/baobabstream/policy/running.py
+++ b/src/baobabstream/policy/running.py
@@ -25,6 +25,7 @@
     tokens: int = 0
     measured_tokens: int = 0
     measured_s: float = 0.0
+    prefill_s: float = 0.0
 
 
 class Stage:
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -45,6 +45,8 @@
         Requests of other entries according to the last report.
     window
         Attempts that this entry may have on the server at once.
+    pending_prefill_s
+        Prefill time of this entry's attempts that have no first token yet.
     """
 
     slots: int
@@ -60,6 +62,7 @@
     window: float = 1.0
     cut_at_s: float = -1e9
     failed_at_s: float = -1e9
+    pending_prefill_s: float = 0.0
     prefixes: LRUCache[str, None] = field(default_factory=lambda: LRUCache(MAX_PREFIXES))
 
     def measure_gap(self, gap_s: float, now_s: float) -> None:
@@ -132,8 +135,12 @@
         The entry's share is its part of all requests in flight, which it learns from the load
         reports without knowing the other entries.
         """
-        share = min(1.0, self._own_in_flight / self._all_in_flight)
-        return max(MIN_WINDOW, WINDOW_FACTOR * slots * share)
+        return max(MIN_WINDOW, WINDOW_FACTOR * slots * self.share)
+
+    @property
+    def share(self) -> float:
+        """Return this entry's part of all requests in flight."""
+        return min(1.0, self._own_in_flight / self._all_in_flight)
 
     def _learn_share(self, own: int, reported: int) -> None:
         if reported > 0:
