policy: dithered windows and burst credit in fair queues

Cause: a window of 2.3 let three attempts through, so seven entries put 21 on 16 slots; small accounts were refused for two requests in a row. Change: the fraction of a window counts as a probability per report; accounts below their share may send three requests in a burst.

--- a/src/baobabstream/bench/world.py
+++ b/src/baobabstream/bench/world.py
@@ -35,6 +35,8 @@
         self.workload = workload
         self.time = VirtualTime()
         self._random = Random(f"{workload.name}/{seed}")
+        # Apart from the arrivals, so that all policies get the same requests.
+        self._balancer = Random(f"balancer/{seed}")
         self.records: list[CallerRecord] = []
         self.servers_lost = 0
         self._count = 0
@@ -163,7 +165,7 @@
             crashes=stream.crashes,
         )
         self.records.append(record)
-        self._random.choice(self.entries).arrive(info, record, stream)
+        self._balancer.choice(self.entries).arrive(info, record, stream)
 
     def _report(self, name: str) -> None:
         """Announce an engine's load; the entries see it after the lag."""
--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -72,7 +72,7 @@
         self._eligibility = eligibility
         self._switches = switches
         self._index = index
-        self.states = ServerStates()
+        self.states = ServerStates(random)
         self.sizes = WorkSizes()
         self.latency = LatencyEstimates()
         self.quality = QualityEstimates()
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -169,8 +169,9 @@
             return False
         if not respect_window:
             return True
-        prefill_s = state.pending_prefill_s
-        return state.in_flight < state.window and prefill_s <= PREFILL_WAIT_S * self._states.share
+        if not state.has_room():
+            return False
+        return state.pending_prefill_s <= PREFILL_WAIT_S * self._states.share
 
     def _estimate(self, identity: str, request: RequestInfo, now_s: float) -> Choice:
         state = self._states[identity]
--- a/src/baobabstream/policy/fair_queue.py
+++ b/src/baobabstream/policy/fair_queue.py
@@ -8,6 +8,10 @@
 __all__ = ["FairQueue"]
 
 
+# Requests that an account which used less than its share may send in a burst.
+CREDIT = 3.0
+
+
 @dataclass(slots=True)
 class _AccountQueue:
     share: float
@@ -42,7 +46,7 @@
         """Add a request at the end of its account's queue."""
         queue = self._of(running, share)
         if not queue.items:
-            queue.finish = max(queue.finish, self._virtual)
+            queue.finish = max(queue.finish, self._virtual - CREDIT / queue.share)
         queue.items.append(running)
         self._active[self._name(running)] = queue
         self._length += 1
@@ -50,7 +54,8 @@
     def charge(self, running: Running, share: float) -> None:
         """Count a request that was dispatched without waiting."""
         queue = self._of(running, share)
-        queue.finish = max(queue.finish, self._virtual) + 1.0 / queue.share
+        start = max(queue.finish, self._virtual - CREDIT / queue.share)
+        queue.finish = start + 1.0 / queue.share
 
     def next_first(self) -> list[Running]:
         """Return the head of each account's queue, in the order of service."""
@@ -87,7 +92,8 @@
             return self._length
         known = self._accounts.get(account)
         own = len(known.items) if known is not None else 0
-        start = max(known.finish if known is not None else 0.0, self._virtual) + own / share
+        finish = known.finish if known is not None else 0.0
+        start = max(finish, self._virtual - CREDIT / share) + own / share
         others = sum(
             min(len(queue.items), 1 + int((start - queue.finish) * queue.share))
             for name, queue in self._active.items()
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from math import exp
+from random import Random
 
 from cachetools import LRUCache
 
@@ -18,12 +19,12 @@
 DEFAULT_GAP_S = 0.02
 DEFAULT_FIRST_S = 0.1
 MAX_PREFIXES = 512
-MIN_WINDOW = 1.0
+MIN_WINDOW = 0.25
 WINDOW_CUT = 0.8
 CUT_INTERVAL_S = 0.5
 # An entry may use its share of a server's slots times this factor, so that slots do not stay empty
 # while entries are unevenly loaded.
-WINDOW_FACTOR = 1.2
+WINDOW_FACTOR = 1.1
 # Share of all requests in flight that this entry assumes before reports have come.
 FIRST_SHARE = 0.25
 SHARE_KEEP = 0.98
@@ -47,6 +48,9 @@
         Attempts that this entry may have on the server at once.
     pending_prefill_s
         Prefill time of this entry's attempts that have no first token yet.
+    dither
+        Fraction, drawn anew with each report, that is added to the window before it is rounded
+        down. Over all entries the whole attempts then add up to the windows' sum.
     """
 
     slots: int
@@ -63,6 +67,7 @@
     cut_at_s: float = -1e9
     failed_at_s: float = -1e9
     pending_prefill_s: float = 0.0
+    dither: float = 0.5
     prefixes: LRUCache[str, None] = field(default_factory=lambda: LRUCache(MAX_PREFIXES))
 
     def measure_gap(self, gap_s: float, now_s: float) -> None:
@@ -97,6 +102,10 @@
         elif self.in_flight + 1 >= self.window:
             self.window = min(limit, self.window + 0.5 / self.window)
 
+    def has_room(self) -> bool:
+        """Return whether this entry's window has room for one more attempt."""
+        return self.in_flight + 1 <= self.window + self.dither
+
     def expected_others(self, now_s: float, mean_others: float) -> float:
         """Return the other entries' requests, from the report as far as it is fresh."""
         weight = exp(-max(0.0, now_s - self.reported_at_s) / REPORT_AGE_S)
@@ -118,7 +127,8 @@
 class ServerStates:
     """States of all backend servers, with the means that a server is compared with."""
 
-    def __init__(self) -> None:
+    def __init__(self, random: Random) -> None:
+        self._random = random
         self._states: dict[str, ServerState] = {}
         self._holders: LRUCache[str, str] = LRUCache(20_000)
         self.mean_others = 0.0
@@ -166,6 +176,7 @@
             self._learn_share(state.in_flight, record.in_flight)
             state.window = min(state.window, self.window_limit(record.slots))
             state.others = max(0.0, record.in_flight - state.in_flight)
+            state.dither = self._random.random()
             state.reported_at_s = now_s
             self.mean_others += 0.05 * (state.others - self.mean_others)
 
