policy: long work keeps to half of the servers; virtual time follows direct dispatches

Cause: long work took five of six servers, so checks queued on one; requests that did not wait left the fair queue's virtual time behind, so small accounts that had sent two requests counted as over their share. Change: long work gets at most half of a version's servers and does not spill; direct dispatches advance the virtual time; shorter queues and slower retries.

--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -9,7 +9,7 @@
 
 # A request is queued only when its predicted wait is below this part of its slack, since the
 # service rate may fall while it waits.
-WAIT_PART = 0.45
+WAIT_PART = 0.25
 # The head of an account below its share is served next, so its wait is well known.
 BELOW_SHARE_WAIT_PART = 0.9
 DEFAULT_SERVICE_S = 1.0
@@ -18,9 +18,10 @@
 RISING_GAIN = 0.1
 MIN_RATE = 0.2
 # Part of the service rate that retry times count on; the rest is for new requests.
-RETRY_RATE_PART = 0.35
+RETRY_RATE_PART = 0.25
 MIN_RETRY_S = 0.5
-MAX_RETRY_S = 180.0
+MAX_RETRY_S = 300.0
+LASTED_FACTOR = 2.0
 # An overload ends when nothing was refused for this time.
 OVERLOAD_GAP_S = 2.0
 
@@ -90,7 +91,7 @@
         Notes
         -----
         Refused requests get places in a schedule that uses part of the service rate, so that they
-        do not all return at once. The schedule starts as long after now as the overload has
+        do not all return at once. The schedule starts twice as long after now as the overload has
         lasted, since an overload that began long ago is likely to last longer.
         """
         lane = self._lanes[long]
@@ -98,7 +99,7 @@
             lane.overloaded_since_s = now_s
         lane.refused_s = now_s
         lasted_s = now_s - lane.overloaded_since_s
-        start_s = max(lane.retry_slot_s, now_s + MIN_RETRY_S + lasted_s)
+        start_s = max(lane.retry_slot_s, now_s + MIN_RETRY_S + LASTED_FACTOR * lasted_s)
         slot_s = start_s + 1.0 / (RETRY_RATE_PART * lane.rate(window))
         lane.retry_slot_s = min(slot_s, now_s + MAX_RETRY_S)
         return lane.retry_slot_s - now_s + self._random.uniform(0.0, 0.5)
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -97,7 +97,8 @@
         """
         pool = self._pool(request, key)
         sample = self._sample(pool, request, exclude, respect_window)
-        if not sample and pool is not self._index.engines(key):
+        spill = not self._switches.long_separation or not self._sizes.is_long(request)
+        if not sample and spill and pool is not self._index.engines(key):
             sample = self._sample(self._index.engines(key), request, exclude, respect_window)
         choices = [self._estimate(identity, request, now_s) for identity in sample]
         return min(choices, key=self._cost, default=None)
@@ -127,7 +128,7 @@
         if share <= 0.0:
             return engines
         order = self._order(key, engines)
-        for_long = min(len(order) - 1, max(1, ceil(share * len(order))))
+        for_long = min(len(order) // 2, max(1, ceil(share * len(order))))
         return order[:for_long] if self._sizes.is_long(request) else order[for_long:]
 
     def _order(self, key: tuple[str, str], engines: list[str]) -> list[str]:
--- a/src/baobabstream/policy/fair_queue.py
+++ b/src/baobabstream/policy/fair_queue.py
@@ -55,6 +55,7 @@
         """Count a request that was dispatched without waiting."""
         queue = self._of(running, share)
         start = max(queue.finish, self._virtual - CREDIT / queue.share)
+        self._virtual = max(self._virtual, start)
         queue.finish = start + 1.0 / queue.share
 
     def next_first(self) -> list[Running]:
@@ -102,11 +103,14 @@
         return own + others
 
     def below_share(self, account: str) -> bool:
-        """Return whether an account has used less than its share and has nothing waiting."""
+        """Return whether a new request of an account would be within its share."""
+        if not self._fair:
+            return False
         known = self._accounts.get(account)
-        if not self._fair or known is None:
-            return self._fair
-        return not known.items and known.finish <= self._virtual
+        if known is None:
+            return True
+        start = max(known.finish, self._virtual - CREDIT / known.share)
+        return start + len(known.items) / known.share <= self._virtual
 
     def _of(self, running: Running, share: float) -> _AccountQueue:
         name = self._name(running)
