--- a/src/baobabstream/cli/app.py
+++ b/src/baobabstream/cli/app.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from baobabstream.cli.bench import bench_app
 from baobabstream.cli.check_settings import check_settings
 from baobabstream.cli.daemons import control, entry
 from baobabstream.cli.emulate import emulate_app
@@ -25,6 +26,7 @@
 app.command()(explain)
 app.command("check-settings")(check_settings)
 app.add_typer(emulate_app, name="emulate")
+app.add_typer(bench_app, name="bench")
 app.registered_groups.extend(operate_app.registered_groups)
 app.registered_commands.extend(operate_app.registered_commands)
 
--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -166,6 +166,23 @@
     """The time that the policy asked for has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class TrialGranted:
+    """The control leader lets a suspect run alone on a backend server."""
+
+    request_id: str
+    backend_server: str
+
+
+@dataclass(frozen=True, slots=True)
+class TrialDenied:
+    """The control leader grants no trial now, or the fingerprint is quarantined."""
+
+    request_id: str
+    retry_after_s: float
+    quarantined: bool = False
+
+
 PolicyEvent = (
     ViewChanged
     | RequestArrived
@@ -178,4 +195,6 @@
     | TrialGranted
     | TrialDenied
     | TimerFired
+    | TrialGranted
+    | TrialDenied
 )
