--- a/src/baobabstream/consensus/core.py
+++ b/src/baobabstream/consensus/core.py
@@ -44,6 +44,8 @@
 SNAPSHOT_PART_BYTES = 1024 * 1024
 # Entries kept behind a snapshot, so that a short outage needs no snapshot transfer.
 KEPT_ENTRIES = 1000
+# The entries after a snapshot under transfer are dropped once its receiver is silent this long.
+TRANSFER_EXPIRY_S = 10.0
 # A host that asked to join and is silent for this time is not repaired.
 JOIN_EXPIRY_S = 5.0
 
@@ -67,7 +69,7 @@
     sent_s: float = float("-inf")
     acknowledged_s: float = float("-inf")
     commit_sent: int = 0
-    snapshot_index: int = 0
+    snapshot: Snapshot | None = None
     snapshot_offset: int = 0
 
 
@@ -102,6 +104,9 @@
     leadership transfer and single-server membership changes.
     """
 
+    kept_entries = KEPT_ENTRIES
+    snapshot_part_bytes = SNAPSHOT_PART_BYTES
+
     def __init__(
         self,
         member: Member,
@@ -292,15 +297,25 @@
                 self._on_snapshot_reply(request, reply, sent_s)
         return []
 
-    def compact(self, index: int, data: bytes) -> list[Action]:
+    def compact(self, index: int, data: bytes, now_s: float) -> list[Action]:
         """Keep a snapshot of the state machine at an applied index."""
         term = self.log.term_at(index)
         if index <= self.snapshot.index or index > self.applied_index or term is None:
             return []
         self.snapshot = Snapshot(index, term, self.memberships.at(index), data)
-        self.log.drop_to(max(self.log.base_index, index - KEPT_ENTRIES))
+        kept_from = min([index - self.kept_entries, *self._transferred_indexes(now_s)])
+        self.log.drop_to(max(self.log.base_index, kept_from))
         return [self._save(snapshot=self.snapshot)]
 
+    def _transferred_indexes(self, now_s: float) -> list[int]:
+        """Return positions of snapshots under way; the entries after them are still needed."""
+        recent_s = now_s - TRANSFER_EXPIRY_S
+        return [
+            item.snapshot.index
+            for item in self._progress.values()
+            if item.snapshot is not None and item.acknowledged_s > recent_s
+        ]
+
     # Elections
 
     def _campaign(self, now_s: float, pre_vote: bool, transfer: bool = False) -> list[Action]:
@@ -422,6 +437,7 @@
         previous_term = self.log.term_at(progress.next_index - 1)
         if previous_term is None:
             return self._snapshot_part(peer, progress, now_s)
+        progress.snapshot = None
         news = progress.next_index <= self.log.last_index
         if not (due or news or progress.commit_sent < self.commit_index):
             return None
@@ -438,12 +454,12 @@
         )
 
     def _snapshot_part(self, peer: str, progress: _Progress, now_s: float) -> SnapshotRequest:
-        snapshot = self.snapshot
-        if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
+        if progress.snapshot is None:
+            progress.snapshot = self.snapshot
             progress.snapshot_offset = 0
+        snapshot = progress.snapshot
         start = progress.snapshot_offset
-        part = snapshot.data[start : start + SNAPSHOT_PART_BYTES]
+        part = snapshot.data[start : start + self.snapshot_part_bytes]
         progress.sent_s = now_s
         return SnapshotRequest(
             self.member.member_id,
@@ -484,7 +500,8 @@
         if reply.installed:
             progress.match_index = max(progress.match_index, request.index)
             progress.next_index = progress.match_index + 1
-        elif request.index == progress.snapshot_index:
+            progress.snapshot = None
+        elif progress.snapshot is not None and request.index == progress.snapshot.index:
             progress.snapshot_offset = reply.offset
 
     def _advance_commit(self, now_s: float) -> list[Action]:
--- a/src/baobabstream/consensus/file_storage.py
+++ b/src/baobabstream/consensus/file_storage.py
@@ -62,12 +62,19 @@
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self._lock = self._take_lock()
+        except OSError as error:
+            raise StorageError(ResultCode.DISK_FAILED, f"{folder}: {error}") from error
+        try:
             if not self._identity_path.exists():
                 self._create(cluster, host)
             self._identity = self._check_identity(cluster, host)
             self._stored = StoredState(self._read())
             self._log_file = os.open(self._log_path, os.O_WRONLY | os.O_APPEND)
+        except StorageError:
+            os.close(self._lock)
+            raise
         except OSError as error:
+            os.close(self._lock)
             raise StorageError(ResultCode.DISK_FAILED, f"{folder}: {error}") from error
 
     @property
--- a/src/baobabstream/consensus/frames.py
+++ b/src/baobabstream/consensus/frames.py
@@ -38,15 +38,17 @@
     -----
     Each sync covers one frame, so an interrupted write leaves one incomplete frame at the end.
     The header has its own checksum: a damaged length field must not make the rest of the file
-    look like a torn tail. File systems may extend a file before its data is written, so zeros up
-    to the end count as torn.
+    look like a torn tail. File systems may extend a file before its data is written, so a header
+    followed by nothing but zeros counts as torn; no body consists of zeros.
     """
     offset = 0
     while offset < len(data):
         header = data[offset : offset + HEADER_BYTES]
-        if len(header) < HEADER_BYTES or not any(data[offset:]):
+        if len(header) < HEADER_BYTES:
             return
         if zlib.crc32(header[:8]) != int.from_bytes(header[8:], "big"):
+            if not any(data[offset + HEADER_BYTES :]):
+                return
             raise _damaged(path, offset)
         end = offset + HEADER_BYTES + int.from_bytes(header[:4], "big")
         body = data[offset + HEADER_BYTES : end]
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -252,7 +252,8 @@
                 self._log_membership(self.core.memberships.at(entry.index))
         core = self.core
         if core.applied_index - core.snapshot.index >= self._options.snapshot_entries:
-            self._run(core.compact(core.applied_index, self._machine.snapshot()))
+            data = self._machine.snapshot()
+            self._run(core.compact(core.applied_index, data, self._loop.time()))
         self._listener.on_applied()
 
     def _settle(self, entry: LogEntry, outcome: Outcome) -> None:
--- /dev/null
+++ b/tests/consensus/test_core.py
@@ -0,0 +1,117 @@
+"""Tests single rules of the Raft core."""
+
+from random import Random
+
+import pytest
+
+from baobabstream.consensus.core import RaftCore, Role
+from baobabstream.consensus.membership_log import encode_membership, next_membership
+from baobabstream.consensus.records import Answer, DurableState, Save, Timing, VoteState
+from baobabstream.wire.consensus_messages import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    LogEntry,
+    Member,
+    Membership,
+    VoteReply,
+    VoteRequest,
+)
+
+A, B, C = (Member(f"{host}#1", host) for host in "abc")
+GROUP = LogEntry(1, 1, EntryKind.MEMBERSHIP, encode_membership(Membership((A, B, C))))
+
+
+def make_core(kind=RaftCore, vote=VoteState(1), entries=(GROUP,)) -> RaftCore:
+    """Return member A of a group of three at time 0."""
+    durable = DurableState(vote, entries=entries)
+    return kind(A, durable, Timing(), Random(1), 0.0, lambda term: b"")
+
+
+def make_leader(kind=RaftCore, entries=(GROUP,)) -> RaftCore:
+    """Return member A as leader of term 4, elected by B at time 2."""
+    core = make_core(kind, VoteState(3), entries)
+    save_all(core, core.tick(2.0))
+    for _ in ("pre-vote", "vote"):
+        request = core.request_for(B.member_id, 2.0)
+        save_all(core, core.handle_reply(request, VoteReply(core.term, True, 2.0), 2.0, 2.0))
+    assert core.role is Role.LEADER
+    return core
+
+
+def save_all(core: RaftCore, actions) -> None:
+    """Report all saves as durable."""
+    for save in [item for item in actions if isinstance(item, Save)]:
+        save_all(core, core.saved(save.sequence, 2.0))
+
+
+class _CommitsAnyTerm(RaftCore):
+    def _advance_commit(self, now_s):
+        matches = sorted([self.saved_index, *(p.match_index for p in self._progress.values())])
+        return self._commit(matches[1])
+
+
+@pytest.mark.parametrize(("kind", "committed"), [(RaftCore, 0), (_CommitsAnyTerm, 2)])
+def test_earlier_terms_are_not_committed_by_counting(kind, committed):
+    """Guards against committing an old entry that a later leader may still replace."""
+    core = make_leader(kind, (GROUP, LogEntry(2, 2, EntryKind.COMMAND, b"old")))
+    request = AppendRequest(A.member_id, B.member_id, 4, 1, 1, (), 0)
+    core.handle_reply(request, AppendReply(4, True, 2), 2.0, 2.0)
+    assert core.commit_index == committed
+    core.handle_reply(request, AppendReply(4, True, 3), 2.0, 2.0)
+    assert core.commit_index == 3
+
+
+def test_lease_counts_from_when_the_append_was_sent():
+    """Guards against a lease stretched by replies that were long under way."""
+    core = make_leader()
+    request = core.request_for(B.member_id, 3.0)
+    core.handle_reply(request, AppendReply(4, True, 2), 3.0, 4.2)
+    assert core.lease_end_s() == 3.0 + Timing().lease_s
+    assert not core.holds_lease(4.6)
+    core.tick(4.6)
+    assert core.role is Role.FOLLOWER
+
+
+def test_vote_is_given_once_per_term_and_after_it_is_saved():
+    """Guards against two leaders in one term."""
+    core = make_core()
+    first, second = (VoteRequest(m.member_id, A.member_id, 2, 1, 1) for m in (B, C))
+    save, answer = core.handle(first, 3.0)[-2:]
+    assert save.vote == VoteState(2, B.member_id)
+    assert answer == Answer(VoteReply(2, True, 3.0), save.sequence)
+    assert not core.handle(second, 3.0)[-1].message.granted
+
+
+def test_no_vote_against_a_leader_that_was_just_heard():
+    """Guards against votes that overlap a lease, also right after a restart."""
+    core = make_core()
+    early = VoteRequest(B.member_id, A.member_id, 2, 1, 1)
+    assert not core.handle(early, 0.3)[-1].message.granted
+    handover = VoteRequest(B.member_id, A.member_id, 2, 1, 1, transfer=True)
+    assert core.handle(handover, 0.3)[-1].message.granted
+
+
+def test_leadership_transfer_gives_up_the_lease():
+    """Guards against an old leader that serves beside its successor."""
+    core = make_leader()
+    request = core.request_for(B.member_id, 5.0)
+    core.handle_reply(request, AppendReply(4, True, 2), 5.0, 5.0)
+    assert core.holds_lease(5.1)
+    assert core.transfer()
+    assert not core.holds_lease(5.1)
+    assert core.propose(b"late")[0] is None
+    assert core.request_for(B.member_id, 5.1).receiver == B.member_id
+
+
+def test_repair_steps():
+    """Guards against promoting a learner early and against two changes at once."""
+    new = Member("a#2", "a")
+    group = Membership((A, B, C))
+    learner = next_membership(group, {"a": new}, lambda _: False)
+    assert learner == Membership((A, B, C), (new,))
+    assert next_membership(learner, {"a": new}, lambda _: False) is None
+    removed = next_membership(learner, {"a": new}, lambda _: True)
+    assert removed == Membership((B, C), (new,))
+    assert next_membership(removed, {}, lambda _: False) is None
+    assert next_membership(removed, {}, lambda _: True) == Membership((B, C, new))
--- /dev/null
+++ b/tests/consensus/test_file_storage.py
@@ -0,0 +1,142 @@
+"""Tests the files of the log."""
+
+import os
+
+import pytest
+
+from baobabstream.consensus.file_storage import FileStorage
+from baobabstream.consensus.records import Save, Snapshot, VoteState
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import StorageError
+from baobabstream.wire.consensus_messages import EntryKind, LogEntry, Membership
+
+
+def entry(index: int, term: int = 1) -> LogEntry:
+    """Return a command entry."""
+    return LogEntry(index, term, EntryKind.COMMAND, b"payload-%d" % index)
+
+
+def write_three(folder) -> list[int]:
+    """Write three entries with a sync each and return the file size after each."""
+    storage = FileStorage(folder, "demo", "a")
+    sizes = []
+    for index in (1, 2, 3):
+        storage.save([Save(index, entries=(entry(index),))])
+        sizes.append((folder / "log").stat().st_size)
+    storage.close()
+    return sizes
+
+
+def indexes(folder) -> list[int]:
+    """Return the indexes that a restart finds."""
+    storage = FileStorage(folder, "demo", "a")
+    found = [item.index for item in storage.load().entries]
+    storage.close()
+    return found
+
+
+def refusal(folder, cluster="demo", host="a") -> StorageError:
+    """Return why the folder is refused."""
+    with pytest.raises(StorageError) as caught:
+        FileStorage(folder, cluster, host)
+    return caught.value
+
+
+def test_state_survives_a_restart(tmp_path):
+    """Guards against a vote, an entry, a replaced suffix or an identity lost by a restart."""
+    storage = FileStorage(tmp_path, "demo", "a")
+    member = storage.member
+    first = tuple(entry(index) for index in (1, 2, 3))
+    storage.save([Save(1, VoteState(4, "b#1")), Save(2, entries=first)])
+    storage.save([Save(3, entries=(entry(2, 5),))])
+    storage.close()
+    storage = FileStorage(tmp_path, "demo", "a")
+    assert storage.member == member
+    assert storage.load().vote == VoteState(4, "b#1")
+    assert storage.load().entries == (entry(1), entry(2, 5))
+
+
+def test_snapshot_drops_entries(tmp_path):
+    """Guards against a log that grows for ever or loses entries after the snapshot."""
+    write_three(tmp_path)
+    storage = FileStorage(tmp_path, "demo", "a")
+    snapshot = Snapshot(2, 1, Membership(), b"state")
+    storage.save([Save(1, snapshot=snapshot, base_index=2, base_term=1)])
+    storage.save([Save(2, entries=(entry(4),))])
+    storage.close()
+    storage = FileStorage(tmp_path, "demo", "a")
+    assert storage.load().snapshot == snapshot
+    assert [item.index for item in storage.load().entries] == [3, 4]
+
+
+def test_stop_between_snapshot_and_log(tmp_path):
+    """Guards against a start refused or mixed after a stop between the two files."""
+    write_three(tmp_path)
+    old_log = (tmp_path / "log").read_bytes()
+    storage = FileStorage(tmp_path, "demo", "a")
+    snapshot = Snapshot(9, 3, Membership(), b"state")
+    storage.save([Save(1, snapshot=snapshot, base_index=9, base_term=3)])
+    storage.close()
+    (tmp_path / "log").write_bytes(old_log)
+    state = FileStorage(tmp_path, "demo", "a").load()
+    assert (state.base_index, state.base_term, state.entries) == (9, 3, ())
+
+
+def test_torn_tail_is_cut_at_every_length(tmp_path):
+    """Guards against a refused start after a power loss during a write."""
+    sizes = write_three(tmp_path)
+    whole = (tmp_path / "log").read_bytes()
+    for size in range(sizes[1], sizes[2]):
+        (tmp_path / "log").write_bytes(whole[:size])
+        assert indexes(tmp_path) == [1, 2]
+        (tmp_path / "log").write_bytes(whole[:size] + bytes(sizes[2] - size))
+        assert indexes(tmp_path) == [1, 2]
+    (tmp_path / "log").write_bytes(whole)
+    assert indexes(tmp_path) == [1, 2, 3]
+
+
+def test_damage_before_the_tail_is_refused_at_every_byte(tmp_path):
+    """Guards against silently dropping accepted entries; lengths must not fake a torn tail."""
+    sizes = write_three(tmp_path)
+    whole = (tmp_path / "log").read_bytes()
+    for position in range(sizes[1]):
+        damaged = bytearray(whole)
+        damaged[position] ^= 0x40
+        (tmp_path / "log").write_bytes(damaged)
+        error = refusal(tmp_path)
+        assert error.code is ResultCode.LOG_DAMAGED
+        assert str(tmp_path / "log") in error.detail
+        assert "byte" in error.detail
+
+
+@pytest.mark.parametrize("name", ["vote", "identity", "log"])
+def test_missing_file_is_refused(tmp_path, name):
+    """Guards against voting with a state that cannot be proved."""
+    write_three(tmp_path)
+    (tmp_path / name).unlink()
+    assert refusal(tmp_path).code is ResultCode.LOG_DAMAGED
+
+
+def test_folder_of_another_member_is_refused(tmp_path):
+    """Guards against a folder copied between hosts or clusters, and against two daemons."""
+    storage = FileStorage(tmp_path, "demo", "a")
+    assert refusal(tmp_path).code is ResultCode.DATA_FOLDER_IN_USE
+    storage.close()
+    assert refusal(tmp_path, host="b").code is ResultCode.DATA_FOLDER_FOREIGN
+    assert refusal(tmp_path, cluster="other").code is ResultCode.DATA_FOLDER_FOREIGN
+
+
+def test_failed_sync_is_final(tmp_path, monkeypatch):
+    """Guards against answering after a sync failed, or trusting a second sync."""
+    storage = FileStorage(tmp_path, "demo", "a")
+
+    def fail(_: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fdatasync", fail)
+        with pytest.raises(StorageError) as caught:
+            storage.save([Save(1, entries=(entry(1),))])
+    assert caught.value.code is ResultCode.DISK_FAILED
+    with pytest.raises(StorageError):
+        storage.save([Save(2, entries=(entry(1),))])
