Test the entry's data path; end pollers although pynng swallows a cancellation

Cause: the first run of the new tests hung in about one of two runs: pynng drops a cancellation that meets the completion of the call, so a cancelled poller went on for ever. A doubled answer in one block was relayed. Change: cancellations of pollers and RPC workers are repeated until the task ends; tokens after the finish reason are refused inside a block too.

--- a/src/baobabstream/backends/event_scanner.py
+++ b/src/baobabstream/backends/event_scanner.py
@@ -86,11 +86,14 @@
         return StreamPart(block, self._count_tokens(block), done)
 
     def _count_tokens(self, block: bytes) -> int:
-        tokens = _count(block, _TEXT_FIELDS) - _count(block, _EMPTY_TEXT_FIELDS)
+        tokens = _tokens(block)
         if tokens and self._finished:
             raise _foreign("tokens after the end of the answer")
-        if _count(block, _FINISH_FIELDS):
+        finish = max(block.find(field) for field in _FINISH_FIELDS)
+        if finish >= 0:
             self._finished = True
+            if _tokens(block[block.find(EVENT_END, finish) :]):
+                raise _foreign("tokens after the end of the answer")
         return tokens
 
     def _decode_each(self, block: bytes) -> tuple[bytes, bool]:
@@ -121,8 +124,10 @@
                 self._identity_field = field
 
 
-def _count(block: bytes, fields: tuple[bytes, bytes]) -> int:
-    return block.count(fields[0]) + block.count(fields[1])
+def _tokens(block: bytes) -> int:
+    """Return the number of events that carry text, one token each."""
+    fields = sum(block.count(field) for field in _TEXT_FIELDS)
+    return fields - sum(block.count(field) for field in _EMPTY_TEXT_FIELDS)
 
 
 def _foreign(detail: str) -> AttemptError:
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -39,6 +39,7 @@
 __all__ = ["EntryDaemon"]
 
 ACCEPT_BACKLOG = 1024
+CANCEL_REPEAT_S = 0.1
 
 _log = get_logger("entry")
 
@@ -115,13 +116,18 @@
         await self._runner.cleanup()
         await self.background.drain()
         await self.bills.drain()
-        self._poller.cancel()
-        await asyncio.gather(self._poller, return_exceptions=True)
+        await self._stop_poller()
         await self._close_clients()
         self.control.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
 
+    async def _stop_poller(self) -> None:
+        # pynng swallows a cancellation that meets the completion of the call, so it is repeated.
+        while not self._poller.done():
+            self._poller.cancel()
+            await asyncio.wait({self._poller}, timeout=CANCEL_REPEAT_S)
+
     def _open_clients(self) -> None:
         settings = self.settings
         self.engines = EngineClient(
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -20,6 +20,7 @@
 
 DIAL_RETRY_MIN_MS = 50
 DIAL_RETRY_MAX_MS = 500
+CANCEL_REPEAT_S = 0.1
 
 _log = get_logger("wire")
 
@@ -124,9 +125,11 @@
 
     async def close(self) -> None:
         """Stop serving and close the socket."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # pynng swallows a cancellation that meets the completion of the call, so it is repeated.
+        while running := {task for task in self._tasks if not task.done()}:
+            for task in running:
+                task.cancel()
+            await asyncio.wait(running, timeout=CANCEL_REPEAT_S)
         self._socket.close()
 
     async def _serve(self) -> None:
--- /dev/null
+++ b/tests/backends/test_clients.py
@@ -0,0 +1,49 @@
+"""Connections to engines and the rating service."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+from aiohttp import web
+
+from baobabstream.backends.engine_client import EngineClient, EngineLimits, EngineRequest
+from baobabstream.backends.rating_client import RatingClient, RatingQuestion
+from entry_harness import FakeServer, start_app, start_server
+
+
+async def ask(client: EngineClient, url: str) -> int:
+    request = EngineRequest(url, "r", 1, "small", "1", 0, 0, {"messages": []})
+    return sum([part.tokens async for part in client.stream(request)])
+
+
+@pytest.mark.parametrize(("idle_s", "connections"), [(30.0, 1), (0.05, 2)])
+async def test_idle_connection_is_not_handed_out(idle_s: float, connections: int) -> None:
+    """Guards against requests on pooled connections that were dropped while they were idle."""
+    async with AsyncExitStack() as stack:
+        server = FakeServer("a")
+        await start_server(stack, server)
+        client = EngineClient(EngineLimits(idle_connection_s=idle_s))
+        stack.push_async_callback(client.close)
+        assert await ask(client, server.url) == 5
+        await asyncio.sleep(0.1)
+        assert await ask(client, server.url) == 5
+        assert len(server.connections) == connections
+
+
+@pytest.mark.parametrize(
+    ("reply", "good"),
+    [({"good": True}, True), ({"good": False}, False), ({"good": "no"}, None), ([], None)],
+)
+async def test_only_a_clear_rating_counts(reply, good) -> None:
+    """Guards against a faulty rating service that makes answers look bad."""
+
+    async def rate(request: web.Request) -> web.Response:
+        assert (await request.json())["answer"] == "text"
+        return web.json_response(reply)
+
+    async with AsyncExitStack() as stack:
+        app = web.Application()
+        app.router.add_post("/v1/ratings", rate)
+        client = RatingClient(await start_app(stack, app), 1.0)
+        stack.push_async_callback(client.close)
+        assert await client.rate(RatingQuestion("r", "small", "1", [], "text")) is good
