--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -144,23 +144,6 @@
     good: bool
 
 
-@dataclass(frozen=True, slots=True)
-class TrialGranted:
-    """The control leader lets a suspect run on a backend server."""
-
-    request_id: str
-    backend_server: str
-
-
-@dataclass(frozen=True, slots=True)
-class TrialDenied:
-    """The control leader does not let a suspect run now, or never if it is quarantined."""
-
-    request_id: str
-    retry_after_s: float
-    quarantined: bool
-
-
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """The time that the policy asked for has come."""
@@ -195,6 +178,4 @@
     | TrialGranted
     | TrialDenied
     | TimerFired
-    | TrialGranted
-    | TrialDenied
 )
