--- a/src/baobabstream/control/commands.py
+++ b/src/baobabstream/control/commands.py
@@ -1,5 +1,7 @@
 """Commands of the replicated log."""
 
+from enum import StrEnum
+
 from msgspec import Struct
 
 from baobabstream.wire.messages import ClaimRequest
@@ -7,15 +9,40 @@
 
 __all__ = [
     "AdvanceRollout",
+    "BackendLeft",
+    "ClearSuspect",
     "Command",
     "ConfigChange",
+    "ControlRollout",
+    "ControlVersion",
+    "EntryGone",
     "LeaderStarted",
+    "OperatorCommand",
     "RecordLoss",
+    "ReleaseFingerprint",
+    "RolloutAction",
     "SetVersionState",
     "UpdateClaim",
+    "VersionAction",
 ]
 
 
+class VersionAction(StrEnum):
+    """What an operator does to a version; a withdrawal is final."""
+
+    ACTIVATE = "activate"
+    STOP = "stop"
+    WITHDRAW = "withdraw"
+
+
+class RolloutAction(StrEnum):
+    """What an operator does to a rollout; a withdrawal returns traffic to the old version."""
+
+    PAUSE = "pause"
+    RESUME = "resume"
+    WITHDRAW = "withdraw"
+
+
 class ConfigChange(Struct, frozen=True, tag="change"):
     """An operator's change: rows to put and keys to delete, all or nothing.
 
@@ -30,6 +57,38 @@
     delete: tuple[str, ...] = ()
 
 
+class ControlVersion(Struct, frozen=True, tag="control_version"):
+    """An operator's action on a version.
+
+    It names the state that it leads to and so needs no base revision.
+    """
+
+    change_id: str
+    operator: str
+    model: str
+    version: str
+    action: VersionAction
+    reason: str = ""
+
+
+class ControlRollout(Struct, frozen=True, tag="control_rollout"):
+    """An operator's action on a rollout."""
+
+    change_id: str
+    operator: str
+    name: str
+    action: RolloutAction
+    reason: str = ""
+
+
+class ReleaseFingerprint(Struct, frozen=True, tag="release"):
+    """An operator releases a quarantined or suspect fingerprint."""
+
+    change_id: str
+    operator: str
+    fingerprint: str
+
+
 class SetVersionState(Struct, frozen=True, tag="version_state"):
     """Stops a version on pooled evidence."""
 
@@ -40,7 +99,7 @@
 
 
 class AdvanceRollout(Struct, frozen=True, tag="advance"):
-    """Moves a roll-out from an expected state and step to the next."""
+    """Moves a rollout from an expected state and step to the next."""
 
     name: str
     expected_state: RolloutState
@@ -49,6 +108,8 @@
     step: int
     share: float
     reason: str = ""
+    loading: tuple[str, ...] = ()
+    retired: bool = False
 
 
 class UpdateClaim(Struct, frozen=True, tag="claim"):
@@ -58,6 +119,13 @@
     wall_time_ms: int
 
 
+class EntryGone(Struct, frozen=True, tag="entry_gone"):
+    """A process of an entry host has ended or lost contact; its open claims become unknown."""
+
+    host: str
+    incarnation: int
+
+
 class RecordLoss(Struct, frozen=True, tag="loss"):
     """A backend server was lost while it ran the fingerprinted requests."""
 
@@ -67,6 +135,19 @@
     wall_time_ms: int
 
 
+class ClearSuspect(Struct, frozen=True, tag="clear_suspect"):
+    """A suspect ran alone and its backend server survived."""
+
+    fingerprint: str
+
+
+class BackendLeft(Struct, frozen=True, tag="backend_left"):
+    """A backend server left; this incarnation and earlier ones cannot come back."""
+
+    identity: str
+    incarnation: int
+
+
 class LeaderStarted(Struct, frozen=True, tag="leader"):
     """A new leader's first entry; commits entries of earlier terms."""
 
@@ -74,4 +155,19 @@
     term: int
 
 
-Command = ConfigChange | SetVersionState | AdvanceRollout | UpdateClaim | RecordLoss | LeaderStarted
+OperatorCommand = ConfigChange | ControlVersion | ControlRollout | ReleaseFingerprint
+
+Command = (
+    ConfigChange
+    | ControlVersion
+    | ControlRollout
+    | ReleaseFingerprint
+    | SetVersionState
+    | AdvanceRollout
+    | UpdateClaim
+    | EntryGone
+    | RecordLoss
+    | ClearSuspect
+    | BackendLeft
+    | LeaderStarted
+)
--- a/src/baobabstream/control/state.py
+++ b/src/baobabstream/control/state.py
@@ -1,23 +1,41 @@
 """State that the replicated log builds; a pure state machine."""
 
-from msgspec import Struct, field
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from msgspec import Struct, field, msgpack
 from msgspec.structs import replace
 
+from baobabstream.control.accepted_changes import AcceptedChanges
 from baobabstream.control.claims import ClaimTable
 from baobabstream.control.commands import (
     AdvanceRollout,
+    BackendLeft,
+    ClearSuspect,
     Command,
     ConfigChange,
+    ControlRollout,
+    ControlVersion,
+    EntryGone,
     LeaderStarted,
+    OperatorCommand,
     RecordLoss,
+    ReleaseFingerprint,
     SetVersionState,
     UpdateClaim,
+    VersionAction,
 )
+from baobabstream.control.losses import LossTable
 from baobabstream.control.outcome import Outcome
+from baobabstream.control.rollout_changes import (
+    advanced,
+    controlled,
+    prepared_rows,
+    rollouts_after_stop,
+)
 from baobabstream.control.validation import validate_change
 from baobabstream.errors.codes import ResultCode
 from baobabstream.wire.rows import (
-    LOSSES_TO_QUARANTINE,
     ConfigRow,
     QuarantineRow,
     RolloutRow,
@@ -29,12 +47,16 @@
 
 __all__ = ["ConfigState"]
 
-REMEMBERED_CHANGES = 10_000
-
+# Deleted rows kept for deltas. An entry that is further behind gets all rows.
+KEPT_TOMBSTONES = 1000
+# Departed incarnations kept; a delayed announcement is at most seconds old.
+KEPT_DEPARTED = 4096
 
-class _AcceptedChange(Struct):
-    change: ConfigChange
-    outcome: Outcome
+_VERSION_STATES = {
+    VersionAction.ACTIVATE: VersionState.ACTIVE,
+    VersionAction.STOP: VersionState.STOPPED,
+    VersionAction.WITHDRAW: VersionState.WITHDRAWN,
+}
 
 
 class ConfigState(Struct):
@@ -46,122 +68,198 @@
         Rises with each change of a row.
     operator_revision
         Revision of the last operator change.
-    losses
-        For each fingerprint, the incarnations of backend servers lost while they ran it.
+    pruned_revision
+        Deletions up to this revision are no longer known one by one.
+    departed
+        For each backend server that left, the lowest incarnation that has not left.
     """
 
     revision: int = 0
     operator_revision: int = 0
+    pruned_revision: int = 0
     rows: dict[str, RowEntry] = field(default_factory=dict)
-    changes: dict[str, _AcceptedChange] = field(default_factory=dict)
+    accepted: AcceptedChanges = field(default_factory=AcceptedChanges)
     claims: ClaimTable = field(default_factory=ClaimTable)
-    losses: dict[str, list[str]] = field(default_factory=dict)
+    losses: LossTable = field(default_factory=LossTable)
+    departed: dict[str, int] = field(default_factory=dict)
 
     def apply(self, command: Command) -> Outcome:
         """Apply a committed command; the same commands in order give the same state."""
         match command:
             case ConfigChange():
-                return self._apply_change(command)
+                return self._once(command, self._change)
+            case ControlVersion():
+                return self._once(command, self._control_version)
+            case ControlRollout():
+                return self._once(command, self._control_rollout)
+            case ReleaseFingerprint():
+                return self._once(command, self._release)
             case SetVersionState():
-                return self._set_version_state(command)
+                return self._set_version(command.model, command.version, command.state, command)
             case AdvanceRollout():
                 return self._advance_rollout(command)
             case UpdateClaim():
                 reply = self.claims.apply(command.request, command.wall_time_ms)
-                return self._outcome(ResultCode(reply.code), claim=reply)
+                return replace(self._outcome(ResultCode(reply.code)), claim=reply)
+            case EntryGone():
+                self.claims.mark_gone(command.host, command.incarnation)
             case RecordLoss():
                 return self._record_loss(command)
+            case ClearSuspect():
+                return self._clear_suspect(command)
+            case BackendLeft():
+                self._backend_left(command)
             case LeaderStarted():
-                return self._outcome(ResultCode.OK)
+                pass
+        return self._outcome(ResultCode.OK)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as msgpack."""
+        return msgpack.encode(self)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state in place by a snapshot."""
+        other = msgpack.decode(data, type=ConfigState)
+        for name in self.__struct_fields__:
+            setattr(self, name, getattr(other, name))
 
     def rows_after(self, revision: int) -> tuple[RowEntry, ...]:
         """Return the rows, deleted ones included, that changed after a revision."""
+        if revision == self.revision:
+            return ()
+        if self.rows_complete(revision):
+            return tuple(entry for entry in self.rows.values() if entry.row is not None)
         return tuple(entry for entry in self.rows.values() if entry.revision > revision)
 
+    def rows_complete(self, revision: int) -> bool:
+        """Return whether ``rows_after`` gives all rows instead of the changed ones."""
+        return revision < self.pruned_revision
+
     def row(self, key: str) -> ConfigRow | None:
         """Return the row with a key, or None."""
         entry = self.rows.get(key)
         return entry.row if entry is not None else None
 
-    def _apply_change(self, command: ConfigChange) -> Outcome:
-        known = self.changes.get(command.change_id)
-        if known is not None:
-            if known.change != command:
-                return self._outcome(ResultCode.CHANGE_ID_REUSED)
-            return known.outcome
+    def rollouts(self) -> list[RolloutRow]:
+        """Return all rollouts."""
+        rows = (entry.row for entry in self.rows.values())
+        return [row for row in rows if isinstance(row, RolloutRow)]
+
+    def _once(self, command: OperatorCommand, work: Callable[[Any], Outcome]) -> Outcome:
+        first = self.accepted.find(command)
+        if first is not None:
+            return first
+        outcome = work(command)
+        if outcome.code is not ResultCode.OK:
+            return outcome
+        self.operator_revision = self.revision
+        outcome = self._outcome(ResultCode.OK)
+        self.accepted.add(command, outcome)
+        return outcome
+
+    def _change(self, command: ConfigChange) -> Outcome:
         if command.base_revision != self.operator_revision:
             detail = f"the operator revision is {self.operator_revision}"
             return self._outcome(ResultCode.REVISION_CONFLICT, detail)
         problem = validate_change(self.rows, command)
         if problem:
             return self._outcome(ResultCode.CHANGE_INVALID, problem)
-        self._store({row_key(row): row for row in command.put} | dict.fromkeys(command.delete))
-        self.operator_revision = self.revision
-        outcome = self._outcome(ResultCode.OK)
-        self._remember(command, outcome)
-        return outcome
+        changed: dict[str, ConfigRow | None] = dict.fromkeys(command.delete)
+        self._store(changed | prepared_rows(command.put, self._present()))
+        for key in command.delete:
+            self.losses.release(key.removeprefix("quarantine/"))
+        return self._outcome(ResultCode.OK)
 
-    def _remember(self, command: ConfigChange, outcome: Outcome) -> None:
-        self.changes[command.change_id] = _AcceptedChange(command, outcome)
-        if len(self.changes) > REMEMBERED_CHANGES:
-            del self.changes[next(iter(self.changes))]
+    def _control_version(self, command: ControlVersion) -> Outcome:
+        wanted = _VERSION_STATES[command.action]
+        return self._set_version(command.model, command.version, wanted, command)
 
-    def _set_version_state(self, command: SetVersionState) -> Outcome:
-        row = self.row(f"version/{command.model}@{command.version}")
+    def _set_version(
+        self,
+        model: str,
+        version: str,
+        wanted: VersionState,
+        command: ControlVersion | SetVersionState,
+    ) -> Outcome:
+        row = self.row(f"version/{model}@{version}")
         if not isinstance(row, VersionRow):
-            return self._outcome(ResultCode.NOT_FOUND)
-        if row.state is VersionState.WITHDRAWN:
-            return self._outcome(ResultCode.CHANGE_INVALID, "the version is withdrawn")
-        changed = replace(row, state=command.state, reason=command.reason)
-        self._store({row_key(row): changed})
+            return self._outcome(ResultCode.NOT_FOUND, f"version {model}@{version}")
+        if row.state is VersionState.WITHDRAWN and wanted is not VersionState.WITHDRAWN:
+            return self._outcome(ResultCode.CHANGE_INVALID, "the version is withdrawn for good")
+        changed = replace(row, state=wanted, reason=command.reason)
+        if row.state is not wanted:
+            self._store({row_key(row): changed} | rollouts_after_stop(self._present(), changed))
+        return self._outcome(ResultCode.OK)
+
+    def _control_rollout(self, command: ControlRollout) -> Outcome:
+        row = self.row(f"rollout/{command.name}")
+        if not isinstance(row, RolloutRow):
+            return self._outcome(ResultCode.NOT_FOUND, f"rollout {command.name}")
+        changed = controlled(row, command)
+        if changed is None:
+            return self._outcome(ResultCode.CHANGE_INVALID, f"the rollout is {row.state.value}")
+        if changed != row:
+            self._store({row_key(row): changed})
         return self._outcome(ResultCode.OK)
 
     def _advance_rollout(self, command: AdvanceRollout) -> Outcome:
         row = self.row(f"rollout/{command.name}")
         if not isinstance(row, RolloutRow):
             return self._outcome(ResultCode.NOT_FOUND)
-        if (row.state, row.step) != (command.expected_state, command.expected_step):
-            return self._outcome(ResultCode.REVISION_CONFLICT, f"it is {row.state}, {row.step}")
-        changed = replace(
-            row,
-            state=command.state,
-            step=command.step,
-            share=command.share,
-            reason=command.reason,
-        )
-        self._store({row_key(row): changed})
+        target = self.row(f"version/{row.model}@{row.to_version}")
+        usable = isinstance(target, VersionRow) and target.state is VersionState.ACTIVE
+        changed = advanced(row, command, usable)
+        if changed is None:
+            detail = f"the rollout is {row.state.value} at step {row.step}"
+            return self._outcome(ResultCode.REVISION_CONFLICT, detail)
+        if changed != row:
+            self._store({row_key(row): changed})
         return self._outcome(ResultCode.OK)
 
     def _record_loss(self, command: RecordLoss) -> Outcome:
-        loss = f"{command.backend_server}#{command.incarnation}"
-        for fingerprint in command.fingerprints:
-            lost = self.losses.setdefault(fingerprint, [])
-            if loss not in lost:
-                lost.append(loss)
-        crossed = tuple(
-            fingerprint
-            for fingerprint in command.fingerprints
-            if len(self.losses[fingerprint]) >= LOSSES_TO_QUARANTINE
-        )
-        rows = (
-            QuarantineRow(item, len(self.losses[item]), ", ".join(self.losses[item]))
-            for item in command.fingerprints
-        )
-        new = {row_key(row): row for row in rows if self.row(row_key(row)) != row}
-        if new:
-            self._store(dict(new))
-        return self._outcome(ResultCode.OK, quarantined=crossed)
-
-    def _store(self, changed: dict[str, ConfigRow | None]) -> None:
+        rows = self.losses.record(command)
+        changed: dict[str, ConfigRow | None] = {row_key(row): row for row in rows}
+        changed |= dict.fromkeys(f"quarantine/{name}" for name in self.losses.drop_excess())
+        if changed:
+            self._store(changed)
+        crossed = tuple(item for item in command.fingerprints if self.losses.quarantined(item))
+        return replace(self._outcome(ResultCode.OK), quarantined=crossed)
+
+    def _clear_suspect(self, command: ClearSuspect) -> Outcome:
+        if self.losses.clear(command.fingerprint):
+            self._store({f"quarantine/{command.fingerprint}": None})
+        return self._outcome(ResultCode.OK)
+
+    def _release(self, command: ReleaseFingerprint) -> Outcome:
+        key = f"quarantine/{command.fingerprint}"
+        if not isinstance(self.row(key), QuarantineRow):
+            return self._outcome(ResultCode.NOT_FOUND, f"fingerprint {command.fingerprint}")
+        self.losses.release(command.fingerprint)
+        self._store({key: None})
+        return self._outcome(ResultCode.OK)
+
+    def _backend_left(self, command: BackendLeft) -> None:
+        lowest = max(self.departed.pop(command.identity, 0), command.incarnation + 1)
+        self.departed[command.identity] = lowest
+        if len(self.departed) > KEPT_DEPARTED:
+            del self.departed[next(iter(self.departed))]
+
+    def _present(self) -> Mapping[str, ConfigRow]:
+        return {key: entry.row for key, entry in self.rows.items() if entry.row is not None}
+
+    def _store(self, changed: Mapping[str, ConfigRow | None]) -> None:
         self.revision += 1
         for key, row in changed.items():
+            # Removed first, so that the rows stay in the order of their revisions.
+            self.rows.pop(key, None)
             self.rows[key] = RowEntry(key, self.revision, row)
+        self._prune()
 
-    def _outcome(
-        self,
-        code: ResultCode,
-        detail: str = "",
-        claim=None,
-        quarantined: tuple[str, ...] = (),
-    ) -> Outcome:
-        return Outcome(code, self.revision, self.operator_revision, detail, claim, quarantined)
+    def _prune(self) -> None:
+        deleted = [key for key, entry in self.rows.items() if entry.row is None]
+        for key in deleted[: max(0, len(deleted) - KEPT_TOMBSTONES)]:
+            self.pruned_revision = max(self.pruned_revision, self.rows[key].revision)
+            del self.rows[key]
+
+    def _outcome(self, code: ResultCode, detail: str = "") -> Outcome:
+        return Outcome(code, self.revision, self.operator_revision, detail)
--- a/src/baobabstream/wire/messages.py
+++ b/src/baobabstream/wire/messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from baobabstream.wire.rows import BackendRecord, RowEntry
+from baobabstream.wire.rows import BackendRecord, LoadReport, RowEntry
 
 __all__ = [
     "Bill",
@@ -39,7 +39,7 @@
     leader: str = ""
 
 
-class VersionEvidence(Struct, frozen=True):
+class VersionEvidence(Struct, frozen=True, array_like=True):
     """Counts of one version's results since the entry's last accepted poll."""
 
     model: str
@@ -71,7 +71,13 @@
 
 
 class PollReply(Struct, frozen=True, tag="poll_reply"):
-    """Answer to a poll: rows and backend servers that changed, and the lease."""
+    """Answer to a poll: rows and backend servers that changed, and the lease.
+
+    ``rows_complete`` says that rows not listed do not exist. While ``registry_warm`` is false, the
+    leader is still learning the backend servers from their announcements, and a complete registry
+    does not remove the ones that the entry knows, except those in ``departed``: for each identity
+    the lowest incarnation that has not left.
+    """
 
     term: int
     revision: int
@@ -83,6 +89,10 @@
     backends: tuple[BackendRecord, ...] = ()
     backends_gone: tuple[str, ...] = ()
     evidence_sequence: int = 0
+    rows_complete: bool = False
+    registry_warm: bool = True
+    departed: dict[str, int] = {}
+    loads: tuple[LoadReport, ...] = ()
 
 
 class ClaimAction(StrEnum):
@@ -115,6 +125,7 @@
     http_status: int = 0
     answer: bytes = b""
     content_type: str = ""
+    incarnation: int = 0
 
 
 class ClaimReply(Struct, frozen=True, tag="claim_reply"):
@@ -158,18 +169,28 @@
 
 
 class LedgerSyncRequest(Struct, frozen=True, tag="ledger_sync"):
-    """Sends bills that the peer may lack and asks for those after ``from_index``."""
+    """Sends bills that the peer may lack and asks for those after ``from_index``.
+
+    ``from_index`` counts bytes of the peer's ledger file with the identity ``ledger_id``.
+    """
 
     host: str
     from_index: int
     bills: tuple[Bill, ...] = ()
+    ledger_id: str = ""
 
 
 class LedgerSyncReply(Struct, frozen=True, tag="ledger_sync_reply"):
-    """Bills of the peer's ledger from ``from_index`` on, and the next index to ask for."""
+    """Bills of the peer's ledger from ``from_index`` on, and the next index to ask for.
+
+    ``count`` and ``digest`` describe the peer's whole set of bills.
+    """
 
     next_index: int
     bills: tuple[Bill, ...] = ()
+    ledger_id: str = ""
+    count: int = 0
+    digest: int = 0
 
 
 class SuspectRequest(Struct, frozen=True, tag="suspect"):
@@ -197,11 +218,15 @@
 
 
 class TrialReply(Struct, frozen=True, tag="trial_reply"):
-    """Backend server on which the suspect may run, or empty with a time to ask again."""
+    """Backend server on which the suspect may run, or empty with a time to ask again.
+
+    The suspect must have ended within ``trial_ms`` of the request for the trial.
+    """
 
     backend_server: str = ""
     retry_after_ms: int = 0
     quarantined: bool = False
+    trial_ms: int = 0
 
 
 class TrialEnd(Struct, frozen=True, tag="trial_end"):
--- a/src/baobabstream/wire/rows.py
+++ b/src/baobabstream/wire/rows.py
@@ -11,6 +11,7 @@
     "BackendRecord",
     "ClassRow",
     "ConfigRow",
+    "LoadReport",
     "LoadedVersion",
     "QuarantineRow",
     "RolloutRow",
@@ -96,7 +97,11 @@
 
 
 class RolloutRow(Struct, frozen=True, tag="rollout"):
-    """A roll-out of one version in place of another, with the current traffic share (0 to 1)."""
+    """A roll-out of one version in place of another, with the current traffic share (0 to 1).
+
+    ``loading`` names the engines that were ordered to load the new version and have not reported
+    it. ``retired`` is set once the engines were told to unload the old version.
+    """
 
     name: str
     model: str
@@ -108,6 +113,8 @@
     step: int = 0
     share: float = 0.0
     reason: str = ""
+    loading: tuple[str, ...] = ()
+    retired: bool = False
 
 
 class RouteRow(Struct, frozen=True, tag="route"):
@@ -187,3 +194,11 @@
     in_flight: int = 0
     queued_tokens: int = 0
     leaving: bool = False
+
+
+class LoadReport(Struct, frozen=True, array_like=True):
+    """New load of a backend server that is otherwise unchanged."""
+
+    identity: str
+    in_flight: int
+    queued_tokens: int
