control, membership: leases, polls, evidence and registry hold under delays and leader changes

Cause: overlapping polls lowered a lease, the soft state outlived a leader, an entry tried lost control hosts one by one, every load report woke every entry, and a new leader's empty registry removed all backend servers. Change: soft state per leadership; leases that never fall; search of all control hosts at once; registry changes collected for 100 ms; load in compact reports under a budget; departures in the log; evidence in numbered batches, urgent ones sent at once; the leader stops a bad version and with it the rollout; trials of suspects in the log. The ledger writes in one thread with group commit.

--- a/src/baobabstream/control/admin_models.py
+++ b/src/baobabstream/control/admin_models.py
@@ -4,9 +4,26 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-__all__ = ["AnnounceBody", "ChangeBody", "LeaveBody"]
+from baobabstream.control.commands import RolloutAction, VersionAction
+
+__all__ = [
+    "AnnounceBody",
+    "BillsQuery",
+    "ChangeBody",
+    "InForceQuery",
+    "LeaveBody",
+    "ReleaseBody",
+    "RolloutActionBody",
+    "VersionActionBody",
+]
 
 Name = Annotated[str, Field(min_length=1, max_length=128)]
+Key = Annotated[str, Field(min_length=1, max_length=300)]
+Reason = Annotated[str, Field(max_length=500)]
+
+MAX_LOADED = 256
+MAX_BILLS = 10_000
+MAX_IN_FORCE_WAIT_S = 30.0
 
 
 class _Body(BaseModel):
@@ -19,7 +36,49 @@
     change_id: Name
     base_revision: Annotated[int, Field(ge=0)]
     put: list[dict[str, Any]] = []
-    delete: list[Name] = []
+    delete: list[Key] = []
+
+
+class VersionActionBody(_Body):
+    """An operator's action on a version."""
+
+    change_id: Name
+    model: Name
+    version: Name
+    action: VersionAction
+    reason: Reason = ""
+
+
+class RolloutActionBody(_Body):
+    """An operator's action on a rollout."""
+
+    change_id: Name
+    name: Name
+    action: RolloutAction
+    reason: Reason = ""
+
+
+class ReleaseBody(_Body):
+    """An operator releases a fingerprint."""
+
+    change_id: Name
+    fingerprint: Name
+
+
+class InForceQuery(_Body):
+    """Query of the in-force check; without a revision the present one is meant."""
+
+    revision: Annotated[int, Field(ge=0)] | None = None
+    wait_s: Annotated[float, Field(ge=0, le=MAX_IN_FORCE_WAIT_S)] = 0.0
+
+
+class BillsQuery(_Body):
+    """Query of a page of bills."""
+
+    account: Annotated[str, Field(max_length=128)] = ""
+    since_ms: Annotated[int, Field(ge=0)] = 0
+    after: Annotated[int, Field(ge=0)] = 0
+    limit: Annotated[int, Field(ge=1, le=MAX_BILLS)] = 1000
 
 
 class LoadedBody(_Body):
@@ -33,20 +92,20 @@
     """A backend server's announcement."""
 
     identity: Name
-    incarnation: Annotated[int, Field(ge=1)]
+    incarnation: Annotated[int, Field(ge=1, lt=2**63)]
     kind: Annotated[str, Field(pattern="^(engine|service)$")]
     url: Annotated[str, Field(pattern=r"^https?://", max_length=512)]
     availability_zone: Name
     service: Annotated[str, Field(max_length=128)] = ""
-    loaded: list[LoadedBody] = []
+    loaded: Annotated[list[LoadedBody], Field(max_length=MAX_LOADED)] = []
     slots: Annotated[int, Field(ge=1, le=100_000)] = 8
     honours_fencing: bool = True
-    in_flight: Annotated[int, Field(ge=0)] = 0
-    queued_tokens: Annotated[int, Field(ge=0)] = 0
+    in_flight: Annotated[int, Field(ge=0, lt=2**31)] = 0
+    queued_tokens: Annotated[int, Field(ge=0, lt=2**31)] = 0
 
 
 class LeaveBody(_Body):
     """A backend server leaves."""
 
     identity: Name
-    incarnation: Annotated[int, Field(ge=1)]
+    incarnation: Annotated[int, Field(ge=1, lt=2**63)]
--- /dev/null
+++ b/src/baobabstream/control/admin_operations.py
@@ -0,0 +1,197 @@
+"""Operations of the admin and backend interfaces on the leader."""
+
+import time
+from collections.abc import Awaitable, Callable
+from inspect import isawaitable
+from typing import TYPE_CHECKING, Any
+
+from msgspec import ValidationError as RowError
+from msgspec import convert, json, to_builtins
+
+from baobabstream.control.admin_errors import error_bytes, parse_body, parse_query
+from baobabstream.control.admin_models import (
+    AnnounceBody,
+    BillsQuery,
+    ChangeBody,
+    InForceQuery,
+    LeaveBody,
+    ReleaseBody,
+    RolloutActionBody,
+    VersionActionBody,
+)
+from baobabstream.control.admin_views import AdminViews
+from baobabstream.control.commands import (
+    BackendLeft,
+    ConfigChange,
+    ControlRollout,
+    ControlVersion,
+    OperatorCommand,
+    ReleaseFingerprint,
+)
+from baobabstream.errors.codes import CODE_TABLE, ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
+from baobabstream.telemetry.timeline import EventKind
+from baobabstream.wire.rows import BackendRecord, ConfigRow
+
+if TYPE_CHECKING:
+    from baobabstream.control.daemon import ControlDaemon
+
+__all__ = ["AdminOperations"]
+
+_Post = Callable[[bytes, str], Awaitable[Any]]
+_Get = Callable[[str], Any]
+
+
+class AdminOperations:
+    """Answers calls that reached the leader.
+
+    Parameters
+    ----------
+    daemon
+        The control daemon that the operations act on.
+    """
+
+    def __init__(self, daemon: "ControlDaemon") -> None:
+        self._daemon = daemon
+        self._views = AdminViews(daemon)
+        self._posts: dict[str, _Post] = {
+            "/backend/v1/announce": self._announce,
+            "/backend/v1/leave": self._leave,
+            "/admin/v1/changes": self._change,
+            "/admin/v1/versions/action": self._version_action,
+            "/admin/v1/rollouts/action": self._rollout_action,
+            "/admin/v1/quarantine/release": self._release,
+        }
+        self._gets: dict[str, _Get] = {
+            "/admin/v1/config": lambda _: self._views.config(),
+            "/admin/v1/status": lambda _: self._views.status(),
+            "/admin/v1/members": lambda _: self._views.members(),
+            "/admin/v1/ready": lambda _: self._views.ready(),
+            "/admin/v1/billing": lambda _: self._views.billing(),
+            "/admin/v1/in-force": self._in_force,
+            "/admin/v1/bills": self._bills,
+            "/admin/v1/bill-pages": self._bill_page,
+        } | {
+            f"/admin/v1/{path}": lambda _, kind=kind: self._views.rows(kind)
+            for path, kind in (
+                ("accounts", "account"),
+                ("classes", "class"),
+                ("versions", "version"),
+                ("rollouts", "rollout"),
+                ("routes", "route"),
+                ("quarantine", "quarantine"),
+            )
+        }
+
+    async def answer(
+        self, method: str, path_and_query: str, body: bytes, operator: str
+    ) -> tuple[int, bytes]:
+        """Return status and body of the answer to a call."""
+        path, _, query = path_and_query.partition("?")
+        try:
+            if method == "POST" and path in self._posts:
+                result = await self._posts[path](body, operator)
+            elif method == "GET" and path in self._gets:
+                result = self._gets[path](query)
+                if isawaitable(result):
+                    result = await result
+            else:
+                raise RequestRefused(ResultCode.NOT_FOUND, f"{method} {path}")
+        except BaobabstreamError as error:
+            return CODE_TABLE[error.code].http_status, error_bytes(error)
+        return 200, json.encode(result)
+
+    async def _announce(self, body: bytes, _: str) -> dict[str, Any]:
+        parsed = parse_body(AnnounceBody, body, ResultCode.ANNOUNCEMENT_INVALID)
+        record = convert(parsed.model_dump(), BackendRecord)
+        leadership = self._daemon.require_leadership()
+        version = leadership.registry.urgent_version
+        code = leadership.registry.announce(record, time.monotonic())
+        if code is not ResultCode.OK:
+            raise RequestRefused(code)
+        if leadership.registry.urgent_version != version:
+            self._daemon.timeline.emit(EventKind.BACKEND_ANNOUNCED, detail=record.identity)
+            leadership.polls.notify_registry()
+        return {"expiry_s": self._daemon.settings.announcement_expiry_s}
+
+    async def _leave(self, body: bytes, _: str) -> dict[str, Any]:
+        parsed = parse_body(LeaveBody, body, ResultCode.ANNOUNCEMENT_INVALID)
+        leadership = self._daemon.require_leadership()
+        code = leadership.registry.leave(parsed.identity, parsed.incarnation)
+        if code is not ResultCode.OK:
+            raise RequestRefused(code)
+        self._daemon.timeline.emit(EventKind.BACKEND_GONE, detail=parsed.identity)
+        leadership.polls.notify_registry()
+        # Recorded, so that the next leader and the entries that turn to it know of it.
+        await self._daemon.propose(BackendLeft(parsed.identity, parsed.incarnation))
+        return {}
+
+    async def _change(self, body: bytes, operator: str) -> dict[str, Any]:
+        parsed = parse_body(ChangeBody, body, ResultCode.CHANGE_INVALID)
+        try:
+            rows = convert(parsed.put, tuple[ConfigRow, ...])
+        except RowError as error:
+            raise RequestRefused(ResultCode.CHANGE_INVALID, str(error)) from error
+        deleted = tuple(parsed.delete)
+        return await self._propose(
+            ConfigChange(parsed.change_id, operator, parsed.base_revision, rows, deleted)
+        )
+
+    async def _version_action(self, body: bytes, operator: str) -> dict[str, Any]:
+        parsed = parse_body(VersionActionBody, body, ResultCode.CHANGE_INVALID)
+        return await self._propose(
+            ControlVersion(
+                parsed.change_id,
+                operator,
+                parsed.model,
+                parsed.version,
+                parsed.action,
+                parsed.reason,
+            )
+        )
+
+    async def _rollout_action(self, body: bytes, operator: str) -> dict[str, Any]:
+        parsed = parse_body(RolloutActionBody, body, ResultCode.CHANGE_INVALID)
+        return await self._propose(
+            ControlRollout(parsed.change_id, operator, parsed.name, parsed.action, parsed.reason)
+        )
+
+    async def _release(self, body: bytes, operator: str) -> dict[str, Any]:
+        parsed = parse_body(ReleaseBody, body, ResultCode.CHANGE_INVALID)
+        return await self._propose(
+            ReleaseFingerprint(parsed.change_id, operator, parsed.fingerprint)
+        )
+
+    async def _propose(self, command: OperatorCommand) -> dict[str, Any]:
+        outcome = await self._daemon.propose(command)
+        if outcome.code is not ResultCode.OK:
+            self._daemon.timeline.emit(EventKind.CHANGE_REFUSED, detail=outcome.detail)
+            raise RequestRefused(outcome.code, outcome.detail)
+        self._daemon.timeline.emit(EventKind.CHANGE_ACCEPTED, revision=outcome.revision)
+        return {"revision": outcome.revision, "operator_revision": outcome.operator_revision}
+
+    async def _in_force(self, query: str) -> dict[str, Any]:
+        parsed = parse_query(InForceQuery, query)
+        leadership = self._daemon.require_leadership()
+        revision = self._daemon.state.revision if parsed.revision is None else parsed.revision
+        in_force = revision <= self._daemon.state.revision
+        if in_force:
+            in_force = await leadership.polls.wait_in_force(revision, parsed.wait_s)
+        # An answer is only valid if this host still leads.
+        if self._daemon.require_leadership() is not leadership:
+            raise RequestRefused(ResultCode.NO_LEADER)
+        if in_force:
+            self._daemon.timeline.emit(EventKind.CHANGE_IN_FORCE, revision=revision)
+        lagging = leadership.leases.lagging(revision, time.monotonic())
+        return {"revision": revision, "in_force": in_force, "lagging": lagging}
+
+    async def _bills(self, query: str) -> list[Any]:
+        return (await self._bill_page(query))["bills"]
+
+    async def _bill_page(self, query: str) -> dict[str, Any]:
+        parsed = parse_query(BillsQuery, query)
+        page = await self._daemon.ledger.page(
+            parsed.account, parsed.since_ms, parsed.after, parsed.limit
+        )
+        bills = [to_builtins(bill) for bill in page.bills]
+        return {"bills": bills, "next_after": page.next_offset, "complete": page.complete}
--- /dev/null
+++ b/src/baobabstream/control/admin_views.py
@@ -0,0 +1,106 @@
+"""Reads of the admin interface on the leader."""
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from msgspec import to_builtins
+
+from baobabstream.wire.rows import BackendKind
+
+if TYPE_CHECKING:
+    from baobabstream.control.daemon import ControlDaemon
+
+__all__ = ["AdminViews"]
+
+_NANO = 1_000_000_000
+
+
+class AdminViews:
+    """Builds JSON documents from the state of the leader.
+
+    Parameters
+    ----------
+    daemon
+        The control daemon whose state is shown.
+    """
+
+    def __init__(self, daemon: "ControlDaemon") -> None:
+        self._daemon = daemon
+
+    def config(self) -> dict[str, Any]:
+        """Return all rows with the revision that a change must be based on."""
+        state = self._daemon.state
+        rows = [to_builtins(entry) for entry in state.rows.values() if entry.row is not None]
+        return {
+            "revision": state.revision,
+            "operator_revision": state.operator_revision,
+            "rows": rows,
+        }
+
+    def rows(self, kind: str) -> list[dict[str, Any]]:
+        """Return the rows of one kind with their revisions."""
+        entries = self._daemon.state.rows.values()
+        return [
+            {"revision": entry.revision} | to_builtins(entry.row)
+            for entry in entries
+            if entry.row is not None and entry.key.startswith(f"{kind}/")
+        ]
+
+    def status(self) -> dict[str, Any]:
+        """Return leader, revision, entry hosts and backend servers."""
+        daemon = self._daemon
+        leadership = daemon.require_leadership()
+        now_s = time.monotonic()
+        return {
+            "leader": daemon.log.leader,
+            "term": daemon.log.term,
+            "revision": daemon.state.revision,
+            "entries": [to_builtins(lease) for lease in leadership.leases.live(now_s)],
+            "backends": [to_builtins(record) for record in leadership.registry.records()],
+            "registry_warm": leadership.registry.warm(now_s),
+            "bills": len(daemon.ledger),
+        }
+
+    def members(self) -> list[dict[str, Any]]:
+        """Return the control hosts."""
+        daemon = self._daemon
+        return [
+            {
+                "host": peer.host,
+                "availability_zone": peer.availability_zone,
+                "leader": peer.host == daemon.log.leader,
+                "ledger_equal": peer.host == daemon.settings.host
+                or daemon.ledger_exchange.equal_to(peer.host),
+            }
+            for peer in daemon.settings.control
+        ]
+
+    def ready(self) -> dict[str, Any]:
+        """Return whether the group serves: a leader, entries, backend servers, equal ledgers."""
+        daemon = self._daemon
+        leadership = daemon.require_leadership()
+        now_s = time.monotonic()
+        records = leadership.registry.records()
+        checks = {
+            "leader": True,
+            "registry_warm": leadership.registry.warm(now_s),
+            "entries": any(not lease.draining for lease in leadership.leases.live(now_s)),
+            "engines": any(record.kind is BackendKind.ENGINE for record in records),
+            "in_force": leadership.leases.in_force(daemon.state.revision, now_s),
+            "ledgers_equal": all(daemon.ledger_exchange.equal_to(peer) for peer in daemon.peers),
+        }
+        return {"ready": all(checks.values()), "checks": checks}
+
+    def billing(self) -> list[dict[str, Any]]:
+        """Return the sums of the bills by client account."""
+        totals = self._daemon.ledger.totals()
+        return [
+            {
+                "client_account": name,
+                "bills": total.bills,
+                "prompt_tokens": total.prompt_tokens,
+                "output_tokens": total.output_tokens,
+                "cost": total.cost_nano / _NANO,
+            }
+            for name, total in sorted(totals.items())
+        ]
--- a/src/baobabstream/control/claims.py
+++ b/src/baobabstream/control/claims.py
@@ -77,11 +77,16 @@
         return self._settle(key, claim, request)
 
     def mark_gone(self, host: str, incarnation: int) -> int:
-        """Make the open claims of an entry's process unknown and return their number."""
+        """Make the open claims of an entry's process unknown and return their number.
+
+        Incarnation 0 stands for claims that do not name one.
+        """
         keys = [
             key
             for key in self.open_keys
-            if self.claims[key].host == host and self.claims[key].incarnation <= incarnation
+            if self.claims[key].host == host
+            and (self.claims[key].incarnation == 0) == (incarnation == 0)
+            and self.claims[key].incarnation <= incarnation
         ]
         for key in keys:
             self.claims[key].state = ClaimState.UNKNOWN
--- a/src/baobabstream/control/commands.py
+++ b/src/baobabstream/control/commands.py
@@ -4,17 +4,17 @@
 
 from msgspec import Struct
 
-from baobabstream.wire.messages import ClaimRequest
+from baobabstream.wire.messages import ClaimRequest, TrialEnd, TrialRequest
 from baobabstream.wire.rows import ConfigRow, RolloutState, VersionState
 
 __all__ = [
     "AdvanceRollout",
     "BackendLeft",
-    "ClearSuspect",
     "Command",
     "ConfigChange",
     "ControlRollout",
     "ControlVersion",
+    "EndTrial",
     "EntryGone",
     "LeaderStarted",
     "OperatorCommand",
@@ -22,6 +22,7 @@
     "ReleaseFingerprint",
     "RolloutAction",
     "SetVersionState",
+    "StartTrial",
     "UpdateClaim",
     "VersionAction",
 ]
@@ -135,10 +136,17 @@
     wall_time_ms: int
 
 
-class ClearSuspect(Struct, frozen=True, tag="clear_suspect"):
-    """A suspect ran alone and its backend server survived."""
+class StartTrial(Struct, frozen=True, tag="start_trial"):
+    """Grants the exclusive right to run a suspect on a backend server."""
 
-    fingerprint: str
+    request: TrialRequest
+    wall_time_ms: int
+
+
+class EndTrial(Struct, frozen=True, tag="end_trial"):
+    """Ends a trial; a suspect that did not lose its backend server is cleared."""
+
+    request: TrialEnd
 
 
 class BackendLeft(Struct, frozen=True, tag="backend_left"):
@@ -167,7 +175,8 @@
     | UpdateClaim
     | EntryGone
     | RecordLoss
-    | ClearSuspect
+    | StartTrial
+    | EndTrial
     | BackendLeft
     | LeaderStarted
 )
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -1,17 +1,17 @@
 """Control daemon: wires log, registry, ledger, admin interface and inner protocol."""
 
 import asyncio
-import time
 
 from aiohttp import web
 
+from baobabstream.billing.exchange import LedgerExchange
 from baobabstream.billing.ledger import Ledger
 from baobabstream.consensus.command_log import CommandLog, LocalLog
 from baobabstream.control.admin_api import AdminApi
-from baobabstream.control.commands import RecordLoss, UpdateClaim
-from baobabstream.control.entry_leases import EntryLeases
-from baobabstream.control.poll_service import PollService
-from baobabstream.control.registry import BackendRegistry
+from baobabstream.control.commands import Command
+from baobabstream.control.leadership import Leadership
+from baobabstream.control.outcome import Outcome
+from baobabstream.control.peer_service import PeerService
 from baobabstream.control.state import ConfigState
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
@@ -20,24 +20,15 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.codec import WireCodec
-from baobabstream.wire.messages import (
-    BillReply,
-    BillRequest,
-    ClaimReply,
-    ClaimRequest,
-    ForwardReply,
-    ForwardRequest,
-    PollReply,
-    PollRequest,
-    SuspectReply,
-    SuspectRequest,
-)
+from baobabstream.wire.messages import ForwardReply, ForwardRequest
 from baobabstream.wire.rpc import RpcClient, RpcServer
 
 __all__ = ["ControlDaemon"]
 
 PROPOSE_TIMEOUT_S = 2.0
-EXPIRY_INTERVAL_S = 0.25
+LEADERSHIP_CHECK_S = 0.05
+# Each entry holds one worker with its long poll; 330 entries are planned for.
+RPC_WORKERS = 512
 
 _log = get_logger("control")
 
@@ -56,17 +47,19 @@
         self.timeline = TimeLine(settings.timeline_file, settings.host, "control", HybridClock())
         self.state = ConfigState()
         self.log: CommandLog = LocalLog(settings.control[0].host, self.state.apply)
-        self.registry = BackendRegistry(time.time_ns(), settings.announcement_expiry_s)
-        self.leases = EntryLeases(settings.entry_lease_s, 0.0)
-        self.polls = PollService(self.state, self.registry, self.leases)
         settings.data_folder.mkdir(parents=True, exist_ok=True)
         self.ledger = Ledger(settings.data_folder / "ledger.log")
         self._codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
-        self._peers = {
+        self.peers = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
             for peer in settings.control
             if peer.host != settings.host
         }
+        self.ledger_exchange = LedgerExchange(
+            settings.host, self.ledger, self.peers, settings.data_folder / "ledger-sync.json"
+        )
+        self.admin = AdminApi(self)
+        self._leadership: Leadership | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -77,8 +70,11 @@
     async def start(self) -> None:
         """Open the listeners."""
         own = self._own_address()
-        self._server = RpcServer(f"tcp://{own.ip}:{own.port}", self._codec, self._handle)
-        self._runner = web.AppRunner(AdminApi(self).application(), access_log=None)
+        service = PeerService(self)
+        self._server = RpcServer(
+            f"tcp://{own.ip}:{own.port}", self._codec, service.handle, RPC_WORKERS
+        )
+        self._runner = web.AppRunner(self.admin.application(), access_log=None)
         await self._runner.setup()
         site = web.TCPSite(self._runner, own.ip, own.http_port)
         try:
@@ -87,7 +83,10 @@
             raise BaobabstreamError(
                 ResultCode.ADDRESS_IN_USE, f"{own.ip}:{own.http_port}"
             ) from error
-        self._tasks.append(asyncio.create_task(self._expire_backends()))
+        self._tasks += [
+            asyncio.create_task(self._watch_leadership()),
+            asyncio.create_task(self.ledger_exchange.run()),
+        ]
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on ports %d and %d.", own.port, own.http_port)
 
@@ -96,79 +95,84 @@
         self.timeline.emit(EventKind.DAEMON_STOPPING)
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_leadership()
         await self._runner.cleanup()
         await self._server.close()
-        for peer in self._peers.values():
+        for peer in self.peers.values():
             peer.close()
-        self.ledger.close()
+        await self.ledger.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
 
-    async def forward(self, request: ForwardRequest) -> ForwardReply:
-        """Send an HTTP call to the leader and return its answer."""
-        leader = self._peers.get(self.log.leader)
-        if leader is None:
-            raise PeerError(ResultCode.NO_LEADER)
-        return await leader.call(request, PROPOSE_TIMEOUT_S)
-
-    def _own_address(self) -> ControlPeer:
-        return next(peer for peer in self.settings.control if peer.host == self.settings.host)
+    def require_leadership(self) -> Leadership:
+        """Return the soft state of this leader.
 
-    async def _handle(self, sender: str, message):
-        match message:
-            case BillRequest():
-                new_bills = self.ledger.put(message.bills)
-                zone = self.settings.availability_zone
-                return BillReply(self.settings.host, zone, new_bills)
-            case PollRequest():
-                return await self._poll(message)
-            case ClaimRequest():
-                return await self._claim(message)
-            case SuspectRequest():
-                return await self._suspect(message)
-            case ForwardRequest():
-                self._require_leadership()
-                return await AdminApi(self).answer_forwarded(message)
-        raise PeerError(ResultCode.MESSAGE_MALFORMED, f"unexpected {type(message).__name__}")
-
-    def _require_leadership(self) -> None:
+        Raises
+        ------
+        PeerError
+            ``NO_LEADER`` with the leader's name if this host may not answer for the group.
+        """
         if not self.leads:
             error = PeerError(ResultCode.NO_LEADER)
             error.leader = self.log.leader
             raise error
+        if self._leadership is None or self._leadership.term != self.log.term:
+            self._begin_leadership()
+        assert self._leadership is not None
+        return self._leadership
+
+    async def propose(self, command: Command) -> Outcome:
+        """Commit a command on the leader and wake the polls if a row changed.
+
+        Raises
+        ------
+        BaobabstreamError
+            ``NO_LEADER`` if this host does not lead, ``CHANGE_UNKNOWN`` if it is not known
+            whether the command was committed.
+        """
+        leadership = self.require_leadership()
+        before = self.state.revision
+        outcome = await self.log.propose(command, PROPOSE_TIMEOUT_S)
+        if self.state.revision != before:
+            leadership.polls.notify()
+        return outcome
 
-    async def _poll(self, request: PollRequest) -> PollReply:
-        self._require_leadership()
-        reply = await self.polls.poll(request, self.log.term)
-        self._require_leadership()
-        return reply
+    async def forward(self, request: ForwardRequest, timeout_s: float) -> ForwardReply:
+        """Send an HTTP call to the leader and return its answer."""
+        leader = self.peers.get(self.log.leader)
+        if leader is None:
+            raise PeerError(ResultCode.NO_LEADER)
+        return await leader.call(request, timeout_s)
 
-    async def _claim(self, request: ClaimRequest) -> ClaimReply:
-        self._require_leadership()
-        command = UpdateClaim(request, time.time_ns() // 1_000_000)
-        outcome = await self.log.propose(command, PROPOSE_TIMEOUT_S)
-        assert outcome.claim is not None
-        self.timeline.emit(
-            EventKind.CLAIM_CHANGED, request.request_id, detail=outcome.claim.state.value
-        )
-        return outcome.claim
-
-    async def _suspect(self, request: SuspectRequest) -> SuspectReply:
-        self._require_leadership()
-        command = RecordLoss(
-            request.backend_server,
-            request.incarnation,
-            request.fingerprints,
-            time.time_ns() // 1_000_000,
-        )
-        outcome = await self.log.propose(command, PROPOSE_TIMEOUT_S)
-        self.polls.notify()
-        return SuspectReply(outcome.quarantined)
+    def _own_address(self) -> ControlPeer:
+        return next(peer for peer in self.settings.control if peer.host == self.settings.host)
 
-    async def _expire_backends(self) -> None:
-        loop = asyncio.get_running_loop()
+    async def _watch_leadership(self) -> None:
         while True:
-            for identity in self.registry.expire(loop.time()):
-                self.timeline.emit(EventKind.BACKEND_GONE, detail=identity)
-                self.polls.notify()
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            if self.leads:
+                self.require_leadership()
+            elif self._leadership is not None:
+                await self._end_leadership()
+            await asyncio.sleep(LEADERSHIP_CHECK_S)
+
+    def _begin_leadership(self) -> None:
+        """Start with fresh soft state; a lease that was lost and regained counts as new.
+
+        Backend servers announced nothing here meanwhile, so the old registry is out of date.
+        """
+        previous = self._leadership
+        self._leadership = Leadership(
+            self.settings, self.log.term, self.state, self.propose, self.timeline
+        )
+        if previous is not None:
+            self._tasks.append(asyncio.create_task(previous.close()))
+        _log.info("Leading in term %d.", self.log.term)
+        self.timeline.emit(EventKind.LEADER_ELECTED, detail=self.settings.host)
+
+    async def _end_leadership(self) -> None:
+        leadership, self._leadership = self._leadership, None
+        if leadership is not None:
+            await leadership.close()
+            _log.info("No longer leading.")
+            self.timeline.emit(EventKind.LEADER_LOST, detail=self.settings.host)
--- a/src/baobabstream/control/outcome.py
+++ b/src/baobabstream/control/outcome.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from baobabstream.errors.codes import ResultCode
-from baobabstream.wire.messages import ClaimReply
+from baobabstream.wire.messages import ClaimReply, TrialReply
 
 __all__ = ["Outcome"]
 
@@ -23,6 +23,8 @@
         Reply to a claim call.
     quarantined
         Fingerprints, of those named, that are quarantined.
+    trial
+        Reply to a request for a trial.
     """
 
     code: ResultCode
@@ -31,3 +33,4 @@
     detail: str = ""
     claim: ClaimReply | None = None
     quarantined: tuple[str, ...] = ()
+    trial: TrialReply | None = None
--- a/src/baobabstream/control/state.py
+++ b/src/baobabstream/control/state.py
@@ -11,17 +11,18 @@
 from baobabstream.control.commands import (
     AdvanceRollout,
     BackendLeft,
-    ClearSuspect,
     Command,
     ConfigChange,
     ControlRollout,
     ControlVersion,
+    EndTrial,
     EntryGone,
     LeaderStarted,
     OperatorCommand,
     RecordLoss,
     ReleaseFingerprint,
     SetVersionState,
+    StartTrial,
     UpdateClaim,
     VersionAction,
 )
@@ -33,8 +34,10 @@
     prepared_rows,
     rollouts_after_stop,
 )
+from baobabstream.control.trials import TrialTable
 from baobabstream.control.validation import validate_change
 from baobabstream.errors.codes import ResultCode
+from baobabstream.wire.messages import TrialReply
 from baobabstream.wire.rows import (
     ConfigRow,
     QuarantineRow,
@@ -81,6 +84,7 @@
     accepted: AcceptedChanges = field(default_factory=AcceptedChanges)
     claims: ClaimTable = field(default_factory=ClaimTable)
     losses: LossTable = field(default_factory=LossTable)
+    trials: TrialTable = field(default_factory=TrialTable)
     departed: dict[str, int] = field(default_factory=dict)
 
     def apply(self, command: Command) -> Outcome:
@@ -105,8 +109,10 @@
                 self.claims.mark_gone(command.host, command.incarnation)
             case RecordLoss():
                 return self._record_loss(command)
-            case ClearSuspect():
-                return self._clear_suspect(command)
+            case StartTrial():
+                return self._start_trial(command)
+            case EndTrial():
+                self._end_trial(command)
             case BackendLeft():
                 self._backend_left(command)
             case LeaderStarted():
@@ -222,13 +228,22 @@
         changed |= dict.fromkeys(f"quarantine/{name}" for name in self.losses.drop_excess())
         if changed:
             self._store(changed)
+        for fingerprint in command.fingerprints:
+            self.trials.loss_recorded(fingerprint, command.backend_server)
         crossed = tuple(item for item in command.fingerprints if self.losses.quarantined(item))
         return replace(self._outcome(ResultCode.OK), quarantined=crossed)
 
-    def _clear_suspect(self, command: ClearSuspect) -> Outcome:
-        if self.losses.clear(command.fingerprint):
-            self._store({f"quarantine/{command.fingerprint}": None})
-        return self._outcome(ResultCode.OK)
+    def _start_trial(self, command: StartTrial) -> Outcome:
+        if self.losses.quarantined(command.request.fingerprint):
+            reply = TrialReply(quarantined=True)
+        else:
+            reply = self.trials.start(command.request, command.wall_time_ms)
+        return replace(self._outcome(ResultCode.OK), trial=reply)
+
+    def _end_trial(self, command: EndTrial) -> None:
+        fingerprint = command.request.fingerprint
+        if self.trials.end(command.request) and self.losses.clear(fingerprint):
+            self._store({f"quarantine/{fingerprint}": None})
 
     def _release(self, command: ReleaseFingerprint) -> Outcome:
         key = f"quarantine/{command.fingerprint}"
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -12,22 +12,30 @@
 from baobabstream.control.commands import (
     AdvanceRollout,
     BackendLeft,
-    ClearSuspect,
     Command,
     ConfigChange,
     ControlRollout,
     ControlVersion,
+    EndTrial,
     EntryGone,
     RecordLoss,
     ReleaseFingerprint,
     RolloutAction,
     SetVersionState,
+    StartTrial,
     UpdateClaim,
     VersionAction,
 )
 from baobabstream.control.state import ConfigState
+from baobabstream.control.trials import CLOCK_MARGIN_MS, TRIAL_MS
 from baobabstream.errors.codes import ResultCode
-from baobabstream.wire.messages import ClaimAction, ClaimRequest, ClaimState
+from baobabstream.wire.messages import (
+    ClaimAction,
+    ClaimRequest,
+    ClaimState,
+    TrialEnd,
+    TrialRequest,
+)
 from baobabstream.wire.rows import (
     AccountRow,
     ClassRow,
@@ -65,6 +73,11 @@
     return UpdateClaim(request, 1000)
 
 
+def trial(fingerprint: str, request_id: str = "", now_ms: int = 0) -> StartTrial:
+    name = request_id or f"r{fingerprint}"
+    return StartTrial(TrialRequest(fingerprint, name, "h", ("e1", "e2")), now_ms)
+
+
 @pytest.mark.parametrize(
     "row",
     [
@@ -221,17 +234,38 @@
     loss = RecordLoss("engine-1", 1, ("f", "g"), 0)
     assert_that(target.apply(loss).quarantined, Equals(()))
     assert_that(target.apply(loss).quarantined, Equals(()))
-    target.apply(ClearSuspect("g"))
+    assert_that(target.apply(trial("g")).trial.backend_server, Equals("e1"))
+    target.apply(EndTrial(TrialEnd("g", "rg", "h", lost=False)))
     assert_that(target.row("quarantine/g"), Is(None))
+    target.apply(trial("f"))
     second = RecordLoss("engine-1", 2, ("f",), 0)
     assert_that(target.apply(second).quarantined, Equals(("f",)))
-    target.apply(ClearSuspect("f"))
+    target.apply(EndTrial(TrialEnd("f", "rf", "h", lost=False)))
     assert_that(target.row("quarantine/f").losses, Equals(2))
+    assert_that(target.apply(trial("f")).trial.quarantined, Is(True))
     target.apply(ReleaseFingerprint("x", "op", "f"))
     assert_that(target.row("quarantine/f"), Is(None))
     assert_that(target.apply(RecordLoss("e", 1, ("f",), 0)).quarantined, Equals(()))
 
 
+def test_trials_are_exclusive_and_expire() -> None:
+    """Guards against two suspects on a backend server and a fingerprint on two at once."""
+    target = ConfigState()
+    servers = [target.apply(trial(name)).trial.backend_server for name in "abc"]
+    assert_that(servers, Equals(["e1", "e2", ""]))
+    assert_that(target.apply(trial("a", "other")).trial.backend_server, Equals(""))
+    assert_that(target.apply(trial("a")).trial.backend_server, Equals("e1"))
+    target.apply(EndTrial(TrialEnd("a", "ra", "h", lost=True)))
+    assert_that(target.apply(trial("a", "again")).trial.backend_server, Equals(""))
+    assert_that(target.apply(trial("c")).trial.backend_server, Equals("e1"))
+    target.apply(RecordLoss("e9", 1, ("c",), 0))
+    assert_that(target.apply(trial("d")).trial.backend_server, Equals(""))
+    still = trial("d", now_ms=TRIAL_MS + CLOCK_MARGIN_MS - 1)
+    assert_that(target.apply(still).trial.backend_server, Equals(""))
+    late = trial("d", now_ms=TRIAL_MS + CLOCK_MARGIN_MS)
+    assert_that(target.apply(late).trial.backend_server, Equals("e1"))
+
+
 def test_memory_is_bounded(monkeypatch) -> None:
     """Guards against growth without limit, and a full claim table that frees a live claim."""
     monkeypatch.setattr(accepted_changes, "REMEMBERED_CHANGES", 5)
@@ -298,7 +332,8 @@
             claim(random.choice(list(ClaimAction)), f"q{random.randrange(3)}"),
             EntryGone("entry-1", 1),
             RecordLoss("e", random.randrange(3), (f"f{random.randrange(3)}",), 0),
-            ClearSuspect(f"f{random.randrange(3)}"),
+            trial(f"f{random.randrange(3)}", random.choice("pq"), now_ms=100 * index),
+            EndTrial(TrialEnd(f"f{random.randrange(3)}", "p", "h", random.random() < 0.5)),
             BackendLeft("e", random.randrange(3)),
         ]
     )
--- /dev/null
+++ b/tests/control/test_version_guard.py
@@ -0,0 +1,85 @@
+"""Evidence of all entries stops a bad version and returns traffic to the old one."""
+
+from random import Random
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, LessThan
+
+from baobabstream.control.commands import AdvanceRollout, Command, ConfigChange
+from baobabstream.control.evidence_pool import EvidencePool
+from baobabstream.control.state import ConfigState
+from baobabstream.control.version_guard import VersionGuard
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import PeerError
+from baobabstream.policy.version_health import VersionHealth
+from baobabstream.wire.messages import PollRequest, VersionEvidence
+from baobabstream.wire.rows import RolloutRow, RolloutState, VersionRow, VersionState
+
+
+class Leader:
+    """A guard over a state in the middle of a rollout; the first proposals may fail."""
+
+    def __init__(self, failing: int = 0) -> None:
+        self.state = ConfigState()
+        self.failing = failing
+        rows = (
+            VersionRow("m", "1", 1.0),
+            VersionRow("m", "2", 1.0),
+            RolloutRow("r", "m", "1", "2"),
+        )
+        self.state.apply(ConfigChange("c", "op", 0, rows))
+        running = AdvanceRollout("r", RolloutState.LOADING, 0, RolloutState.RUNNING, 1, 0.25)
+        self.state.apply(running)
+        self.guard = VersionGuard(self.state, VersionHealth(0.001), self.propose)
+
+    async def propose(self, command: Command):
+        if self.failing:
+            self.failing -= 1
+            raise PeerError(ResultCode.CHANGE_UNKNOWN)
+        return self.state.apply(command)
+
+    async def bad_answers_until_stop(self) -> int:
+        random = Random(4)
+        bad = 0
+        for step in range(1000):
+            now_s = step * 0.1
+            turned_bad = step >= 300
+            old = VersionEvidence("m", "1", 0 if random.random() < 0.01 else 1, 0)
+            new = VersionEvidence("m", "2", 0 if turned_bad else 1, 1 if turned_bad else 0)
+            self.guard.observe([old, new, VersionEvidence("absent", "1", 0, 1)], now_s)
+            bad += turned_bad
+            await self.guard.evaluate(now_s)
+            if self.state.row("version/m@2").state is VersionState.STOPPED:
+                break
+        return bad
+
+
+async def test_bad_version_is_stopped_and_traffic_returns() -> None:
+    """Guards against a bad version that keeps its traffic until an operator acts."""
+    leader = Leader()
+    assert_that(await leader.bad_answers_until_stop(), LessThan(21))
+    row = leader.state.row("rollout/r")
+    assert_that((row.state, row.share), Equals((RolloutState.STOPPED, 0.0)))
+    assert_that(leader.state.row("version/m@1").state, Is(VersionState.ACTIVE))
+
+
+async def test_verdict_survives_a_failed_proposal() -> None:
+    """Guards against a verdict that is lost because the log could not commit it at once."""
+    leader = Leader(failing=5)
+    assert_that(await leader.bad_answers_until_stop(), LessThan(30))
+    assert_that(leader.state.row("version/m@2").state, Is(VersionState.STOPPED))
+
+
+def test_evidence_is_counted_once() -> None:
+    """Guards against results counted twice when a poll is sent again or overtakes another."""
+    pool = EvidencePool()
+    evidence = (VersionEvidence("m", "1", 0, 1),)
+
+    def accepted(sequence: int, incarnation: int = 1) -> bool:
+        request = PollRequest("h", incarnation, "z", 0, 0, 0, 0, sequence, evidence)
+        return bool(pool.accept(request))
+
+    order = [accepted(n) for n in (1, 1, 3, 2, 3, 2, 4)]
+    assert_that(order, Equals([True, False, True, True, False, False, True]))
+    assert_that(accepted(1, incarnation=2), Is(True))
+    assert_that([accepted(n) for n in range(10, 300, 2)], Equals([True] * 145))
