--- a/src/baobabstream/control/admin_models.py
+++ b/src/baobabstream/control/admin_models.py
@@ -4,8 +4,6 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from baobabstream.control.commands import RolloutAction, VersionAction
-
 __all__ = [
     "AnnounceBody",
     "BillsQuery",
@@ -20,6 +18,7 @@
 Name = Annotated[str, Field(min_length=1, max_length=128)]
 Key = Annotated[str, Field(min_length=1, max_length=300)]
 Reason = Annotated[str, Field(max_length=500)]
+BaseRevision = Annotated[int, Field(ge=0)] | None
 
 MAX_LOADED = 256
 MAX_BILLS = 10_000
@@ -45,8 +44,8 @@
     change_id: Name
     model: Name
     version: Name
-    action: VersionAction
     reason: Reason = ""
+    base_revision: BaseRevision = None
 
 
 class RolloutActionBody(_Body):
@@ -54,8 +53,8 @@
 
     change_id: Name
     name: Name
-    action: RolloutAction
     reason: Reason = ""
+    base_revision: BaseRevision = None
 
 
 class ReleaseBody(_Body):
@@ -63,6 +62,7 @@
 
     change_id: Name
     fingerprint: Name
+    base_revision: BaseRevision = None
 
 
 class InForceQuery(_Body):
--- a/src/baobabstream/control/admin_operations.py
+++ b/src/baobabstream/control/admin_operations.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from inspect import isawaitable
 from typing import TYPE_CHECKING, Any
 
@@ -27,6 +28,8 @@
     ControlVersion,
     OperatorCommand,
     ReleaseFingerprint,
+    RolloutAction,
+    VersionAction,
 )
 from baobabstream.errors.codes import CODE_TABLE, ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
@@ -58,19 +61,23 @@
             "/backend/v1/announce": self._announce,
             "/backend/v1/leave": self._leave,
             "/admin/v1/changes": self._change,
-            "/admin/v1/versions/action": self._version_action,
-            "/admin/v1/rollouts/action": self._rollout_action,
             "/admin/v1/quarantine/release": self._release,
         }
+        for version_action in VersionAction:
+            path = f"/admin/v1/versions/{version_action.value}"
+            self._posts[path] = partial(self._version_action, version_action)
+        for rollout_action in RolloutAction:
+            path = f"/admin/v1/rollouts/{rollout_action.value}"
+            self._posts[path] = partial(self._rollout_action, rollout_action)
         self._gets: dict[str, _Get] = {
             "/admin/v1/config": lambda _: self._views.config(),
             "/admin/v1/status": lambda _: self._views.status(),
             "/admin/v1/members": lambda _: self._views.members(),
             "/admin/v1/ready": lambda _: self._views.ready(),
-            "/admin/v1/billing": lambda _: self._views.billing(),
+            "/admin/v1/bills/totals": lambda _: self._views.billing(),
             "/admin/v1/in-force": self._in_force,
             "/admin/v1/bills": self._bills,
-            "/admin/v1/bill-pages": self._bill_page,
+            "/admin/v1/bills/pages": self._bill_page,
         } | {
             f"/admin/v1/{path}": lambda _, kind=kind: self._views.rows(kind)
             for path, kind in (
@@ -137,7 +144,9 @@
             ConfigChange(parsed.change_id, operator, parsed.base_revision, rows, deleted)
         )
 
-    async def _version_action(self, body: bytes, operator: str) -> dict[str, Any]:
+    async def _version_action(
+        self, action: VersionAction, body: bytes, operator: str
+    ) -> dict[str, Any]:
         parsed = parse_body(VersionActionBody, body, ResultCode.CHANGE_INVALID)
         return await self._propose(
             ControlVersion(
@@ -145,21 +154,31 @@
                 operator,
                 parsed.model,
                 parsed.version,
-                parsed.action,
+                action,
                 parsed.reason,
+                parsed.base_revision,
             )
         )
 
-    async def _rollout_action(self, body: bytes, operator: str) -> dict[str, Any]:
+    async def _rollout_action(
+        self, action: RolloutAction, body: bytes, operator: str
+    ) -> dict[str, Any]:
         parsed = parse_body(RolloutActionBody, body, ResultCode.CHANGE_INVALID)
         return await self._propose(
-            ControlRollout(parsed.change_id, operator, parsed.name, parsed.action, parsed.reason)
+            ControlRollout(
+                parsed.change_id,
+                operator,
+                parsed.name,
+                action,
+                parsed.reason,
+                parsed.base_revision,
+            )
         )
 
     async def _release(self, body: bytes, operator: str) -> dict[str, Any]:
         parsed = parse_body(ReleaseBody, body, ResultCode.CHANGE_INVALID)
         return await self._propose(
-            ReleaseFingerprint(parsed.change_id, operator, parsed.fingerprint)
+            ReleaseFingerprint(parsed.change_id, operator, parsed.fingerprint, parsed.base_revision)
         )
 
     async def _propose(self, command: OperatorCommand) -> dict[str, Any]:
--- a/src/baobabstream/control/commands.py
+++ b/src/baobabstream/control/commands.py
@@ -61,7 +61,8 @@
 class ControlVersion(Struct, frozen=True, tag="control_version"):
     """An operator's action on a version.
 
-    It names the state that it leads to and so needs no base revision.
+    It names the state that it leads to, so a base revision is not needed; one that is given must
+    be the present one.
     """
 
     change_id: str
@@ -70,6 +71,7 @@
     version: str
     action: VersionAction
     reason: str = ""
+    base_revision: int | None = None
 
 
 class ControlRollout(Struct, frozen=True, tag="control_rollout"):
@@ -80,6 +82,7 @@
     name: str
     action: RolloutAction
     reason: str = ""
+    base_revision: int | None = None
 
 
 class ReleaseFingerprint(Struct, frozen=True, tag="release"):
@@ -88,6 +91,7 @@
     change_id: str
     operator: str
     fingerprint: str
+    base_revision: int | None = None
 
 
 class SetVersionState(Struct, frozen=True, tag="version_state"):
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -60,6 +60,7 @@
         )
         self.admin = AdminApi(self)
         self._leadership: Leadership | None = None
+        self._notified_revision = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -131,13 +132,17 @@
             ``NO_LEADER`` if this host does not lead, ``CHANGE_UNKNOWN`` if it is not known
             whether the command was committed.
         """
-        leadership = self.require_leadership()
-        before = self.state.revision
+        self.require_leadership()
         outcome = await self.log.propose(command, PROPOSE_TIMEOUT_S)
-        if self.state.revision != before:
-            leadership.polls.notify()
+        self.notify_applied()
         return outcome
 
+    def notify_applied(self) -> None:
+        """Wake the polls if applied commands changed a row; called by the log."""
+        if self._leadership is not None and self.state.revision != self._notified_revision:
+            self._notified_revision = self.state.revision
+            self._leadership.polls.notify()
+
     async def forward(self, request: ForwardRequest, timeout_s: float) -> ForwardReply:
         """Send an HTTP call to the leader and return its answer."""
         leader = self.peers.get(self.log.leader)
@@ -163,7 +168,12 @@
         """
         previous = self._leadership
         self._leadership = Leadership(
-            self.settings, self.log.term, self.state, self.propose, self.timeline
+            self.settings,
+            self.log.term,
+            self.state,
+            self.propose,
+            lambda: self.leads,
+            self.timeline,
         )
         if previous is not None:
             self._tasks.append(asyncio.create_task(previous.close()))
--- a/src/baobabstream/control/leadership.py
+++ b/src/baobabstream/control/leadership.py
@@ -4,12 +4,16 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from aiohttp import ClientSession
+
 from baobabstream.control.commands import Command, EntryGone
+from baobabstream.control.engine_orders import EngineOrders
 from baobabstream.control.entry_leases import EntryLeases
 from baobabstream.control.evidence_pool import EvidencePool
 from baobabstream.control.outcome import Outcome
 from baobabstream.control.poll_service import PollService
 from baobabstream.control.registry import BackendRegistry
+from baobabstream.control.rollout_driver import RolloutDriver
 from baobabstream.control.state import ConfigState
 from baobabstream.control.version_guard import VersionGuard
 from baobabstream.errors.exceptions import BaobabstreamError
@@ -23,6 +27,7 @@
 
 FALSE_ALARM_RATE = 0.001
 TICK_S = 0.25
+RESTART_DELAY_S = 1.0
 # An entry without contact for this time is taken for gone; its open claims become unknown.
 ENTRY_GONE_S = 30.0
 
@@ -42,6 +47,8 @@
         State built by the replicated log.
     propose
         Commits a command.
+    leads
+        Returns whether this host holds the leader lease.
     timeline
         Event timeline of this host.
     """
@@ -52,6 +59,7 @@
         term: int,
         state: ConfigState,
         propose: Callable[[Command], Awaitable[Outcome]],
+        leads: Callable[[], bool],
         timeline: TimeLine,
     ) -> None:
         now_s = time.monotonic()
@@ -67,12 +75,23 @@
             state, self.registry, self.leases, time.monotonic, self._take_evidence
         )
         self.guard = VersionGuard(state, VersionHealth(FALSE_ALARM_RATE), propose)
+        self._http = ClientSession()
+        orders = EngineOrders(self._http, term, lambda: state.revision, leads, timeline)
+        self._driver = RolloutDriver(
+            state,
+            self.registry,
+            self.leases,
+            orders,
+            propose,
+            settings.weight_store_loads,
+            timeline,
+        )
         self._evidence = EvidencePool()
         self._contact_s: dict[tuple[str, int], float] = {}
         self._evidence_came = asyncio.Event()
         self._tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._guard_versions()),
+            asyncio.create_task(_keep_running(work))
+            for work in (self._tick, self._guard_versions, self._driver.run)
         ]
 
     async def close(self) -> None:
@@ -81,6 +100,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.polls.close()
+        await self._http.close()
 
     def _take_evidence(self, request: PollRequest) -> None:
         now_s = time.monotonic()
@@ -91,6 +111,8 @@
         if evidence:
             self.guard.observe(evidence, now_s)
             self._evidence_came.set()
+        for item in evidence:
+            self._driver.note_work(item.model, item.version)
 
     async def _guard_versions(self) -> None:
         while True:
@@ -139,3 +161,13 @@
                 continue
             del self._contact_s[owner]
             self._evidence.forget([owner])
+
+
+async def _keep_running(work: Callable[[], Awaitable[None]]) -> None:
+    """Run a loop of the leader again if it fails, so that one fault does not end it for good."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            _log.exception("A task of the leader failed; it starts again.")
+        await asyncio.sleep(RESTART_DELAY_S)
--- a/src/baobabstream/control/state.py
+++ b/src/baobabstream/control/state.py
@@ -155,6 +155,9 @@
         first = self.accepted.find(command)
         if first is not None:
             return first
+        if command.base_revision not in (None, self.operator_revision):
+            detail = f"the operator revision is {self.operator_revision}"
+            return self._outcome(ResultCode.REVISION_CONFLICT, detail)
         outcome = work(command)
         if outcome.code is not ResultCode.OK:
             return outcome
@@ -164,9 +167,6 @@
         return outcome
 
     def _change(self, command: ConfigChange) -> Outcome:
-        if command.base_revision != self.operator_revision:
-            detail = f"the operator revision is {self.operator_revision}"
-            return self._outcome(ResultCode.REVISION_CONFLICT, detail)
         problem = validate_change(self.rows, command)
         if problem:
             return self._outcome(ResultCode.CHANGE_INVALID, problem)
