Entry runs OutcomePolicy; evidence reaches the leader; the lease is checked before each attempt

Cause: the policy's counts of results had no way to the leader, and a request that waited or was frozen could be dispatched after its entry's lease had expired. Change: DecisionLoop passes the policy's evidence to the poller; a dispatch without a lease is refused as not run; the lease is checked on a clock that uvloop does not cache; control daemons run on asyncio's own loop. The claim checker follows the claim table: a delayed copy of a released claim is refused.

--- a/src/baobabstream/cli/daemons.py
+++ b/src/baobabstream/cli/daemons.py
@@ -1,10 +1,13 @@
 """Commands that run the daemons."""
 
+import asyncio
+import time
 from pathlib import Path
 from random import SystemRandom
 from typing import Annotated
 
 import typer
+import uvloop
 
 from baobabstream.cli.run_daemon import run_until_stopped
 from baobabstream.control.daemon import ControlDaemon
@@ -24,7 +27,9 @@
     settings = load_settings(settings_file, EntrySettings)
     configure_logging(settings.log.level, settings.log.json_lines, settings.host)
     limit_nng_threads()
-    run_until_stopped(lambda: EntryDaemon(settings, SystemRandom()))
+    run_until_stopped(
+        lambda: EntryDaemon(settings, SystemRandom(), clock=time.monotonic), uvloop.run
+    )
 
 
 def control(settings_file: SettingsFile) -> None:
@@ -32,4 +37,6 @@
     settings = load_settings(settings_file, ControlSettings)
     configure_logging(settings.log.level, settings.log.json_lines, settings.host)
     limit_nng_threads()
-    run_until_stopped(lambda: ControlDaemon(settings))
+    # asyncio's own loop reads the clock at each call, so that a lease check right after a process
+    # freeze sees the time that has passed; uvloop does not.
+    run_until_stopped(lambda: ControlDaemon(settings), asyncio.run)
--- a/src/baobabstream/cli/run_daemon.py
+++ b/src/baobabstream/cli/run_daemon.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from typing import Protocol
 
-import uvloop
-
 __all__ = ["Daemon", "run_until_stopped", "stop_event"]
 
 
@@ -28,9 +27,17 @@
     return event
 
 
-def run_until_stopped(build) -> None:
-    """Build a daemon inside the event loop, start it, and stop it on SIGTERM or SIGINT."""
-    uvloop.run(_run(build))
+def run_until_stopped(build: Callable[[], Daemon], run: Callable[..., None]) -> None:
+    """Build a daemon inside the event loop, start it, and stop it on SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    build
+        Returns the daemon; called inside the event loop.
+    run
+        Runs a coroutine on a new event loop, such as ``asyncio.run``.
+    """
+    run(_run(build))
 
 
 async def _run(build) -> None:
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+from collections.abc import Callable
 from random import Random
 
 from aiohttp import web
@@ -25,9 +26,9 @@
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.membership.control_session import ControlSession
 from baobabstream.policy.base import RoutingPolicy
-from baobabstream.policy.baselines import LeastInFlight
 from baobabstream.policy.decisions import StopVersion
 from baobabstream.policy.events import ViewChanged
+from baobabstream.policy.outcome_policy import OutcomePolicy
 from baobabstream.policy.view import ClusterView
 from baobabstream.settings.models import EntrySettings
 from baobabstream.telemetry.hybrid_clock import HybridClock
@@ -39,6 +40,7 @@
 __all__ = ["EntryDaemon"]
 
 ACCEPT_BACKLOG = 1024
+LEASE_RETRY_S = 1.0
 CANCEL_REPEAT_S = 0.1
 
 _log = get_logger("entry")
@@ -54,18 +56,25 @@
     random
         Source of randomness of the policy.
     policy
-        The routing policy, by default ``LeastInFlight``.
+        The routing policy, by default ``OutcomePolicy``.
+    clock
+        Clock of the lease checks, by default the event loop's. uvloop updates its time once per
+        iteration, so that a check right after a process freeze would use a time from before it.
     """
 
     def __init__(
-        self, settings: EntrySettings, random: Random, policy: RoutingPolicy | None = None
+        self,
+        settings: EntrySettings,
+        random: Random,
+        policy: RoutingPolicy | None = None,
+        clock: Callable[[], float] | None = None,
     ) -> None:
         self.settings = settings
         self.timeline = TimeLine(settings.timeline_file, settings.host, "entry", HybridClock())
         self.random = random
+        self._clock = clock or asyncio.get_running_loop().time
         self.view = ClusterView()
         self.sessions = SessionTokens(settings.session_secret.get_secret_value())
-        self.decisions = DecisionLoop(policy or LeastInFlight(random), self._version_stopped)
         secret = settings.peer_secret.get_secret_value()
         codec = WireCodec(settings.cluster, settings.host, secret)
         self.control = ControlSession(
@@ -76,6 +85,11 @@
             self.view,
             self._view_changed,
         )
+        self.decisions = DecisionLoop(
+            policy or OutcomePolicy(random, settings.availability_zone),
+            self._version_stopped,
+            self.control.evidence.add,
+        )
         self.bills = BillSender(self.control, self.control.zones)
         self.background = BackgroundCalls()
         self.suspects = SuspectReporter(self.control, settings.host, self.background)
@@ -154,9 +168,12 @@
 
     def require_ready(self) -> None:
         """Raise RequestRefused if this entry may not take new work."""
-        now_s = asyncio.get_running_loop().time()
-        if not self.control.lease.valid(now_s):
-            raise RequestRefused(ResultCode.LEASE_EXPIRED, retry_after_s=1.0)
+        if not self.holds_lease():
+            raise RequestRefused(ResultCode.LEASE_EXPIRED, retry_after_s=LEASE_RETRY_S)
+
+    def holds_lease(self) -> bool:
+        """Return whether this entry may act on its configuration now."""
+        return self.control.lease.valid(self._clock())
 
     def authenticate(self, request: web.Request) -> AccountRow:
         """Return the client account whose API key a request carries.
--- a/src/baobabstream/entry/decision_loop.py
+++ b/src/baobabstream/entry/decision_loop.py
@@ -7,6 +7,7 @@
 from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.decisions import Decision, StopVersion
 from baobabstream.policy.events import PolicyEvent, TimerFired
+from baobabstream.wire.messages import VersionEvidence
 
 __all__ = ["DecisionLoop"]
 
@@ -20,11 +21,19 @@
         The routing policy of this entry.
     on_stop
         Called with each ``StopVersion`` decision.
+    on_evidence
+        Called with the counts of results that the policy collected for the control leader.
     """
 
-    def __init__(self, policy: RoutingPolicy, on_stop: Callable[[StopVersion], None]) -> None:
+    def __init__(
+        self,
+        policy: RoutingPolicy,
+        on_stop: Callable[[StopVersion], None],
+        on_evidence: Callable[[VersionEvidence], None],
+    ) -> None:
         self._policy = policy
         self._on_stop = on_stop
+        self._on_evidence = on_evidence
         self._inboxes: dict[str, asyncio.Queue[Any]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_s: float | None = None
@@ -42,6 +51,8 @@
         now_s = asyncio.get_running_loop().time()
         for decision in self._policy.handle(event, now_s):
             self._deliver(decision)
+        for evidence in self._policy.take_evidence():
+            self._on_evidence(evidence)
         self._arm()
 
     def _deliver(self, decision: Decision) -> None:
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -15,7 +15,15 @@
 from baobabstream.entry.delivery import Delivery
 from baobabstream.entry.refusals import Refused
 from baobabstream.errors.codes import ResultCode
-from baobabstream.policy.decisions import AskTrial, Cancel, Decision, Dispatch, GiveUp, Refuse
+from baobabstream.policy.decisions import (
+    AskTrial,
+    Cancel,
+    Decision,
+    Dispatch,
+    GiveUp,
+    Refuse,
+    Release,
+)
 from baobabstream.policy.events import (
     AnswerRated,
     AttemptFailed,
@@ -38,8 +46,7 @@
 # The policy needs token rates over fractions of a second; a call per token would cost more than
 # the relay of the token.
 TOKENS_PER_REPORT = 16
-# After a bad rating the policy may queue the next step; without one the rated answer is released.
-ESCALATION_WAIT_S = 1.0
+LEASE_RETRY_S = 1.0
 
 _Item = Decision | AttemptEnded | CallerStalled
 
@@ -67,6 +74,7 @@
         self._inbox: asyncio.Queue[_Item] = asyncio.Queue()
         self._attempts: dict[int, Attempt] = {}
         self._owner: Attempt | None = None
+        self._held: Attempt | None = None
         self._sent = False
         self._trial_server = ""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -98,27 +106,30 @@
     async def _take(self, item: _Item) -> web.StreamResponse | None:
         match item:
             case Refuse() | GiveUp():
-                return await self._refuse(item)
+                # An answer that was rated bad is better than none.
+                return await (self._release() if self._held else self._refuse(item))
             case Cancel():
                 self._cancel(item.attempt)
             case AskTrial():
                 self._start_task(self._ask_trial(item))
             case Dispatch():
-                self._dispatch(item)
+                return await self._dispatch(item)
+            case Release():
+                return await self._release()
             case AttemptEnded():
                 return await self._attempt_ended(item)
             case CallerStalled():
                 return self._cut()
         return None
 
-    def _dispatch(self, dispatch: Dispatch) -> None:
+    async def _dispatch(self, dispatch: Dispatch) -> web.StreamResponse | None:
+        # The lease may have expired while the request waited or the process was frozen.
+        if not self._daemon.holds_lease():
+            return await self._refuse_without_lease(dispatch)
         record = self._daemon.view.backends.get(dispatch.backend_server)
         if record is None:
-            gone = AttemptError(FailureKind.CONNECT, "the server has left", sent=False)
-            missing = Attempt(dispatch, 0, 0)
-            self._attempts[dispatch.attempt] = missing
-            self._inbox.put_nowait(AttemptEnded(missing, gone))
-            return
+            self._not_sent(dispatch, "the server has left")
+            return None
         # The tokens delivered by now count, not those when the policy decided: the earlier
         # attempt may have delivered more in between.
         offset = 0 if dispatch.rate_first else self._delivery.offset(dispatch, self._owner is None)
@@ -137,6 +148,22 @@
         self._emit(EventKind.ATTEMPT_SENT, detail)
         self._attempts[dispatch.attempt] = attempt
         attempt.task = self._start_task(self._run_attempt(attempt, engine_request))
+        return None
+
+    def _not_sent(self, dispatch: Dispatch, reason: str) -> None:
+        attempt = Attempt(dispatch, 0, 0)
+        self._attempts[dispatch.attempt] = attempt
+        error = AttemptError(FailureKind.CONNECT, reason, sent=False)
+        self._inbox.put_nowait(AttemptEnded(attempt, error))
+
+    async def _refuse_without_lease(self, dispatch: Dispatch) -> web.StreamResponse | None:
+        if self._attempts:
+            self._not_sent(dispatch, "the control lease has expired")
+            return None
+        lapsed = Refuse(self._info.request_id, ResultCode.LEASE_EXPIRED, LEASE_RETRY_S)
+        # The policy counts the attempt as sent; this lets it forget the request.
+        self._daemon.decisions.feed(CallerGone(self._info.request_id))
+        return await self._refuse(lapsed)
 
     async def _run_attempt(self, attempt: Attempt, request: EngineRequest) -> None:
         daemon = self._daemon
@@ -235,39 +262,34 @@
         self._daemon.decisions.feed(
             AttemptFinished(self._info.request_id, attempt.number, attempt.tokens)
         )
-        self._finished = True
         if attempt.dispatch.rate_first:
-            if await self._escalated(attempt):
-                self._finished = False
-                return None
-            self._owner = attempt
-            await self._delivery.release(attempt.dispatch, attempt.collected)
+            self._held = attempt
+            self._start_task(self._rate_held(attempt))
+            return None
+        self._finished = True
         response = await self._delivery.finish()
-        if not attempt.dispatch.rate_first:
-            self._delivery.rate_sample()
+        self._delivery.rate_sample()
         return response
 
-    async def _escalated(self, attempt: Attempt) -> bool:
-        """Rate a collected answer and return whether the policy goes on with another attempt."""
-        good = await self._delivery.rate(attempt.dispatch, attempt.collected)
-        if good is None:
-            # The policy waits for a rating; CallerGone at the end lets it forget the request.
-            self._finished = False
-            return False
+    async def _rate_held(self, attempt: Attempt) -> None:
+        """Rate a held answer; the policy then releases it or goes on with another attempt."""
         dispatch = attempt.dispatch
+        good = await self._delivery.rate(dispatch, attempt.collected)
+        if good is None:
+            self._inbox.put_nowait(Release(self._info.request_id, attempt.number, "no rating"))
+            return
         self._daemon.decisions.feed(
             AnswerRated(self._info.request_id, dispatch.model, dispatch.version, good)
         )
-        if good:
-            return False
-        try:
-            item = await asyncio.wait_for(self._inbox.get(), ESCALATION_WAIT_S)
-        except TimeoutError:
-            return False
-        if isinstance(item, Refuse | GiveUp):
-            return False
-        self._inbox.put_nowait(item)
-        return True
+
+    async def _release(self) -> web.StreamResponse | None:
+        held, self._held = self._held, None
+        if held is None:
+            return None
+        self._finished = True
+        self._owner = held
+        await self._delivery.release(held.dispatch, held.collected)
+        return await self._delivery.finish()
 
     async def _refuse(self, decision: Refuse | GiveUp) -> web.StreamResponse:
         self._finished = True
--- a/src/baobabstream/membership/evidence.py
+++ b/src/baobabstream/membership/evidence.py
@@ -50,6 +50,16 @@
         self._unacknowledged: dict[int, EvidenceBatch] = {}
         self._in_flight: set[int] = set()
 
+    def add(self, evidence: VersionEvidence) -> None:
+        """Add the counts of one version."""
+        counts = self._of(evidence.model, evidence.version)
+        counts.successes += evidence.successes
+        counts.errors += evidence.errors
+        counts.rated_good += evidence.rated_good
+        counts.rated_bad += evidence.rated_bad
+        if evidence.errors or evidence.rated_bad:
+            self._check_urgent(counts)
+
     def record_success(self, model: str, version: str) -> None:
         """Count an answer that a version gave."""
         self._of(model, version).successes += 1
--- a/src/baobabstream/policy/base.py
+++ b/src/baobabstream/policy/base.py
@@ -4,6 +4,7 @@
 
 from baobabstream.policy.decisions import Decision
 from baobabstream.policy.events import PolicyEvent
+from baobabstream.wire.messages import VersionEvidence
 
 __all__ = ["RoutingPolicy"]
 
@@ -28,6 +29,10 @@
             Decisions in the order in which they must be carried out.
         """
 
+    def take_evidence(self) -> tuple[VersionEvidence, ...]:
+        """Return the counts of results per version since the last call."""
+        return ()
+
     @abstractmethod
     def next_timer_s(self) -> float | None:
         """Return the time at which ``TimerFired`` is wanted, or None."""
--- a/tests/consensus/history_checker.py
+++ b/tests/consensus/history_checker.py
@@ -17,16 +17,28 @@
     result: str | None = None
 
 
-def _step(state: tuple[str, bool], operation: ClaimOperation) -> tuple[str, tuple[str, bool]]:
-    """Return result and next state (owner, held) by the sequential definition of a claim."""
-    owner, held = state
+FREE, HELD, RELEASED = "free", "held", "released"
+
+
+def _step(state: tuple[str, str], operation: ClaimOperation) -> tuple[str, tuple[str, str]]:
+    """Return result and next state (owner, status) by the sequential definition of a claim.
+
+    A released claim can be taken by another request; a delayed copy of its last owner's claim
+    must not take it again, since that owner has already answered its caller.
+    """
+    owner, status = state
+    own = owner == operation.request_id
     if operation.action == "claim":
-        if not held or owner == operation.request_id:
-            return "OK", (operation.request_id, True)
-        return "REQUEST_IN_PROGRESS", state
-    if owner != operation.request_id:
+        if status == HELD and not own:
+            return "REQUEST_IN_PROGRESS", state
+        if status == RELEASED and own:
+            return "CLAIM_UNAVAILABLE", state
+        return "OK", (operation.request_id, HELD)
+    if status == FREE:
+        return "OK", (operation.request_id, RELEASED)
+    if not own:
         return "NOT_FOUND", state
-    return "OK", (owner, False)
+    return "OK", (owner, RELEASED)
 
 
 def is_linearizable(history: list[ClaimOperation]) -> bool:
@@ -38,7 +50,7 @@
     of visited configurations. An operation of unknown outcome may also never have happened.
     """
     known = frozenset(n for n, item in enumerate(history) if item.result is not None)
-    stack: list[tuple[frozenset[int], tuple[str, bool]]] = [(frozenset(), ("", False))]
+    stack: list[tuple[frozenset[int], tuple[str, str]]] = [(frozenset(), ("", FREE))]
     seen = set(stack)
     while stack:
         done, state = stack.pop()
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -22,7 +22,10 @@
 GROUP = LogEntry(1, 1, EntryKind.MEMBERSHIP, encode_membership(Membership((A, B, C))))
 
 
-def make_core(kind=RaftCore, vote=VoteState(1), entries=(GROUP,)) -> RaftCore:
+FIRST_VOTE = VoteState(1)
+
+
+def make_core(kind=RaftCore, vote=FIRST_VOTE, entries=(GROUP,)) -> RaftCore:
     """Return member A of a group of three at time 0."""
     durable = DurableState(vote, entries=entries)
     return kind(A, durable, Timing(), Random(1), 0.0, lambda term: b"")
