policy: change point per test, faster decisions, cheaper exploration and hedges

Change: the run with the largest sum dates the change; stopped versions count as other versions; a hedge waits for twice the expected time; serving versions are cached; measurements of a server last 6 s instead of 3 s.

--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -38,7 +38,9 @@
 # saves at least this time.
 MOVE_SLOWDOWN = 2.5
 MOVE_SAVES_S = 0.3
-MIN_HEDGE_S = 0.02
+# A hedge also waits for this multiple of the time expected on the chosen server. With the quantile
+# alone ordinary waits use up the budget before a server is slowed.
+HEDGE_FACTOR = 2.0
 # A held answer is released without a rating after this time, so that the rating service cannot
 # hold back answers.
 RATING_TIMEOUT_S = 1.0
@@ -99,10 +101,9 @@
         """Return the expected total time without waiting."""
         return self.latency.total_s(key, request.expected_output_tokens)
 
-    def start(self, running: Running, now_s: float, respect_window: bool = True) -> list[Decision]:
-        """Dispatch the first attempt."""
+    def start(self, running: Running, now_s: float, choice: Choice | None = None) -> list[Decision]:
+        """Dispatch the first attempt, to a server that was chosen or to any."""
         key = running.plan.key
-        choice = self.backends.choose(running.request, key, now_s, (), respect_window)
         if choice is None:
             choice = self.backends.choose(running.request, key, now_s, (), False)
         if choice is None:
@@ -360,7 +361,7 @@
         after_s = self.latency.hedge_after_s(attempt.key, now_s)
         if after_s is None or running.stage is Stage.TRIAL:
             return
-        due_s = now_s + max(after_s, MIN_HEDGE_S)
+        due_s = now_s + max(after_s, HEDGE_FACTOR * choice.first_token_s)
         self.timers.add(due_s, running.request.request_id, TimerKind.HEDGE, attempt.number)
 
     @staticmethod
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -105,7 +105,12 @@
 
     def has_room(self, key: tuple[str, str], request: RequestInfo) -> bool:
         """Return whether a sampled server of a version would take a request now."""
-        return bool(self._sample(self._pool(request, key), request, (), True))
+        pool = self._pool(request, key)
+        if self._sample(pool, request, (), True):
+            return True
+        if pool is self._index.engines(key) or self._sizes.is_long(request):
+            return False
+        return bool(self._sample(self._index.engines(key), request, (), True))
 
     def window(self, key: tuple[str, str]) -> float:
         """Return the attempts that this entry may have in flight on a version's servers."""
@@ -156,14 +161,20 @@
                 and self._usable(holder, exclude, respect_window)
             ):
                 found.append(holder)
-        tries = len(pool) if len(pool) <= 2 * SAMPLE else 2 * SAMPLE
-        for identity in self._random.sample(pool, tries):
+        for identity in self._draw(pool):
             if len(found) >= SAMPLE:
                 break
-            if identity != holder and self._usable(identity, exclude, respect_window):
+            if identity not in found and self._usable(identity, exclude, respect_window):
                 found.append(identity)
         return found
 
+    def _draw(self, pool: list[str]) -> list[str]:
+        """Return a few servers in random order; a small pool whole, a large one with repeats."""
+        size = len(pool)
+        if size <= 2 * SAMPLE:
+            return self._random.sample(pool, size)
+        return [pool[int(self._random.random() * size)] for _ in range(2 * SAMPLE)]
+
     def _usable(self, identity: str, exclude: Collection[str], respect_window: bool) -> bool:
         state = self._states.get(identity)
         if state is None or identity in exclude:
--- a/src/baobabstream/policy/eligibility.py
+++ b/src/baobabstream/policy/eligibility.py
@@ -8,7 +8,7 @@
 from baobabstream.policy.events import RequestInfo
 from baobabstream.policy.server_index import ServerIndex
 from baobabstream.policy.view import ClusterView
-from baobabstream.wire.rows import RolloutRow, RolloutState, VersionRow, VersionState
+from baobabstream.wire.rows import RolloutState, VersionRow, VersionState
 
 __all__ = ["Eligibility", "Ineligible", "VersionKey"]
 
@@ -42,24 +42,26 @@
     view: ClusterView = field(default_factory=ClusterView)
     stopped: dict[VersionKey, int] = field(default_factory=dict)
     _allowed: dict[tuple[str, str], list[VersionRow]] = field(default_factory=dict)
-    _rollouts: dict[VersionKey, list[RolloutRow]] = field(default_factory=dict)
+    _serving: dict[tuple[str, str], tuple[int, list[VersionRow]]] = field(default_factory=dict)
+    _seen_revision: int = -1
 
     def set_view(self, view: ClusterView) -> list[VersionKey]:
         """Take a new view and return the versions whose local stop it lifts."""
         self.view = view
-        self._allowed.clear()
-        self._rollouts.clear()
-        for rollout in view.rollouts.values():
-            for version in (rollout.from_version, rollout.to_version):
-                self._rollouts.setdefault((rollout.model, version), []).append(rollout)
+        if view.revision != self._seen_revision:
+            self._seen_revision = view.revision
+            self._allowed.clear()
+            self._serving.clear()
         lifted = [key for key, revision in self.stopped.items() if self._revision(key) != revision]
         for key in lifted:
             del self.stopped[key]
+            self._serving.clear()
         return lifted
 
     def stop(self, key: VersionKey) -> None:
         """Give a version no more work at this entry."""
         self.stopped[key] = self._revision(key)
+        self._serving.clear()
 
     def find(self, request: RequestInfo) -> list[VersionRow] | Ineligible:
         """Return the versions on which the request may run now."""
@@ -68,8 +70,7 @@
         allowed = self._allowed_rows(request.client_account, request.model)
         if not allowed:
             return self._why_none(request)
-        serving = [row for row in allowed if self._serves(row)]
-        rows = self._rollout_choice(serving)
+        rows = self._rollout_choice(self._serving_rows(request, allowed))
         if not rows:
             return Ineligible(
                 ResultCode.NO_BACKEND_SERVER,
@@ -90,6 +91,14 @@
         entry = self.view.rows.get(f"version/{key[0]}@{key[1]}")
         return entry.revision if entry is not None else 0
 
+    def _serving_rows(self, request: RequestInfo, allowed: list[VersionRow]) -> list[VersionRow]:
+        name = (request.client_account, request.model)
+        known = self._serving.get(name)
+        if known is None or known[0] != self.index.changes:
+            known = (self.index.changes, [row for row in allowed if self._serves(row)])
+            self._serving[name] = known
+        return known[1]
+
     def _serves(self, row: VersionRow) -> bool:
         key = (row.model, row.version)
         return key not in self.stopped and bool(self.index.engines(key))
@@ -157,7 +166,7 @@
 
     def _rollout_choice(self, rows: list[VersionRow]) -> list[VersionRow]:
         """Leave, of the two versions of a rollout, the one that the share selects."""
-        if not self._rollouts:
+        if not self.view.rollouts:
             return rows
         present = {(row.model, row.version) for row in rows}
         excluded: set[VersionKey] = set()
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -7,6 +7,7 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.admission import Admission
 from baobabstream.policy.attempt_control import AttemptControl
+from baobabstream.policy.backend_choice import Choice
 from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.decisions import AskTrial, Decision, GiveUp, Refuse, StopVersion
 from baobabstream.policy.eligibility import Eligibility, Ineligible
@@ -183,11 +184,12 @@
         share = self._share(running)
         if not self._switches.admission:
             self._keep(running)
-            return self._attempts.start(running, now_s, respect_window=False)
-        if not len(queue) and self._plan_with_room(running, rows):
+            return self._attempts.start(running, now_s)
+        choice = None if len(queue) else self._plan_with_room(running, rows, now_s)
+        if choice is not None:
             self._keep(running)
             queue.charge(running, share)
-            return self._attempts.start(running, now_s)
+            return self._attempts.start(running, now_s, choice)
         window = self._attempts.backends.window(running.plan.key)
         if not self._admission.fits(running, share, window, now_s):
             return [self._refuse_late(running, share, now_s)]
@@ -198,17 +200,20 @@
         )
         return []
 
-    def _plan_with_room(self, running: Running, rows: list[VersionRow]) -> bool:
-        """Take the first plan with room: the chosen one, or another that meets the targets."""
+    def _plan_with_room(
+        self, running: Running, rows: list[VersionRow], now_s: float
+    ) -> Choice | None:
+        """Choose a server for the chosen plan, or for another that meets the targets."""
         backends = self._attempts.backends
-        if backends.has_room(running.plan.key, running.request):
-            return True
-        if len(rows) > 1:
-            for plan in self._attempts.plans.alternatives(running.target, rows):
-                if backends.has_room(plan.key, running.request):
-                    running.plan = plan
-                    return True
-        return False
+        choice = backends.choose(running.request, running.plan.key, now_s)
+        if choice is not None or len(rows) == 1:
+            return choice
+        for plan in self._attempts.plans.alternatives(running.target, rows, now_s):
+            choice = backends.choose(running.request, plan.key, now_s)
+            if choice is not None:
+                running.plan = plan
+                return choice
+        return None
 
     def _refuse_late(self, running: Running, share: float, now_s: float) -> Refuse:
         account = running.request.client_account
@@ -234,7 +239,8 @@
                     break
                 queue.pop(ready)
                 if self._runnable(ready):
-                    decisions += self._attempts.start(ready, now_s)
+                    choice = self._attempts.backends.choose(ready.request, ready.plan.key, now_s)
+                    decisions += self._attempts.start(ready, now_s, choice)
                 else:
                     decisions += self._replan(ready, now_s)
         return decisions
@@ -288,8 +294,10 @@
         running = self._requests.get(event.request_id)
         work_class = self._finished.get(event.request_id, "")
         if work_class:
-            self._attempts.quality.rate(work_class, key, event.good)
+            self._attempts.quality.rate(work_class, key, event.good, now_s)
             self._evidence.rating(key, event.good, now_s)
+            if event.good or running is None or running.plan.then is None:
+                self._attempts.quality.delivered(work_class, event.good)
         decisions: list[Decision] = []
         if running is not None and running.stage is Stage.RATING:
             decisions = self._attempts.rated(running, event.good, now_s)
--- a/src/baobabstream/policy/plan_choice.py
+++ b/src/baobabstream/policy/plan_choice.py
@@ -14,9 +14,10 @@
 
 __all__ = ["Plan", "PlanChoice", "cheapest_mix_cost"]
 
-# The target is compared with the mean less this many standard deviations. One keeps the target
-# while ratings are few and costs little once there are hundreds.
-SAFETY_DEVIATIONS = 1.0
+# The target is compared with a version's mean less some standard deviations: as many as the
+# class's delivered answers lack to meet the target at 95% confidence, within these bounds.
+CONFIDENCE_DEVIATIONS = 1.65
+MAX_SAFETY_DEVIATIONS = 0.7
 EXPLORATION_SHARE = 0.02
 REFRESH_S = 0.5
 # Time for the rating of an answer, as far as plans are concerned.
@@ -106,7 +107,7 @@
             Expected length of the answer.
         """
         if len(rows) == 1:
-            return self._single(target, rows[0])
+            return self._single(target, rows[0], now_s)
         size = output_tokens.bit_length()
         names = tuple([(row.model, row.version) for row in rows])
         mix = self._mixes.get((target.name, size, names))
@@ -117,14 +118,18 @@
             return self._random.choice(mix.explore)
         return mix.high if self._random.random() < mix.high_share else mix.low
 
-    def alternatives(self, target: ClassRow, rows: Sequence[VersionRow]) -> list[Plan]:
+    def alternatives(
+        self, target: ClassRow, rows: Sequence[VersionRow], now_s: float
+    ) -> list[Plan]:
         """Return the single versions that meet quality and cost, cheapest first."""
-        plans = [self._single(target, row) for row in rows]
+        plans = [self._single(target, row, now_s) for row in rows]
         return sorted((plan for plan in plans if plan.meets), key=lambda plan: plan.cost)
 
-    def _single(self, target: ClassRow, row: VersionRow) -> Plan:
-        estimate = self._quality.estimate(target.name, row)
-        quality = estimate.mean - SAFETY_DEVIATIONS * estimate.deviation
+    def _single(self, target: ClassRow, row: VersionRow, now_s: float) -> Plan:
+        estimate = self._quality.estimate(target.name, row, now_s)
+        surplus = self._quality.surplus_deviations(target.name, target.quality)
+        safety = min(MAX_SAFETY_DEVIATIONS, max(0.0, CONFIDENCE_DEVIATIONS - surplus) / 2)
+        quality = estimate.mean - safety * estimate.deviation
         cost = row.cost_per_1k_tokens
         affordable = not target.cost_per_1k_tokens or cost <= target.cost_per_1k_tokens
         return Plan(row, None, quality, cost, affordable and quality >= target.quality)
@@ -132,7 +137,7 @@
     def _make(
         self, target: ClassRow, rows: Sequence[VersionRow], output_tokens: int, now_s: float
     ) -> _Mix:
-        singles = [self._single(target, row) for row in rows]
+        singles = [self._single(target, row, now_s) for row in rows]
         in_time = [plan for plan in singles if self._in_time(target, plan, output_tokens)]
         usable = in_time or singles
         if self._switches.plan_mix:
@@ -145,7 +150,7 @@
             mix.explore = [
                 Plan(plan.first, None, plan.quality, plan.cost, note="exploration")
                 for plan in usable
-                if plan.key not in chosen
+                if plan.key not in chosen and plan.cost <= mix.high.cost
             ]
         if not in_time:
             mix.low = _marked(mix.low, "no version meets the latency target")
--- a/src/baobabstream/policy/server_index.py
+++ b/src/baobabstream/policy/server_index.py
@@ -8,6 +8,11 @@
 class ServerIndex:
     """Engines by model version; only changed records cost work.
 
+    Attributes
+    ----------
+    changes
+        Rises when a version gains or loses a server.
+
     Notes
     -----
     A scan of 1,000 backend servers per decision takes longer than the 100 microseconds that a
@@ -16,6 +21,7 @@
 
     def __init__(self) -> None:
         self.records: dict[str, BackendRecord] = {}
+        self.changes = 0
         self._by_version: dict[tuple[str, str], list[str]] = {}
 
     def update(self, backends: dict[str, BackendRecord]) -> tuple[list[BackendRecord], set[str]]:
@@ -43,6 +49,7 @@
         return self._by_version.get(key, [])
 
     def _add(self, record: BackendRecord) -> None:
+        self.changes += 1
         if record.leaving:
             return
         for item in record.loaded:
@@ -51,6 +58,7 @@
                 engines.append(record.identity)
 
     def _drop(self, record: BackendRecord) -> None:
+        self.changes += 1
         for item in record.loaded:
             engines = self._by_version.get((item.model, item.version), [])
             if record.identity in engines:
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -12,7 +12,7 @@
 
 # An own measurement loses its weight against that of the peers with this time constant, so that a
 # server that was slow gets probes again within a few seconds.
-MEASURE_AGE_S = 3.0
+MEASURE_AGE_S = 6.0
 # A load report loses its weight with this time constant; reports come about 2 s late.
 REPORT_AGE_S = 2.0
 GAIN = 0.3
--- a/src/baobabstream/policy/version_health.py
+++ b/src/baobabstream/policy/version_health.py
@@ -154,11 +154,14 @@
         return record.streams[kind].reference
 
     def _others(self, record: _VersionRecord, kind: _Kind) -> Iterator[_Stream]:
-        return (
-            other.streams[kind]
-            for other in self._records.values()
-            if other is not record and not other.stopped
-        )
+        """Return the streams of the other versions.
+
+        Notes
+        -----
+        A stopped version counts too: when a second version turns bad soon after a stop, the fault
+        is probably shared.
+        """
+        return (other.streams[kind] for other in self._records.values() if other is not record)
 
     def _others_since(
         self, record: _VersionRecord, kind: _Kind, start_s: float
@@ -206,10 +209,8 @@
         """Return the evidence in others' results for the same rise as this version's."""
         if not seen.total:
             return 0.0
-        pending = stream.test.pending
-        rise = pending.bad / pending.total - self._reference(record, stream.kind).mean()
         base = min(max(expected, 0.005), 0.9)
-        raised = min(max(base + rise, base + 0.02), 0.95)
+        raised = min(base + stream.test.rise, 0.95)
         return seen.bad * log(raised / base) + seen.good * log((1 - raised) / (1 - base))
 
     def _reason(self, record: _VersionRecord, stream: _Stream) -> str:
