policy: a suspect under trial is neither hedged nor retried without a new trial

Change: suspects are not hedged or moved; any failure of a suspect asks for a trial again; accounts within their share are dispatched beyond the window instead of expiring; the configured prior quality counts as 100 ratings.

--- a/src/baobabstream/bench/fake_leader.py
+++ b/src/baobabstream/bench/fake_leader.py
@@ -74,7 +74,8 @@
         rows: list[ConfigRow] = []
         for fingerprint in fingerprints:
             losses = 1
-            if fingerprint in self._trials or fingerprint in self.view.quarantined:
+            known = fingerprint in self.view.suspects or fingerprint in self.view.quarantined
+            if known or fingerprint in self._trials:
                 losses = LOSSES_TO_QUARANTINE
             self._trials.pop(fingerprint, None)
             rows.append(QuarantineRow(fingerprint, losses))
--- a/src/baobabstream/bench/world.py
+++ b/src/baobabstream/bench/world.py
@@ -121,7 +121,7 @@
 
     def _arrival(self, stream: Stream, at_s: float, thinned: bool) -> None:
         self._next_arrival(stream, at_s)
-        if thinned:
+        if thinned or (stream.crashes and self._is_open(stream)):
             return
         output = max(4, round(self._random.gammavariate(4.0, stream.output_tokens / 4.0)))
         prompt = max(4, round(self._random.gammavariate(4.0, stream.prompt_tokens / 4.0)))
@@ -142,6 +142,11 @@
         )
         self._arrive(stream, request, output, 0)
 
+    def _is_open(self, stream: Stream) -> bool:
+        """Return whether the last request of a stream has no answer yet."""
+        mine = [item for item in self.records if item.account == stream.account]
+        return bool(mine) and mine[-1].end_s is None
+
     def _arrive(self, stream: Stream, request: RequestInfo, output: int, returns: int) -> None:
         self._count += 1
         info = RequestInfo(
--- a/src/baobabstream/cli/bench.py
+++ b/src/baobabstream/cli/bench.py
@@ -9,6 +9,7 @@
 from rich.table import Table
 
 from baobabstream.bench.decision_time import measure_decision_time
+from baobabstream.bench.false_stops import count_false_stops
 from baobabstream.bench.runner import POLICIES, run_workload
 from baobabstream.bench.workloads import WORKLOADS, workload_named
 
@@ -62,6 +63,19 @@
         typer.echo("  ".join(f"{key} {value:g}" for key, value in row.items()))
 
 
+@bench_app.command("false-stops")
+def false_stops(
+    rollouts: Annotated[int, typer.Option(help="Healthy rollouts of 10,000 answers.")] = 1000,
+    seed: Annotated[int, typer.Option()] = 1,
+    out: Annotated[Path | None, typer.Option(help="JSON file for the result.")] = None,
+) -> None:
+    """Count the healthy rollouts that the version tests stop."""
+    stops = count_false_stops(rollouts, seed)
+    command = f"baobabstream bench false-stops --rollouts {rollouts} --seed {seed}"
+    _write({"command": command, "rollouts": rollouts, "stops": stops}, out)
+    typer.echo(f"{stops} of {rollouts} healthy rollouts stopped")
+
+
 def _write(results: dict[str, Any], out: Path | None) -> None:
     if out is not None:
         out.parent.mkdir(parents=True, exist_ok=True)
--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -263,7 +263,9 @@
     def _move_slow(self, running: Running, attempt: Attempt, now_s: float) -> list[Decision]:
         request = running.request
         state = self.states.get(attempt.backend_server)
-        if running.resumed or not request.idempotent or attempt.rate_first or state is None:
+        if running.trial or running.resumed or not request.idempotent:
+            return []
+        if attempt.rate_first or state is None:
             return []
         remaining = request.expected_output_tokens - running.delivered_tokens
         saves_s = remaining * (state.gap_s - self.states.mean_gap_s)
@@ -354,12 +356,12 @@
         )
 
     def _may_hedge(self, running: Running) -> bool:
-        fresh = not running.delivered_tokens and not running.hedged
+        fresh = not running.delivered_tokens and not running.hedged and not running.trial
         return self._switches.hedges and running.request.idempotent and not running.long and fresh
 
     def _plan_hedge(self, running: Running, attempt: Attempt, choice: Choice, now_s: float) -> None:
         after_s = self.latency.hedge_after_s(attempt.key, now_s)
-        if after_s is None or running.stage is Stage.TRIAL:
+        if after_s is None:
             return
         due_s = now_s + max(after_s, HEDGE_FACTOR * choice.first_token_s)
         self.timers.add(due_s, running.request.request_id, TimerKind.HEDGE, attempt.number)
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -43,6 +43,9 @@
 VERDICT_INTERVAL_S = 0.2
 # A request leaves the queue at the latest when this part of its first-token target is left.
 DISPATCH_MARGIN = 0.8
+# A request within its account's share that has waited this part of its slack is dispatched beyond
+# the window; the rest of the slack covers a short wait at the engine.
+OVERDUE_PART = 0.6
 
 
 class OutcomePolicy(RoutingPolicy):
@@ -195,9 +198,10 @@
             return [self._refuse_late(running, share, now_s)]
         self._keep(running)
         queue.push(running, share)
-        self._attempts.timers.add(
-            running.deadline_s, running.request.request_id, TimerKind.DEADLINE
-        )
+        running.within_share = queue.below_share(running.request.client_account)
+        part = OVERDUE_PART if running.within_share else 1.0
+        due_s = now_s + part * (running.deadline_s - now_s)
+        self._attempts.timers.add(due_s, running.request.request_id, TimerKind.DEADLINE)
         return []
 
     def _plan_with_room(
@@ -279,7 +283,7 @@
             return []
         if self._attempts.is_version_fault(event):
             self._evidence.result(running.attempts[event.attempt].key, False, now_s)
-        suspect = self._attempts.makes_suspect(running, event)
+        suspect = self._attempts.makes_suspect(running, event) or self._is_suspect(running.request)
         decisions = self._attempts.failed(running, event, suspect, now_s)
         if suspect and not any(isinstance(item, GiveUp) for item in decisions):
             self._suspects.add(running.request.fingerprint)
@@ -323,9 +327,7 @@
             if running is None:
                 continue
             if kind is TimerKind.DEADLINE and running.stage is Stage.QUEUED:
-                self._admission.queue(running.long).remove(running)
-                self._forget(running)
-                decisions.append(self._refuse_late(running, self._share(running), now_s))
+                decisions += self._overdue(running, now_s)
             elif kind is TimerKind.HEDGE:
                 decisions += self._attempts.hedge(running, number, now_s)
             elif kind is TimerKind.RATING and running.stage is Stage.RATING:
@@ -333,6 +335,16 @@
                 self._forget(running)
         return decisions + self._stops(now_s)
 
+    def _overdue(self, running: Running, now_s: float) -> list[Decision]:
+        """Dispatch a request within its account's share beyond the window; refuse others."""
+        self._admission.queue(running.long).remove(running)
+        if not self._runnable(running):
+            return self._replan(running, now_s)
+        if running.within_share:
+            return self._attempts.start(running, now_s)
+        self._forget(running)
+        return [self._refuse_late(running, self._share(running), now_s)]
+
     def _caller_gone(self, request_id: str) -> list[Decision]:
         running = self._requests.get(request_id)
         if running is None:
@@ -349,6 +361,7 @@
     def _ask_trial(self, running: Running, now_s: float) -> list[Decision]:
         self._keep(running)
         running.stage = Stage.TRIAL
+        running.trial = True
         candidates = self._attempts.trial_candidates(running)
         if candidates:
             return [AskTrial(running.request.request_id, candidates)]
--- a/src/baobabstream/policy/quality.py
+++ b/src/baobabstream/policy/quality.py
@@ -8,7 +8,7 @@
 __all__ = ["Quality", "QualityEstimates"]
 
 # The configured prior quality counts as this many ratings.
-PRIOR_WEIGHT = 30.0
+PRIOR_WEIGHT = 100.0
 MEMORY = 4000.0
 # The fast estimate covers about this many ratings; it replaces the long one when it lies this
 # many standard deviations below, so that work moves away before a version's test has crossed.
--- a/src/baobabstream/policy/running.py
+++ b/src/baobabstream/policy/running.py
@@ -49,6 +49,10 @@
         Tokens of the answer that the caller has.
     resumed
         Whether the stream has been resumed once.
+    trial
+        Whether the request is a suspect, which is neither hedged nor moved.
+    within_share
+        Whether its account used less than its share when the request was queued.
     """
 
     request: RequestInfo
@@ -67,3 +71,5 @@
     escalated: bool = False
     held_attempt: int = 0
     sent: bool = False
+    trial: bool = False
+    within_share: bool = False
