--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -9,7 +9,7 @@
 
 # A request is queued only when its predicted wait is below this part of its slack, since the
 # service rate may fall while it waits.
-WAIT_PART = 0.15
+WAIT_PART = 0.2
 # The head of an account below its share is served next, so its wait is well known.
 BELOW_SHARE_WAIT_PART = 0.9
 DEFAULT_SERVICE_S = 1.0
--- a/src/baobabstream/policy/fair_queue.py
+++ b/src/baobabstream/policy/fair_queue.py
@@ -109,8 +109,8 @@
         known = self._accounts.get(account)
         if known is None:
             return True
-        start = max(known.finish, self._virtual - CREDIT / known.share)
-        return start + len(known.items) / known.share <= self._virtual
+        used = known.finish + (len(known.items) + 1) / known.share
+        return used <= self._virtual
 
     def _of(self, running: Running, share: float) -> _AccountQueue:
         name = self._name(running)
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -24,7 +24,7 @@
 CUT_INTERVAL_S = 0.5
 # An entry may use its share of a server's slots times this factor, so that slots do not stay empty
 # while entries are unevenly loaded.
-WINDOW_FACTOR = 1.15
+WINDOW_FACTOR = 1.1
 # Share of all requests in flight that this entry assumes before reports have come.
 FIRST_SHARE = 0.25
 SHARE_KEEP = 0.98
