--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -27,7 +27,7 @@
 WINDOW_FACTOR = 1.1
 # Share of all requests in flight that this entry assumes before reports have come.
 FIRST_SHARE = 0.25
-SHARE_KEEP = 0.98
+SHARE_KEEP = 0.995
 
 
 @dataclass(slots=True)
