policy: shorter queues as refusals rise; bench arrivals seeded per stream

Cause: a fixed short queue refused requests at normal load after the peak, and workloads that share a stream had different arrivals, which made ratios noisy. Change: the accepted wait falls with the share of refusals; the margin for the quality target counts the entry's share of the answers.

--- a/src/baobabstream/bench/world.py
+++ b/src/baobabstream/bench/world.py
@@ -25,6 +25,8 @@
 POLL_INTERVAL_S = 0.2
 PUBLISH_S = 0.05
 RESTART_S = 5.0
+# A rate is looked up again at least this often; the exponential distribution has no memory.
+RATE_STEP_S = 0.25
 EXPIRY_S = 1.0
 
 
@@ -33,6 +35,7 @@
 
     def __init__(self, workload: Workload, make_policy: PolicyMaker, seed: int) -> None:
         self.workload = workload
+        self._seed = seed
         self.time = VirtualTime()
         self._random = Random(f"{workload.name}/{seed}")
         # Apart from the arrivals, so that all policies get the same requests.
@@ -63,7 +66,9 @@
     def run(self) -> list[CallerRecord]:
         """Run the workload and return what the callers saw."""
         for stream in self.workload.streams:
-            self._next_arrival(stream, 0.0)
+            # Seeded per stream, so that workloads that share a stream get the same requests.
+            name = f"{stream.account}/{stream.work_class}/{self._seed}"
+            self._next_arrival(stream, 0.0, Random(name))
         for name in self.engines:
             self.time.after(self._random.random(), lambda name=name: self._report(name))  # type: ignore[misc]
         for entry in self.entries:
@@ -109,25 +114,25 @@
         policy = make_policy(random, zone)
         return FakeEntry(self, f"entry-{number}", policy, Random(f"callers/{number}/{seed}"))
 
-    def _next_arrival(self, stream: Stream, after_s: float) -> None:
+    def _next_arrival(self, stream: Stream, after_s: float, random: Random) -> None:
         """Schedule the next arrival of a Poisson process with a changing rate."""
         rate = max(stream.rate(after_s), 1e-9)
-        step_s = min(self._random.expovariate(rate), 0.25 if rate < 4 else 1e9)
-        at_s = after_s + step_s
-        if at_s > self.workload.duration_s:
+        step_s = random.expovariate(rate)
+        beyond = step_s > RATE_STEP_S
+        at_s = after_s + min(step_s, RATE_STEP_S)
+        if at_s <= self.workload.duration_s:
+            self.time.at(at_s, lambda: self._arrival(stream, at_s, random, beyond))
+
+    def _arrival(self, stream: Stream, at_s: float, random: Random, beyond: bool) -> None:
+        self._next_arrival(stream, at_s, random)
+        if beyond or (stream.crashes and self._is_open(stream)):
             return
-        thinned = step_s == 0.25 and rate < 4
-        self.time.at(at_s, lambda: self._arrival(stream, at_s, thinned))
-
-    def _arrival(self, stream: Stream, at_s: float, thinned: bool) -> None:
-        self._next_arrival(stream, at_s)
-        if thinned or (stream.crashes and self._is_open(stream)):
-            return
-        output = max(4, round(self._random.gammavariate(4.0, stream.output_tokens / 4.0)))
-        prompt = max(4, round(self._random.gammavariate(4.0, stream.prompt_tokens / 4.0)))
+        output = max(4, round(random.gammavariate(4.0, stream.output_tokens / 4.0)))
+        prompt = max(4, round(random.gammavariate(4.0, stream.prompt_tokens / 4.0)))
+        estimate = max(4, round(output * random.uniform(0.8, 1.25)))
         prefixes: tuple[str, ...] = ()
         if stream.conversations:
-            name = f"{stream.account}/{self._random.randrange(stream.conversations)}"
+            name = f"{stream.account}/{random.randrange(stream.conversations)}"
             prefixes = tuple(f"{name}/{part}" for part in range(4))
         self._count += 1
         request = RequestInfo(
@@ -136,7 +141,7 @@
             stream.work_class,
             stream.model,
             prompt_tokens=prompt,
-            expected_output_tokens=max(4, round(output * self._random.uniform(0.8, 1.25))),
+            expected_output_tokens=estimate,
             prefix_digests=prefixes,
             fingerprint=stream.fingerprint or f"f{self._count}",
         )
--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -7,9 +7,12 @@
 
 __all__ = ["Admission"]
 
-# A request is queued only when its predicted wait is below this part of its slack, since the
-# service rate may fall while it waits.
-WAIT_PART = 0.2
+# A request is queued only when its predicted wait is below a part of its slack, since the service
+# rate may fall while it waits. The part falls with the share of requests that are refused: in an
+# overload others are served first, and a refusal must come at once.
+WAIT_PART = 0.6
+WAIT_PART_OVERLOADED = 0.2
+REFUSED_GAIN = 0.1
 # The head of an account below its share is served next, so its wait is well known.
 BELOW_SHARE_WAIT_PART = 0.9
 DEFAULT_SERVICE_S = 1.0
@@ -35,6 +38,7 @@
         self.overloaded_since_s: float | None = None
         self.refused_s = -1e9
         self.retry_slot_s = 0.0
+        self.refused_share = 0.0
 
     def rate(self, window: float) -> float:
         """Return requests per second that a full window serves, by Little's law."""
@@ -82,9 +86,17 @@
         """Return whether a request would be dispatched well before its deadline."""
         wait_s = self.wait_s(running.request.client_account, share, running.long, window)
         below = self._lanes[running.long].queue.below_share(running.request.client_account)
-        part = BELOW_SHARE_WAIT_PART if below else WAIT_PART
+        if below:
+            return wait_s <= BELOW_SHARE_WAIT_PART * (running.deadline_s - now_s)
+        refused = self._lanes[running.long].refused_share
+        part = WAIT_PART - (WAIT_PART - WAIT_PART_OVERLOADED) * min(1.0, 4 * refused)
         return wait_s <= part * (running.deadline_s - now_s)
 
+    def decided(self, long: bool, refused: bool) -> None:
+        """Take whether an arrived request was refused into the share of refusals."""
+        lane = self._lanes[long]
+        lane.refused_share += REFUSED_GAIN * (refused - lane.refused_share)
+
     def retry_after_s(self, long: bool, window: float, now_s: float) -> float:
         """Return a time after which a refused request is likely to be admitted.
 
--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -78,7 +78,7 @@
         self.sizes = WorkSizes()
         self.latency = LatencyEstimates()
         self.quality = QualityEstimates()
-        self.plans = PlanChoice(self.quality, self.latency, random, switches)
+        self.plans = PlanChoice(self.quality, self.latency, self.states, random, switches)
         self.timers = Timers()
         self.backends = BackendChoice(
             index, self.states, self.sizes, availability_zone, random, switches
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -191,10 +191,13 @@
         choice = None if len(queue) else self._plan_with_room(running, rows, now_s)
         if choice is not None:
             self._keep(running)
+            self._admission.decided(running.long, refused=False)
             queue.charge(running, share)
             return self._attempts.start(running, now_s, choice)
         window = self._attempts.backends.window(running.plan.key)
-        if not self._admission.fits(running, share, window, now_s):
+        fits = self._admission.fits(running, share, window, now_s)
+        self._admission.decided(running.long, refused=not fits)
+        if not fits:
             return [self._refuse_late(running, share, now_s)]
         self._keep(running)
         queue.push(running, share)
--- a/src/baobabstream/policy/plan_choice.py
+++ b/src/baobabstream/policy/plan_choice.py
@@ -3,19 +3,22 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import pairwise
+from math import sqrt
 from random import Random
 
 from cachetools import LRUCache
 
 from baobabstream.policy.latency import LatencyEstimates
 from baobabstream.policy.quality import QualityEstimates
+from baobabstream.policy.server_state import ServerStates
 from baobabstream.policy.switches import PolicySwitches
 from baobabstream.wire.rows import ClassRow, VersionRow
 
 __all__ = ["Plan", "PlanChoice", "cheapest_mix_cost"]
 
 # The target is compared with a version's mean less some standard deviations: as many as the
-# class's delivered answers lack to meet the target at 95% confidence, within these bounds.
+# class's delivered answers lack to meet the target at 95% confidence over all entries. An entry
+# with a share of the answers has to contribute the root of that share.
 CONFIDENCE_DEVIATIONS = 1.65
 MAX_SAFETY_DEVIATIONS = 0.7
 EXPLORATION_SHARE = 0.02
@@ -79,10 +82,12 @@
         self,
         quality: QualityEstimates,
         latency: LatencyEstimates,
+        states: ServerStates,
         random: Random,
         switches: PolicySwitches,
     ) -> None:
         self._quality = quality
+        self._states = states
         self._latency = latency
         self._random = random
         self._switches = switches
@@ -128,7 +133,8 @@
     def _single(self, target: ClassRow, row: VersionRow, now_s: float) -> Plan:
         estimate = self._quality.estimate(target.name, row, now_s)
         surplus = self._quality.surplus_deviations(target.name, target.quality)
-        safety = min(MAX_SAFETY_DEVIATIONS, max(0.0, CONFIDENCE_DEVIATIONS - surplus) / 2)
+        needed = CONFIDENCE_DEVIATIONS * sqrt(self._states.share)
+        safety = min(MAX_SAFETY_DEVIATIONS, max(0.0, needed - surplus) / 2)
         quality = estimate.mean - safety * estimate.deviation
         cost = row.cost_per_1k_tokens
         affordable = not target.cost_per_1k_tokens or cost <= target.cost_per_1k_tokens
