--- a/src/baobabstream/policy/latency.py
+++ b/src/baobabstream/policy/latency.py
@@ -9,6 +9,7 @@
 MAX_MS = 600_000
 ROTATE_S = 10.0
 REFRESH_S = 1.0
+MIN_SAMPLES = 10
 HEDGE_PERCENTILE = 95.0
 GAIN = 0.05
 
@@ -40,7 +41,7 @@
             self._computed_s = now_s
             parts = [self._current, self._previous]
             largest = max(parts, key=lambda part: part.get_total_count())
-            if largest.get_total_count() >= 20:
+            if largest.get_total_count() >= MIN_SAMPLES:
                 self._quantile_s = largest.get_value_at_percentile(HEDGE_PERCENTILE) / 1000
         return self._quantile_s
 
