policy: shared faults show in the other versions' own tests; no fast quality estimate

A fast quality estimate moved work to dear versions after chance runs of bad ratings. Change: a verdict waits while a test on the other versions' last 20 s has risen; the last version in service is not stopped soon after another; the fast estimate is removed, since it raised cost and shortened no exposure.

--- a/src/baobabstream/policy/change_test.py
+++ b/src/baobabstream/policy/change_test.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import inf, log, sqrt
 
-__all__ = ["ChangeTest", "Counts", "ReferenceRate"]
+__all__ = ["RISES", "ChangeTest", "Counts", "ReferenceRate", "log_ratio"]
 
 # Differences to the reference rate that the test looks for. The smallest finds a version that is
 # 10 points worse, the largest one that turns bad at once.
@@ -111,7 +111,7 @@
 
     @property
     def _largest(self) -> int:
-        return max(range(len(RISES)), key=self._sums.__getitem__)
+        return max(range(len(RISES)), key=lambda index: (self._sums[index], index))
 
     def observe(self, good: float, bad: float, reference_rate: float, now_s: float) -> Counts:
         """Count results and return those that no run of the test needs any more."""
@@ -120,7 +120,7 @@
         for index, rise in enumerate(RISES):
             if self._sums[index] <= 0.0:
                 self._starts[index] = now_s
-            total = self._sums[index] + _log_ratio(good, bad, reference_rate, rise)
+            total = self._sums[index] + log_ratio(good, bad, reference_rate, rise)
             self._sums[index] = min(max(0.0, total), self._limit + EXCESS)
         if max(self._sums) <= 0.0:
             return self.reset()
@@ -147,6 +147,10 @@
             recent.add(counts.good, counts.bad)
         return recent
 
+    def buckets_since(self, start_s: float) -> list[tuple[float, Counts]]:
+        """Return the recent results by time."""
+        return [item for item in self._buckets if item[0] >= start_s]
+
     def _remember(self, good: float, bad: float, now_s: float) -> None:
         if not self._buckets or now_s - self._buckets[-1][0] >= BUCKET_S:
             self._buckets.append((now_s, Counts()))
@@ -155,7 +159,8 @@
         self._buckets[-1][1].add(good, bad)
 
 
-def _log_ratio(good: float, bad: float, reference_rate: float, rise: float) -> float:
+def log_ratio(good: float, bad: float, reference_rate: float, rise: float) -> float:
+    """Return the log-likelihood ratio of results for a raised rate against the reference."""
     base = min(max(reference_rate, MIN_RATE), MAX_RATE - 0.01)
     raised = min(base + rise, MAX_RATE)
     return bad * log(raised / base) + good * log((1 - raised) / (1 - base))
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -215,7 +215,7 @@
         choice = backends.choose(running.request, running.plan.key, now_s)
         if choice is not None or len(rows) == 1:
             return choice
-        for plan in self._attempts.plans.alternatives(running.target, rows, now_s):
+        for plan in self._attempts.plans.alternatives(running.target, rows):
             choice = backends.choose(running.request, plan.key, now_s)
             if choice is not None:
                 running.plan = plan
@@ -301,7 +301,7 @@
         running = self._requests.get(event.request_id)
         work_class = self._finished.get(event.request_id, "")
         if work_class:
-            self._attempts.quality.rate(work_class, key, event.good, now_s)
+            self._attempts.quality.rate(work_class, key, event.good)
             self._evidence.rating(key, event.good, now_s)
             if event.good or running is None or running.plan.then is None:
                 self._attempts.quality.delivered(work_class, event.good)
--- a/src/baobabstream/policy/plan_choice.py
+++ b/src/baobabstream/policy/plan_choice.py
@@ -112,7 +112,7 @@
             Expected length of the answer.
         """
         if len(rows) == 1:
-            return self._single(target, rows[0], now_s)
+            return self._single(target, rows[0])
         size = output_tokens.bit_length()
         names = tuple([(row.model, row.version) for row in rows])
         mix = self._mixes.get((target.name, size, names))
@@ -123,15 +123,13 @@
             return self._random.choice(mix.explore)
         return mix.high if self._random.random() < mix.high_share else mix.low
 
-    def alternatives(
-        self, target: ClassRow, rows: Sequence[VersionRow], now_s: float
-    ) -> list[Plan]:
+    def alternatives(self, target: ClassRow, rows: Sequence[VersionRow]) -> list[Plan]:
         """Return the single versions that meet quality and cost, cheapest first."""
-        plans = [self._single(target, row, now_s) for row in rows]
+        plans = [self._single(target, row) for row in rows]
         return sorted((plan for plan in plans if plan.meets), key=lambda plan: plan.cost)
 
-    def _single(self, target: ClassRow, row: VersionRow, now_s: float) -> Plan:
-        estimate = self._quality.estimate(target.name, row, now_s)
+    def _single(self, target: ClassRow, row: VersionRow) -> Plan:
+        estimate = self._quality.estimate(target.name, row)
         surplus = self._quality.surplus_deviations(target.name, target.quality)
         needed = CONFIDENCE_DEVIATIONS * sqrt(self._states.share)
         safety = min(MAX_SAFETY_DEVIATIONS, max(0.0, needed - surplus) / 2)
@@ -143,7 +141,7 @@
     def _make(
         self, target: ClassRow, rows: Sequence[VersionRow], output_tokens: int, now_s: float
     ) -> _Mix:
-        singles = [self._single(target, row, now_s) for row in rows]
+        singles = [self._single(target, row) for row in rows]
         in_time = [plan for plan in singles if self._in_time(target, plan, output_tokens)]
         usable = in_time or singles
         if self._switches.plan_mix:
--- a/src/baobabstream/policy/quality.py
+++ b/src/baobabstream/policy/quality.py
@@ -10,12 +10,6 @@
 # The configured prior quality counts as this many ratings.
 PRIOR_WEIGHT = 100.0
 MEMORY = 4000.0
-# The fast estimate covers about this many ratings; it replaces the long one when it lies this
-# many standard deviations below, so that work moves away before a version's test has crossed.
-FAST_MEMORY = 12.0
-FAST_DEVIATIONS = 3.0
-# Without new ratings the fast estimate ends after this time, so that the version gets work again.
-FAST_VALID_S = 5.0
 # Good answers of a class are compared with its target over about this many ratings.
 CLASS_MEMORY = 1000.0
 # Ratings of the version in other classes count at most this much in a class.
@@ -34,31 +28,18 @@
 class _Beta:
     good: float = 0.0
     bad: float = 0.0
-    fast_good: float = 0.0
-    fast_total: float = 0.0
-    rated_s: float = 0.0
 
-    def add(self, good: bool, now_s: float) -> None:
+    def add(self, good: bool) -> None:
         if self.good + self.bad >= MEMORY:
             self.good /= 2
             self.bad /= 2
         self.good += good
         self.bad += not good
-        keep = 1 - 1 / FAST_MEMORY if now_s - self.rated_s < FAST_VALID_S else 0.0
-        self.rated_s = now_s
-        self.fast_good = self.fast_good * keep + good
-        self.fast_total = self.fast_total * keep + 1
 
-    def posterior(self, prior_mean: float, prior_weight: float, now_s: float) -> Quality:
+    def posterior(self, prior_mean: float, prior_weight: float) -> Quality:
         total = prior_weight + self.good + self.bad
         mean = (prior_weight * prior_mean + self.good) / total
-        deviation = sqrt(mean * (1 - mean) / (total + 1))
-        if self.fast_total > 0.3 * FAST_MEMORY and now_s - self.rated_s < FAST_VALID_S:
-            fast = (self.fast_good + mean) / (self.fast_total + 1)
-            limit = FAST_DEVIATIONS * sqrt(mean * (1 - mean) / (self.fast_total + 1))
-            if fast < mean - limit:
-                return Quality(fast, deviation)
-        return Quality(mean, deviation)
+        return Quality(mean, sqrt(mean * (1 - mean) / (total + 1)))
 
 
 @dataclass(slots=True)
@@ -75,24 +56,24 @@
     _classes: dict[tuple[str, str, str], _Beta] = field(default_factory=dict)
     _delivered: dict[str, tuple[float, float]] = field(default_factory=dict)
 
-    def rate(self, work_class: str, key: tuple[str, str], good: bool, now_s: float) -> None:
+    def rate(self, work_class: str, key: tuple[str, str], good: bool) -> None:
         """Take one rating."""
-        self._versions.setdefault(key, _Beta()).add(good, now_s)
-        self._classes.setdefault((work_class, *key), _Beta()).add(good, now_s)
+        self._versions.setdefault(key, _Beta()).add(good)
+        self._classes.setdefault((work_class, *key), _Beta()).add(good)
 
-    def estimate(self, work_class: str, row: VersionRow, now_s: float) -> Quality:
+    def estimate(self, work_class: str, row: VersionRow) -> Quality:
         """Return the posterior of a version in a class."""
         key = (row.model, row.version)
         version = self._versions.get(key)
         if version is None:
             mean = min(max(row.prior_quality, 0.01), 0.99)
             return Quality(mean, sqrt(mean * (1 - mean) / (PRIOR_WEIGHT + 1)))
-        overall = version.posterior(row.prior_quality, PRIOR_WEIGHT, now_s)
+        overall = version.posterior(row.prior_quality, PRIOR_WEIGHT)
         in_class = self._classes.get((work_class, *key))
         if in_class is None:
             return overall
         weight = min(CLASS_PRIOR_WEIGHT, PRIOR_WEIGHT + version.good + version.bad)
-        return in_class.posterior(overall.mean, weight, now_s)
+        return in_class.posterior(overall.mean, weight)
 
     def delivered(self, work_class: str, good: bool) -> None:
         """Count a rated answer that a caller got."""
--- a/src/baobabstream/policy/version_health.py
+++ b/src/baobabstream/policy/version_health.py
@@ -1,11 +1,17 @@
 """Finds versions that have become worse than the version they replace."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from math import inf, log, sqrt
 
-from baobabstream.policy.change_test import ChangeTest, Counts, ReferenceRate
+from baobabstream.policy.change_test import (
+    RISES,
+    ChangeTest,
+    Counts,
+    ReferenceRate,
+    log_ratio,
+)
 from baobabstream.wire.messages import VersionEvidence
 
 __all__ = ["HealthVerdict", "VersionHealth"]
@@ -28,6 +34,12 @@
 ATTRIBUTION_STEPS = ((0.0, -3.0), (5.0, -2.0), (12.0, 0.0))
 SHARED_HOLD_S = 10.0
 SHARED_LOG_RATIO = 3.0
+# Evidence of the same rise in the other versions' results, beyond that of one bad result, holds up
+# a verdict.
+OTHERS_RISEN = 2.5
+# The last version in service is not stopped so soon after another one; the fault may be shared,
+# and nothing would be left to serve.
+LAST_VERSION_S = 120.0
 
 
 class _Kind(StrEnum):
@@ -64,7 +76,12 @@
     version: str
     streams: dict[_Kind, _Stream]
     baseline_version: str = ""
-    stopped: bool = field(default=False)
+    stopped_s: float = -inf
+
+    @property
+    def stopped(self) -> bool:
+        """Return whether a verdict was given."""
+        return self.stopped_s > -inf
 
 
 class VersionHealth:
@@ -106,7 +123,7 @@
         for record in self._records.values():
             reason = "" if record.stopped else self._verdict(record, now_s)
             if reason:
-                record.stopped = True
+                record.stopped_s = now_s
                 found.append(HealthVerdict(record.model, record.version, reason))
         return found
 
@@ -195,7 +212,11 @@
         seen, expected = self._others_since(record, stream.kind, stream.test.onset_s)
         earlier, _ = self._others_since(record, stream.kind, now_s - RECENT_S)
         if not seen.total and not earlier.total:
-            return True
+            return not self._last_in_service(record, now_s)
+        if self._last_in_service(record, now_s):
+            return False
+        if self._others_risen(record, stream, now_s) > OTHERS_RISEN:
+            return False
         ratio = self._shared_log_ratio(record, stream, seen, expected)
         if ratio >= SHARED_LOG_RATIO:
             stream.test.reset()
@@ -203,6 +224,40 @@
         waited_s = now_s - stream.test.crossed_s
         return any(waited_s >= wait_s and ratio <= need for wait_s, need in ATTRIBUTION_STEPS)
 
+    def _last_in_service(self, record: _VersionRecord, now_s: float) -> bool:
+        """Return whether another version was stopped lately and no third one has results."""
+        others = [other for other in self._records.values() if other is not record]
+        if not any(now_s - other.stopped_s < LAST_VERSION_S for other in others):
+            return False
+        recent_s = now_s - RECENT_S
+        return not any(
+            stream.test.since(recent_s).total
+            for other in others
+            if not other.stopped
+            for stream in other.streams.values()
+        )
+
+    def _others_risen(self, record: _VersionRecord, stream: _Stream, now_s: float) -> float:
+        """Return the largest sum of a test on the other versions' recent results.
+
+        Notes
+        -----
+        The results since the onset alone are not enough: a fault that all share may be older than
+        the run of this version's test that crossed, and may raise the others' rate by less.
+        """
+        buckets = [
+            (at_s, counts, min(max(other.reference.mean(), 0.005), 0.9))
+            for other in self._others(record, stream.kind)
+            for at_s, counts in other.test.buckets_since(now_s - RECENT_S)
+        ]
+        buckets.sort(key=lambda item: item[0])
+        sums = [0.0] * len(RISES)
+        for _, counts, base in buckets:
+            for index, rise in enumerate(RISES):
+                ratio = log_ratio(counts.good, counts.bad, base, rise)
+                sums[index] = max(0.0, sums[index] + ratio)
+        return max(sums)
+
     def _shared_log_ratio(
         self, record: _VersionRecord, stream: _Stream, seen: Counts, expected: float
     ) -> float:
@@ -210,8 +265,7 @@
         if not seen.total:
             return 0.0
         base = min(max(expected, 0.005), 0.9)
-        raised = min(base + stream.test.rise, 0.95)
-        return seen.bad * log(raised / base) + seen.good * log((1 - raised) / (1 - base))
+        return log_ratio(seen.good, seen.bad, base, stream.test.rise)
 
     def _reason(self, record: _VersionRecord, stream: _Stream) -> str:
         pending = stream.test.pending
--- a/tests/policy/test_parts.py
+++ b/tests/policy/test_parts.py
@@ -63,7 +63,7 @@
         for number in range(6000):
             plan = choice.choose(target, rows, 100, number * 0.1)
             hit = random.random() < true[plan.first.model]
-            quality.rate("answer", plan.key, hit, number * 0.1)
+            quality.rate("answer", plan.key, hit)
             quality.delivered("answer", hit)
             good += hit
             cost += plan.first.cost_per_1k_tokens
