policy: requests that end in the queue give their place back

Cause: a waiting request that was refused because all servers had gone stayed in the account's load; load reports cleared all plans; an attempt without a FirstToken event was never measured. Change: every refusal forgets its request; plans are cleared only when the configuration changes; the first TokensReceived counts as a first token.

--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -74,6 +74,7 @@
         self._eligibility = eligibility
         self._switches = switches
         self._index = index
+        self._revision = -1
         self.states = ServerStates(random)
         self.sizes = WorkSizes()
         self.latency = LatencyEstimates()
@@ -88,7 +89,10 @@
         self._hedges = Budget(HEDGE_FRACTION, cap=10.0)
 
     def set_classes(self, view: ClusterView) -> None:
-        """Take the targets of a new view."""
+        """Take the targets of a new view; load reports alone change none."""
+        if view.revision == self._revision:
+            return
+        self._revision = view.revision
         self.plans.clear()
         targets = [row.first_token_ms / 1000 for row in view.classes.values()]
         self._measure.tightest_first_s = min(targets, default=1.0)
@@ -143,13 +147,17 @@
         attempt = running.attempts.get(event.attempt) if running is not None else None
         if running is None or attempt is None:
             return []
+        decisions: list[Decision] = []
+        if attempt.first_token_s is None:
+            first = FirstToken(event.request_id, event.attempt)
+            decisions = self.first_token(running, first, now_s)
         measured = attempt.measured_tokens
         self._measure.tokens(attempt, event.tokens, now_s)
         if not attempt.rate_first:
             running.delivered_tokens += event.tokens
         if attempt.measured_tokens != measured and self._switches.hedges:
-            return self._move_slow(running, attempt, now_s)
-        return []
+            decisions += self._move_slow(running, attempt, now_s)
+        return decisions
 
     def finished(
         self, running: Running, attempt: Attempt, event: AttemptFinished, now_s: float
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -99,6 +99,15 @@
 
     def handle(self, event: PolicyEvent, now_s: float) -> list[Decision]:
         """Take an event and return the decisions that follow."""
+        decisions = self._decide(event, now_s)
+        for decision in decisions:
+            if isinstance(decision, Refuse | GiveUp):
+                ended = self._requests.get(decision.request_id)
+                if ended is not None:
+                    self._forget(ended)
+        return decisions
+
+    def _decide(self, event: PolicyEvent, now_s: float) -> list[Decision]:
         match event:
             case RequestArrived():
                 return self._arrive(event.request, now_s)
--- a/tests/policy/test_outcome_policy.py
+++ b/tests/policy/test_outcome_policy.py
@@ -61,6 +61,30 @@
         assert all(item.retry_after_s > 0 for item in refused)
         assert all(item.code is ResultCode.DEADLINE_UNREACHABLE for item in refused)
 
+    def test_waiting_requests_end_when_all_servers_go(self) -> None:
+        """A request that ends in the queue must give its account's place back."""
+        family = AccountRow("family", "digest-2", ("small",), max_in_flight=1)
+        view = make_view(DESK, family, ANSWER, SMALL, engines=1)
+        policy = make_policy(view)
+        arrive(policy, 49, account="family")
+        policy.handle(AttemptFinished("r49", 1, 10), 0.0)
+        for number in range(30):
+            arrive(policy, number)
+        assert arrive(policy, 50, account="family") == []
+        records = list(view.backends.values())
+        view.apply_backends((), (), True)
+        policy.handle(ViewChanged(view), 0.1)
+        ended = policy.handle(TimerFired(), 5.0)
+        assert "r50" in [item.request_id for item in ended]
+        view.apply_backends(records, (), True)
+        policy.handle(ViewChanged(view), 6.0)
+        again = arrive(policy, 51, 6.0, account="family")
+        assert self.code_or_dispatch(again) is not ResultCode.ACCOUNT_LIMIT
+
+    @staticmethod
+    def code_or_dispatch(decisions) -> ResultCode | None:
+        return decisions[0].code if isinstance(decisions[0], Refuse) else None
+
 
 class AttemptTest(TestCase):
     """Guards against lost, doubled or endlessly repeated attempts."""
