--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -38,7 +38,9 @@
 # saves at least this time.
 MOVE_SLOWDOWN = 2.5
 MOVE_SAVES_S = 0.3
-MIN_HEDGE_S = 0.02
+# A hedge also waits for this multiple of the time expected on the chosen server. With the quantile
+# alone ordinary waits use up the budget before a server is slowed.
+HEDGE_FACTOR = 2.0
 # A held answer is released without a rating after this time, so that the rating service cannot
 # hold back answers.
 RATING_TIMEOUT_S = 1.0
@@ -72,11 +74,12 @@
         self._eligibility = eligibility
         self._switches = switches
         self._index = index
+        self._revision = -1
         self.states = ServerStates(random)
         self.sizes = WorkSizes()
         self.latency = LatencyEstimates()
         self.quality = QualityEstimates()
-        self.plans = PlanChoice(self.quality, self.latency, random, switches)
+        self.plans = PlanChoice(self.quality, self.latency, self.states, random, switches)
         self.timers = Timers()
         self.backends = BackendChoice(
             index, self.states, self.sizes, availability_zone, random, switches
@@ -86,7 +89,10 @@
         self._hedges = Budget(HEDGE_FRACTION, cap=10.0)
 
     def set_classes(self, view: ClusterView) -> None:
-        """Take the targets of a new view."""
+        """Take the targets of a new view; load reports alone change none."""
+        if view.revision == self._revision:
+            return
+        self._revision = view.revision
         self.plans.clear()
         targets = [row.first_token_ms / 1000 for row in view.classes.values()]
         self._measure.tightest_first_s = min(targets, default=1.0)
@@ -99,10 +105,9 @@
         """Return the expected total time without waiting."""
         return self.latency.total_s(key, request.expected_output_tokens)
 
-    def start(self, running: Running, now_s: float, respect_window: bool = True) -> list[Decision]:
-        """Dispatch the first attempt."""
+    def start(self, running: Running, now_s: float, choice: Choice | None = None) -> list[Decision]:
+        """Dispatch the first attempt, to a server that was chosen or to any."""
         key = running.plan.key
-        choice = self.backends.choose(running.request, key, now_s, (), respect_window)
         if choice is None:
             choice = self.backends.choose(running.request, key, now_s, (), False)
         if choice is None:
@@ -142,13 +147,17 @@
         attempt = running.attempts.get(event.attempt) if running is not None else None
         if running is None or attempt is None:
             return []
+        decisions: list[Decision] = []
+        if attempt.first_token_s is None:
+            first = FirstToken(event.request_id, event.attempt)
+            decisions = self.first_token(running, first, now_s)
         measured = attempt.measured_tokens
         self._measure.tokens(attempt, event.tokens, now_s)
         if not attempt.rate_first:
             running.delivered_tokens += event.tokens
         if attempt.measured_tokens != measured and self._switches.hedges:
-            return self._move_slow(running, attempt, now_s)
-        return []
+            decisions += self._move_slow(running, attempt, now_s)
+        return decisions
 
     def finished(
         self, running: Running, attempt: Attempt, event: AttemptFinished, now_s: float
@@ -262,7 +271,9 @@
     def _move_slow(self, running: Running, attempt: Attempt, now_s: float) -> list[Decision]:
         request = running.request
         state = self.states.get(attempt.backend_server)
-        if running.resumed or not request.idempotent or attempt.rate_first or state is None:
+        if running.trial or running.resumed or not request.idempotent:
+            return []
+        if attempt.rate_first or state is None:
             return []
         remaining = request.expected_output_tokens - running.delivered_tokens
         saves_s = remaining * (state.gap_s - self.states.mean_gap_s)
@@ -353,14 +364,14 @@
         )
 
     def _may_hedge(self, running: Running) -> bool:
-        fresh = not running.delivered_tokens and not running.hedged
+        fresh = not running.delivered_tokens and not running.hedged and not running.trial
         return self._switches.hedges and running.request.idempotent and not running.long and fresh
 
     def _plan_hedge(self, running: Running, attempt: Attempt, choice: Choice, now_s: float) -> None:
         after_s = self.latency.hedge_after_s(attempt.key, now_s)
-        if after_s is None or running.stage is Stage.TRIAL:
+        if after_s is None:
             return
-        due_s = now_s + max(after_s, MIN_HEDGE_S)
+        due_s = now_s + max(after_s, HEDGE_FACTOR * choice.first_token_s)
         self.timers.add(due_s, running.request.request_id, TimerKind.HEDGE, attempt.number)
 
     @staticmethod
--- a/src/baobabstream/policy/change_test.py
+++ b/src/baobabstream/policy/change_test.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import inf, log, sqrt
 
-__all__ = ["ChangeTest", "Counts", "ReferenceRate"]
+__all__ = ["RISES", "ChangeTest", "Counts", "ReferenceRate", "log_ratio"]
 
 # Differences to the reference rate that the test looks for. The smallest finds a version that is
 # 10 points worse, the largest one that turns bad at once.
@@ -94,21 +94,34 @@
     def __init__(self, limit: float) -> None:
         self._limit = limit
         self._sums = [0.0] * len(RISES)
+        self._starts = [inf] * len(RISES)
         self._buckets: deque[tuple[float, Counts]] = deque()
         self.pending = Counts()
-        self.onset_s = inf
         self.crossed_s = inf
 
+    @property
+    def rise(self) -> float:
+        """Return the rise whose test has the largest sum."""
+        return RISES[self._largest]
+
+    @property
+    def onset_s(self) -> float:
+        """Return when the run with the largest sum started, which is close to the change."""
+        return self._starts[self._largest]
+
+    @property
+    def _largest(self) -> int:
+        return max(range(len(RISES)), key=lambda index: (self._sums[index], index))
+
     def observe(self, good: float, bad: float, reference_rate: float, now_s: float) -> Counts:
         """Count results and return those that no run of the test needs any more."""
         self._remember(good, bad, now_s)
-        if self.onset_s == inf:
-            self.onset_s = now_s
         self.pending.add(good, bad)
-        self._sums = [
-            min(max(0.0, total + _log_ratio(good, bad, reference_rate, rise)), self._limit + EXCESS)
-            for total, rise in zip(self._sums, RISES, strict=True)
-        ]
+        for index, rise in enumerate(RISES):
+            if self._sums[index] <= 0.0:
+                self._starts[index] = now_s
+            total = self._sums[index] + log_ratio(good, bad, reference_rate, rise)
+            self._sums[index] = min(max(0.0, total), self._limit + EXCESS)
         if max(self._sums) <= 0.0:
             return self.reset()
         if max(self._sums) < self._limit:
@@ -121,7 +134,6 @@
         """Start again from zero and return the results of the ended run."""
         ended = self.pending
         self.pending = Counts()
-        self.onset_s = inf
         self.crossed_s = inf
         self._sums = [0.0] * len(RISES)
         return ended
@@ -135,6 +147,10 @@
             recent.add(counts.good, counts.bad)
         return recent
 
+    def buckets_since(self, start_s: float) -> list[tuple[float, Counts]]:
+        """Return the recent results by time."""
+        return [item for item in self._buckets if item[0] >= start_s]
+
     def _remember(self, good: float, bad: float, now_s: float) -> None:
         if not self._buckets or now_s - self._buckets[-1][0] >= BUCKET_S:
             self._buckets.append((now_s, Counts()))
@@ -143,7 +159,8 @@
         self._buckets[-1][1].add(good, bad)
 
 
-def _log_ratio(good: float, bad: float, reference_rate: float, rise: float) -> float:
+def log_ratio(good: float, bad: float, reference_rate: float, rise: float) -> float:
+    """Return the log-likelihood ratio of results for a raised rate against the reference."""
     base = min(max(reference_rate, MIN_RATE), MAX_RATE - 0.01)
     raised = min(base + rise, MAX_RATE)
     return bad * log(raised / base) + good * log((1 - raised) / (1 - base))
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -7,6 +7,7 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.admission import Admission
 from baobabstream.policy.attempt_control import AttemptControl
+from baobabstream.policy.backend_choice import Choice
 from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.decisions import AskTrial, Decision, GiveUp, Refuse, StopVersion
 from baobabstream.policy.eligibility import Eligibility, Ineligible
@@ -42,6 +43,9 @@
 VERDICT_INTERVAL_S = 0.2
 # A request leaves the queue at the latest when this part of its first-token target is left.
 DISPATCH_MARGIN = 0.8
+# A request within its account's share that has waited this part of its slack is dispatched beyond
+# the window; the rest of the slack covers a short wait at the engine.
+OVERDUE_PART = 0.6
 
 
 class OutcomePolicy(RoutingPolicy):
@@ -95,6 +99,15 @@
 
     def handle(self, event: PolicyEvent, now_s: float) -> list[Decision]:
         """Take an event and return the decisions that follow."""
+        decisions = self._decide(event, now_s)
+        for decision in decisions:
+            if isinstance(decision, Refuse | GiveUp):
+                ended = self._requests.get(decision.request_id)
+                if ended is not None:
+                    self._forget(ended)
+        return decisions
+
+    def _decide(self, event: PolicyEvent, now_s: float) -> list[Decision]:
         match event:
             case RequestArrived():
                 return self._arrive(event.request, now_s)
@@ -183,32 +196,40 @@
         share = self._share(running)
         if not self._switches.admission:
             self._keep(running)
-            return self._attempts.start(running, now_s, respect_window=False)
-        if not len(queue) and self._plan_with_room(running, rows):
+            return self._attempts.start(running, now_s)
+        choice = None if len(queue) else self._plan_with_room(running, rows, now_s)
+        if choice is not None:
             self._keep(running)
+            self._admission.decided(running.long, refused=False)
             queue.charge(running, share)
-            return self._attempts.start(running, now_s)
+            return self._attempts.start(running, now_s, choice)
         window = self._attempts.backends.window(running.plan.key)
-        if not self._admission.fits(running, share, window, now_s):
+        fits = self._admission.fits(running, share, window, now_s)
+        self._admission.decided(running.long, refused=not fits)
+        if not fits:
             return [self._refuse_late(running, share, now_s)]
         self._keep(running)
         queue.push(running, share)
-        self._attempts.timers.add(
-            running.deadline_s, running.request.request_id, TimerKind.DEADLINE
-        )
+        running.within_share = queue.below_share(running.request.client_account)
+        part = OVERDUE_PART if running.within_share else 1.0
+        due_s = now_s + part * (running.deadline_s - now_s)
+        self._attempts.timers.add(due_s, running.request.request_id, TimerKind.DEADLINE)
         return []
 
-    def _plan_with_room(self, running: Running, rows: list[VersionRow]) -> bool:
-        """Take the first plan with room: the chosen one, or another that meets the targets."""
+    def _plan_with_room(
+        self, running: Running, rows: list[VersionRow], now_s: float
+    ) -> Choice | None:
+        """Choose a server for the chosen plan, or for another that meets the targets."""
         backends = self._attempts.backends
-        if backends.has_room(running.plan.key, running.request):
-            return True
-        if len(rows) > 1:
-            for plan in self._attempts.plans.alternatives(running.target, rows):
-                if backends.has_room(plan.key, running.request):
-                    running.plan = plan
-                    return True
-        return False
+        choice = backends.choose(running.request, running.plan.key, now_s)
+        if choice is not None or len(rows) == 1:
+            return choice
+        for plan in self._attempts.plans.alternatives(running.target, rows):
+            choice = backends.choose(running.request, plan.key, now_s)
+            if choice is not None:
+                running.plan = plan
+                return choice
+        return None
 
     def _refuse_late(self, running: Running, share: float, now_s: float) -> Refuse:
         account = running.request.client_account
@@ -234,7 +255,8 @@
                     break
                 queue.pop(ready)
                 if self._runnable(ready):
-                    decisions += self._attempts.start(ready, now_s)
+                    choice = self._attempts.backends.choose(ready.request, ready.plan.key, now_s)
+                    decisions += self._attempts.start(ready, now_s, choice)
                 else:
                     decisions += self._replan(ready, now_s)
         return decisions
@@ -273,7 +295,7 @@
             return []
         if self._attempts.is_version_fault(event):
             self._evidence.result(running.attempts[event.attempt].key, False, now_s)
-        suspect = self._attempts.makes_suspect(running, event)
+        suspect = self._attempts.makes_suspect(running, event) or self._is_suspect(running.request)
         decisions = self._attempts.failed(running, event, suspect, now_s)
         if suspect and not any(isinstance(item, GiveUp) for item in decisions):
             self._suspects.add(running.request.fingerprint)
@@ -290,6 +312,8 @@
         if work_class:
             self._attempts.quality.rate(work_class, key, event.good)
             self._evidence.rating(key, event.good, now_s)
+            if event.good or running is None or running.plan.then is None:
+                self._attempts.quality.delivered(work_class, event.good)
         decisions: list[Decision] = []
         if running is not None and running.stage is Stage.RATING:
             decisions = self._attempts.rated(running, event.good, now_s)
@@ -315,9 +339,7 @@
             if running is None:
                 continue
             if kind is TimerKind.DEADLINE and running.stage is Stage.QUEUED:
-                self._admission.queue(running.long).remove(running)
-                self._forget(running)
-                decisions.append(self._refuse_late(running, self._share(running), now_s))
+                decisions += self._overdue(running, now_s)
             elif kind is TimerKind.HEDGE:
                 decisions += self._attempts.hedge(running, number, now_s)
             elif kind is TimerKind.RATING and running.stage is Stage.RATING:
@@ -325,6 +347,16 @@
                 self._forget(running)
         return decisions + self._stops(now_s)
 
+    def _overdue(self, running: Running, now_s: float) -> list[Decision]:
+        """Dispatch a request within its account's share beyond the window; refuse others."""
+        self._admission.queue(running.long).remove(running)
+        if not self._runnable(running):
+            return self._replan(running, now_s)
+        if running.within_share:
+            return self._attempts.start(running, now_s)
+        self._forget(running)
+        return [self._refuse_late(running, self._share(running), now_s)]
+
     def _caller_gone(self, request_id: str) -> list[Decision]:
         running = self._requests.get(request_id)
         if running is None:
@@ -341,6 +373,7 @@
     def _ask_trial(self, running: Running, now_s: float) -> list[Decision]:
         self._keep(running)
         running.stage = Stage.TRIAL
+        running.trial = True
         candidates = self._attempts.trial_candidates(running)
         if candidates:
             return [AskTrial(running.request.request_id, candidates)]
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -12,7 +12,7 @@
 
 # An own measurement loses its weight against that of the peers with this time constant, so that a
 # server that was slow gets probes again within a few seconds.
-MEASURE_AGE_S = 3.0
+MEASURE_AGE_S = 6.0
 # A load report loses its weight with this time constant; reports come about 2 s late.
 REPORT_AGE_S = 2.0
 GAIN = 0.3
@@ -24,10 +24,10 @@
 CUT_INTERVAL_S = 0.5
 # An entry may use its share of a server's slots times this factor, so that slots do not stay empty
 # while entries are unevenly loaded.
-WINDOW_FACTOR = 1.15
+WINDOW_FACTOR = 1.1
 # Share of all requests in flight that this entry assumes before reports have come.
 FIRST_SHARE = 0.25
-SHARE_KEEP = 0.98
+SHARE_KEEP = 0.995
 
 
 @dataclass(slots=True)
