Relay: read loop without an inner coroutine; caller errors never count as engine losses

Cause: each block paid for one more coroutine; a connection error on the caller's side inside the read loop could have been taken for the loss of an engine. Change: the read is part of the loop; CallerStream turns connection errors into CallerLost.

--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -348,6 +348,7 @@
         after = usage.cpu_times()
         cpu_s = after.user + after.system - before.user - before.system
         relayed["entry_cpu_s"] = cpu_s
+        relayed["entry_system_s"] = after.system - before.system
         relayed["cpu_us_per_token"] = 1e6 * cpu_s / max(1, relayed["tokens"])
         print(json.dumps({"part": "relayed"} | relayed), flush=True)
     finally:
--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -12,7 +12,6 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    StreamReader,
     TCPConnector,
 )
 
@@ -134,7 +133,9 @@
         done = False
         try:
             while not reader.at_eof():
-                data = await _read(reader, watch)
+                watch.before_read()
+                data = await reader.readany()
+                watch.after_read()
                 part = scanner.feed(data)
                 if part is None:
                     continue
@@ -144,6 +145,10 @@
                 waiting = deliver(part)
                 if waiting is not None:
                     await waiting
+        except TimeoutError as error:
+            raise AttemptError(FailureKind.STALLED, "silent stream") from error
+        except (ClientError, OSError) as error:
+            raise AttemptError(FailureKind.LOST, lost=True) from error
         finally:
             watch.close()
         if not done:
@@ -155,18 +160,6 @@
         await self._fresh.close()
 
 
-async def _read(reader: StreamReader, watch: SilenceWatch) -> bytes:
-    watch.before_read()
-    try:
-        data = await reader.readany()
-    except TimeoutError as error:
-        raise AttemptError(FailureKind.STALLED, "silent stream") from error
-    except (ClientError, OSError) as error:
-        raise AttemptError(FailureKind.LOST, lost=True) from error
-    watch.after_read()
-    return data
-
-
 def _headers(request: EngineRequest) -> dict[str, str]:
     return {
         "X-Request-Id": request.identity,
--- a/src/baobabstream/entry/caller_stream.py
+++ b/src/baobabstream/entry/caller_stream.py
@@ -51,14 +51,17 @@
         """Send the head of the answer and its first block."""
         fixed = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
         self._response = web.StreamResponse(headers=fixed | headers)
-        await self._response.prepare(self._request)
         transport = self._request.transport
         if transport is None:
             raise CallerLost
         transport.set_write_buffer_limits(high=BUFFER_BYTES)
         self._transport = transport
-        if data:
-            await self._response.write(data)
+        try:
+            await self._response.prepare(self._request)
+            if data:
+                await self._response.write(data)
+        except ConnectionError as error:
+            raise CallerLost from error
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Send a block of events; what is returned must be awaited before the next one.
