Carry out Release decisions; rate held answers beside the request

Cause: the policy now decides when a held answer is released, also when its rating does not come; the request waited for the rating alone and did not know Release. Conclusion: cascades follow the policy's decisions.

--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -15,7 +15,15 @@
 from baobabstream.entry.delivery import Delivery
 from baobabstream.entry.refusals import Refused
 from baobabstream.errors.codes import ResultCode
-from baobabstream.policy.decisions import AskTrial, Cancel, Decision, Dispatch, GiveUp, Refuse
+from baobabstream.policy.decisions import (
+    AskTrial,
+    Cancel,
+    Decision,
+    Dispatch,
+    GiveUp,
+    Refuse,
+    Release,
+)
 from baobabstream.policy.events import (
     AnswerRated,
     AttemptFailed,
@@ -38,8 +46,6 @@
 # The policy needs token rates over fractions of a second; a call per token would cost more than
 # the relay of the token.
 TOKENS_PER_REPORT = 16
-# After a bad rating the policy may queue the next step; without one the rated answer is released.
-ESCALATION_WAIT_S = 1.0
 
 _Item = Decision | AttemptEnded | CallerStalled
 
@@ -71,6 +77,9 @@
         self._trial_server = ""
         self._tasks: set[asyncio.Task[None]] = set()
         self._finished = False
+        # Answers that wait for their rating, by attempt.
+        self._held: dict[int, Attempt] = {}
+        self._awaits_rating = False
 
     async def run(self) -> web.StreamResponse:
         """Serve the request.
@@ -90,7 +99,7 @@
                     return response
         finally:
             decisions.close(self._info.request_id)
-            if not self._finished:
+            if not self._finished or self._awaits_rating:
                 decisions.feed(CallerGone(self._info.request_id))
             self._end_trial(lost=False)
             await self._stop_tasks()
@@ -107,6 +116,8 @@
                 self._dispatch(item)
             case AttemptEnded():
                 return await self._attempt_ended(item)
+            case Release():
+                return await self._release(item.attempt)
             case CallerStalled():
                 return self._cut()
         return None
@@ -235,42 +246,47 @@
         self._daemon.decisions.feed(
             AttemptFinished(self._info.request_id, attempt.number, attempt.tokens)
         )
-        self._finished = True
         if attempt.dispatch.rate_first:
-            if await self._escalated(attempt):
-                self._finished = False
-                return None
-            self._owner = attempt
-            await self._delivery.release(attempt.dispatch, attempt.collected)
-        response = await self._delivery.finish()
-        if not attempt.dispatch.rate_first:
-            self._delivery.rate_sample()
+            self._held[attempt.number] = attempt
+            self._awaits_rating = True
+            self._start_task(self._rate(attempt))
+            return None
+        response = await self._finish()
+        self._delivery.rate_sample()
         return response
 
-    async def _escalated(self, attempt: Attempt) -> bool:
-        """Rate a collected answer and return whether the policy goes on with another attempt."""
-        good = await self._delivery.rate(attempt.dispatch, attempt.collected)
-        if good is None:
-            # The policy waits for a rating; CallerGone at the end lets it forget the request.
-            self._finished = False
-            return False
+    async def _finish(self) -> web.StreamResponse:
+        self._finished = True
+        return await self._delivery.finish()
+
+    async def _rate(self, attempt: Attempt) -> None:
         dispatch = attempt.dispatch
-        self._daemon.decisions.feed(
-            AnswerRated(self._info.request_id, dispatch.model, dispatch.version, good)
-        )
-        if good:
-            return False
-        try:
-            item = await asyncio.wait_for(self._inbox.get(), ESCALATION_WAIT_S)
-        except TimeoutError:
-            return False
-        if isinstance(item, Refuse | GiveUp):
-            return False
-        self._inbox.put_nowait(item)
-        return True
+        good = await self._delivery.rate(dispatch, attempt.collected)
+        request_id = self._info.request_id
+        if good is not None:
+            self._awaits_rating = False
+            event = AnswerRated(request_id, dispatch.model, dispatch.version, good)
+            self._daemon.decisions.feed(event)
+        # An unknown rating is not bad, and a bad answer is better than none if the policy has
+        # nothing else to run.
+        if good is not False or self._inbox.empty():
+            self._inbox.put_nowait(Release(request_id, attempt.number))
+
+    async def _release(self, number: int) -> web.StreamResponse | None:
+        attempt = self._held.pop(number, None)
+        if attempt is None:
+            return None
+        for running in list(self._attempts):
+            self._cancel(running)
+        await self._delivery.release(attempt.dispatch, attempt.collected)
+        return await self._finish()
 
     async def _refuse(self, decision: Refuse | GiveUp) -> web.StreamResponse:
         self._finished = True
+        if self._held and not self._delivery.tokens:
+            response = await self._release(next(iter(self._held)))
+            assert response is not None
+            return response
         sent = self._sent or any(item.task is not None for item in self._attempts.values())
         refused = Refused(decision.code, decision.reason, decision.retry_after_s, sent=sent)
         self._emit(EventKind.REQUEST_REFUSED, refused.code.name)
--- a/src/baobabstream/policy/decisions.py
+++ b/src/baobabstream/policy/decisions.py
@@ -4,7 +4,16 @@
 
 from baobabstream.errors.codes import ResultCode
 
-__all__ = ["AskTrial", "Cancel", "Decision", "Dispatch", "GiveUp", "Refuse", "StopVersion"]
+__all__ = [
+    "AskTrial",
+    "Cancel",
+    "Decision",
+    "Dispatch",
+    "GiveUp",
+    "Refuse",
+    "Release",
+    "StopVersion",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,10 +85,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AskTrial:
-    """Ask the control leader for the right to run a suspect on one of the candidates."""
+    """Ask the control leader for a trial of a suspect on one of the candidates.
+
+    The answer comes back as ``TrialGranted`` or ``TrialDenied``.
+    """
 
     request_id: str
     candidates: tuple[str, ...]
 
 
-Decision = Dispatch | Cancel | Refuse | GiveUp | StopVersion | AskTrial
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Release the answer of an attempt that was held back for its rating."""
+
+    request_id: str
+    attempt: int
+    reason: str = ""
+
+
+Decision = Dispatch | Cancel | Refuse | GiveUp | StopVersion | AskTrial | Release
--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -144,9 +144,14 @@
     good: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """The time that the policy asked for has come."""
+
+
 @dataclass(frozen=True, slots=True)
 class TrialGranted:
-    """The control leader lets a suspect run on a backend server."""
+    """The control leader lets a suspect run alone on a backend server."""
 
     request_id: str
     backend_server: str
@@ -154,16 +159,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialDenied:
-    """The control leader does not let a suspect run now, or never if it is quarantined."""
+    """The control leader grants no trial now, or the fingerprint is quarantined."""
 
     request_id: str
     retry_after_s: float
-    quarantined: bool
-
-
-@dataclass(frozen=True, slots=True)
-class TimerFired:
-    """The time that the policy asked for has come."""
+    quarantined: bool = False
 
 
 PolicyEvent = (
@@ -175,7 +175,7 @@
     | AttemptFinished
     | AttemptFailed
     | AnswerRated
+    | TimerFired
     | TrialGranted
     | TrialDenied
-    | TimerFired
 )
--- a/tests/entry/test_chat_attempts.py
+++ b/tests/entry/test_chat_attempts.py
@@ -9,7 +9,7 @@
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.base import RoutingPolicy
-from baobabstream.policy.decisions import AskTrial, Dispatch, GiveUp
+from baobabstream.policy.decisions import AskTrial, Dispatch, GiveUp, Release
 from baobabstream.policy.events import (
     AnswerRated,
     AttemptFailed,
@@ -42,8 +42,10 @@
                 return [self.dispatch(event.request_id, event.delivered_tokens)]
             case AttemptFailed():
                 return [GiveUp(event.request_id, ResultCode.DEADLINE_UNREACHABLE, 2.0)]
-            case AnswerRated(good=False):
+            case AnswerRated(good=False) if self.next < len(self.servers):
                 return [self.dispatch(event.request_id)]
+            case AnswerRated():
+                return [Release(event.request_id, self.next)]
         return []
 
     def dispatch(self, request_id: str, resume: int = 0) -> Dispatch:
@@ -188,16 +190,22 @@
 
 
 @pytest.mark.parametrize(
-    ("good", "model_answers", "expected"),
-    [(True, 1, "a"), (False, 2, "b"), (None, 1, "a")],
+    ("good", "servers", "model_answers", "expected"),
+    [
+        (True, "ab", 1, "a"),
+        (False, "ab", 2, "b"),
+        (None, "ab", 1, "a"),
+        (False, "a", 1, "a"),
+        (False, "ax", 1, "a"),
+    ],
 )
-async def test_cascade_releases_or_escalates(good, model_answers, expected) -> None:
+async def test_cascade_releases_or_escalates(good, servers, model_answers, expected) -> None:
     """Guards against a bad first answer that is released and a good one that is held back."""
 
     async def rate(_: web.Request) -> web.Response:
         return web.json_response({"good": good})
 
-    policy = ScriptedPolicy("a", "b", rate_first=True)
+    policy = ScriptedPolicy(*servers, rate_first=True)
     first, second = FakeServer("a"), FakeServer("b", tokens=3)
     async with AsyncExitStack() as stack:
         app = web.Application()
--- a/tests/entry/test_chat_errors.py
+++ b/tests/entry/test_chat_errors.py
@@ -7,9 +7,10 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from openai import APIStatusError, AsyncOpenAI
+from openai import APIError, APIStatusError, AsyncOpenAI
 
 from baobabstream.entry.chat_models import ChatBody, decode_chat_body
+from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.wire.rows import VersionRow, VersionState
@@ -177,3 +178,43 @@
     except ConnectionRefusedError:
         return True
     return False
+
+
+async def test_planned_stop_under_load_loses_nothing() -> None:
+    """Guards against requests that are cut while callers keep sending until the notice ends."""
+    outcomes: list[bool] = []
+    async with harness(FakeServer("a"), FakeServer("b"), drain_notice_s=0.3) as entry:
+
+        async def caller() -> None:
+            while not entry.daemon.in_flight.closing:
+                async with entry.ask(stream=True) as response:
+                    outcomes.append((await response.read()).endswith(b"data: [DONE]\n\n"))
+
+        callers = [asyncio.create_task(caller()) for _ in range(8)]
+        await until(lambda: len(outcomes) > 40)
+        await entry.stop()
+        await asyncio.gather(*callers)
+        assert all(outcomes)
+        assert len(entry.control.bills["control-0"]) == len(outcomes)
+
+
+async def test_error_inside_a_stream_reaches_a_stock_client() -> None:
+    """Guards against a stream that ends silently when its answer is given up halfway."""
+    server = FakeServer("a", stop_after=2, stop="end")
+    async with harness(server) as entry:
+        client = AsyncOpenAI(api_key=KEY, base_url=f"{entry.url}/v1", max_retries=0)
+        stream = await client.chat.completions.create(
+            model="auto", messages=CHAT["messages"], stream=True
+        )
+        with pytest.raises(APIError) as raised:
+            async for _ in stream:
+                pass
+        assert raised.value.body["ran"] == "unknown"
+        await client.close()
+
+
+def test_caller_sockets_have_keepalive() -> None:
+    """Guards against connections of vanished callers that stay open for hours."""
+    with open_listening_socket("127.0.0.1", 0) as listener:
+        assert listener.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        assert listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 30
