Join blocks of tokens while the entry's core is busy

Cause: at full load new requests waited behind single-token blocks of running streams. Change: LoadMeter measures the share of the core; above 85% a stream's blocks are 60 ms apart, until the share is below 50%.

--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -67,10 +67,15 @@
     ----------
     limits
         Time limits on connections.
+    block_gap_s
+        Returns the least time in seconds between two blocks of tokens of one stream.
     """
 
-    def __init__(self, limits: EngineLimits) -> None:
+    def __init__(
+        self, limits: EngineLimits, block_gap_s: Callable[[], float] = lambda: 0.0
+    ) -> None:
         self._limits = limits
+        self._block_gap_s = block_gap_s
         timeout = ClientTimeout(total=None, sock_connect=limits.connect_timeout_s)
         self._pooled = ClientSession(
             connector=TCPConnector(limit=0, keepalive_timeout=limits.idle_connection_s),
@@ -145,6 +150,9 @@
                 waiting = deliver(part)
                 if waiting is not None:
                     await waiting
+                gap_s = self._block_gap_s()
+                if gap_s and not done:
+                    await asyncio.sleep(gap_s)
         except TimeoutError as error:
             raise AttemptError(FailureKind.STALLED, "silent stream") from error
         except (ClientError, OSError) as error:
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -18,6 +18,7 @@
 from baobabstream.entry.in_flight import InFlightRequests
 from baobabstream.entry.leader_calls import BackgroundCalls
 from baobabstream.entry.listening_socket import open_listening_socket
+from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
 from baobabstream.entry.sessions import SessionTokens
 from baobabstream.entry.suspects import SuspectReporter
@@ -80,6 +81,7 @@
         self.suspects = SuspectReporter(self.control, settings.host, self.background)
         self.claims = Claims(self.control, settings.host, self.background)
         self.in_flight = InFlightRequests()
+        self.load = LoadMeter()
         self.ratings: RatingClient | None = None
 
     async def start(self) -> None:
@@ -88,6 +90,7 @@
         listener = settings.listener
         listening_socket = open_listening_socket(listener.ip, listener.port)
         self._open_clients()
+        self.load.start()
         self._poller = asyncio.create_task(self.control.run())
         app = web.Application(
             client_max_size=settings.max_body_bytes, middlewares=[self.in_flight.middleware]
@@ -116,6 +119,7 @@
         await self._runner.cleanup()
         await self.background.drain()
         await self.bills.drain()
+        self.load.stop()
         await self._stop_poller()
         await self._close_clients()
         self.control.close()
@@ -136,7 +140,8 @@
                 settings.first_byte_timeout_s,
                 settings.gap_timeout_s,
                 settings.idle_connection_s,
-            )
+            ),
+            lambda: self.load.block_gap_s,
         )
         self.services = ServiceClient(settings.connect_timeout_s, settings.idle_connection_s)
         self.prober = Prober(settings.probe_timeout_s)
--- a/tests/backends/test_clients.py
+++ b/tests/backends/test_clients.py
@@ -9,6 +9,7 @@
 from baobabstream.backends.engine_client import EngineClient, EngineLimits, EngineRequest
 from baobabstream.backends.event_scanner import StreamPart
 from baobabstream.backends.rating_client import RatingClient, RatingQuestion
+from baobabstream.entry.load_meter import JOIN_GAP_S, LoadMeter
 from entry_harness import FakeServer, start_app, start_server
 
 
@@ -50,3 +51,20 @@
         client = RatingClient(await start_app(stack, app), 1.0)
         stack.push_async_callback(client.close)
         assert await client.rate(RatingQuestion("r", "small", "1", [], "text")) is good
+
+
+async def test_blocks_are_joined_only_while_the_core_is_busy() -> None:
+    """Guards against a busy core that relays each token alone, and against delay at low load."""
+    meter = LoadMeter()
+    for share, gap_s in ((0.8, 0.0), (0.9, JOIN_GAP_S), (0.7, JOIN_GAP_S), (0.4, 0.0)):
+        meter.update(share)
+        assert meter.block_gap_s == gap_s
+    async with AsyncExitStack() as stack:
+        server = FakeServer("a", tokens=50)
+        await start_server(stack, server)
+        client = EngineClient(EngineLimits(), lambda: 0.02)
+        stack.push_async_callback(client.close)
+        parts: list[StreamPart] = []
+        await client.stream(EngineRequest(server.url, "r", 1, "small", "1", 0, 0, {}), parts.append)
+        assert sum(part.tokens for part in parts) == 50
+        assert len(parts) < 25
