A trial clears a suspect only when its backend server is seen to have survived

Cause: a trial that was cancelled, never ran or could not be asked for ended as not lost, which clears the suspect at the control leader without a run. Also, an exception in a task of a request left its caller waiting. Change: such trials end as lost; the leader then frees the backend server and keeps the suspect. A failing task ends its request with INTERNAL_ERROR. Conclusion: callers that hang up cannot clear a request that crashes servers.

--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -47,7 +47,10 @@
 # the relay of the token.
 TOKENS_PER_REPORT = 16
 
-_Item = Decision | AttemptEnded | CallerStalled
+# Failures after which the backend server is known to be alive, since it has answered.
+_SURVIVED = (FailureKind.ERROR, FailureKind.REFUSED)
+
+_Item = Decision | AttemptEnded | Exception
 
 _log = get_logger("entry")
 
@@ -101,7 +104,7 @@
             decisions.close(self._info.request_id)
             if not self._finished or self._awaits_rating:
                 decisions.feed(CallerGone(self._info.request_id))
-            self._end_trial(lost=False)
+            self._end_trial(survived=False)
             await self._stop_tasks()
 
     async def _take(self, item: _Item) -> web.StreamResponse | None:
@@ -120,6 +123,8 @@
                 return await self._release(item.attempt)
             case CallerStalled():
                 return self._cut()
+            case Exception():
+                raise item
         return None
 
     def _dispatch(self, dispatch: Dispatch) -> None:
@@ -214,7 +219,7 @@
         self._sent = self._sent or error is None or error.sent
         self._report_tokens(attempt)
         if attempt.dispatch.backend_server == self._trial_server:
-            self._end_trial(lost=error is not None and error.lost)
+            self._end_trial(survived=error is None or error.kind in _SURVIVED)
         if error is not None:
             self._fail(attempt, error)
             return None
@@ -311,7 +316,7 @@
             self._owner = None
         self._emit(EventKind.ATTEMPT_CANCELLED, str(number))
         if attempt.dispatch.backend_server == self._trial_server:
-            self._end_trial(lost=False)
+            self._end_trial(survived=False)
         if attempt.task is not None and attempt.task is not asyncio.current_task():
             attempt.task.cancel()
 
@@ -323,19 +328,26 @@
             self._trial_server = event.backend_server
         self._daemon.decisions.feed(event)
 
-    def _end_trial(self, *, lost: bool) -> None:
+    def _end_trial(self, *, survived: bool) -> None:
+        """End the trial; only a backend server that is seen to have survived clears the suspect."""
         if self._trial_server:
             self._trial_server = ""
             self._daemon.suspects.end_trial(
-                self._info.fingerprint, self._info.request_id, lost=lost
+                self._info.fingerprint, self._info.request_id, lost=not survived
             )
 
     def _start_task(self, work) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._task_ended)
         return task
 
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        failure = None if task.cancelled() else task.exception()
+        if isinstance(failure, Exception):
+            self._inbox.put_nowait(failure)
+
     async def _stop_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/src/baobabstream/entry/suspects.py
+++ b/src/baobabstream/entry/suspects.py
@@ -74,15 +74,15 @@
             reply: TrialReply = await self._control.call_leader(message, TRIAL_TIMEOUT_S)
         except PeerError as error:
             _log.warning("Trial for %s could not be asked for: %s.", request_id, error)
-            # The leader may have granted it; an ungranted trial's end is harmless.
-            self.end_trial(fingerprint, request_id, lost=False)
+            # The leader may have granted the trial. It has not cleared the suspect.
+            self.end_trial(fingerprint, request_id, lost=True)
             return TrialDenied(request_id, TRIAL_RETRY_S, quarantined=False)
         if reply.backend_server:
             return TrialGranted(request_id, reply.backend_server)
         return TrialDenied(request_id, reply.retry_after_ms / 1000, reply.quarantined)
 
     def end_trial(self, fingerprint: str, request_id: str, *, lost: bool) -> None:
-        """Tell the leader that a trial is over."""
+        """Tell the leader that a trial is over; with ``lost`` the suspect is not cleared."""
         message = TrialEnd(fingerprint, request_id, self._host, lost)
         self._background.start(self._end_trial(message))
 
--- a/tests/entry/test_chat_attempts.py
+++ b/tests/entry/test_chat_attempts.py
@@ -169,6 +169,7 @@
     def handle(self, event, now_s):
         if isinstance(event, RequestArrived):
             self.events.append(event)
+            self.next = 0
             return [AskTrial(event.request.request_id, ("a", "b"))]
         if isinstance(event, TrialGranted):
             return [self.dispatch(event.request_id)]
@@ -178,8 +179,9 @@
 
 
 async def test_trial_is_asked_for_and_ended() -> None:
-    """Guards against a suspect without a trial and a trial that blocks its server for ever."""
-    async with harness(FakeServer("a"), policy=TrialPolicy("a")) as entry:
+    """Guards against suspects without a trial, trials without an end, and hasty acquittals."""
+    server = FakeServer("a")
+    async with harness(server, policy=TrialPolicy("a")) as entry:
         entry.control.trial_reply = TrialReply(retry_after_ms=700)
         status, document = await entry.answer()
         assert (status, document["error"]["retry_after_s"]) == (429, 0.7)
@@ -187,6 +189,12 @@
         assert (await entry.answer())[0] == 200
         await until(lambda: len(entry.control.trial_ends) == 1)
         assert not entry.control.trial_ends[0].lost
+        server.gate.clear()
+        call = asyncio.create_task(entry.answer())
+        await until(lambda: len(server.seen) == 2)
+        call.cancel()
+        await until(lambda: len(entry.control.trial_ends) == 2)
+        assert entry.control.trial_ends[1].lost
 
 
 @pytest.mark.parametrize(
@@ -238,3 +246,12 @@
         )
         await entry.answer(stream=False)
         await until(lambda: policy.of(AnswerRated))
+
+
+async def test_failing_task_ends_its_request() -> None:
+    """Guards against a caller that waits for ever when a task of its request fails."""
+    policy = TrialPolicy()
+    async with harness(FakeServer("a"), policy=policy) as entry:
+        entry.control.trial_reply = TrialReply("a")
+        status, document = await entry.answer()
+    assert (status, document["error"]["code"]) == (500, ResultCode.INTERNAL_ERROR)
