--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -12,7 +12,6 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    StreamReader,
     TCPConnector,
 )
 
@@ -68,10 +67,15 @@
     ----------
     limits
         Time limits on connections.
+    block_gap_s
+        Returns the least time in seconds between two blocks of tokens of one stream.
     """
 
-    def __init__(self, limits: EngineLimits) -> None:
+    def __init__(
+        self, limits: EngineLimits, block_gap_s: Callable[[], float] = lambda: 0.0
+    ) -> None:
         self._limits = limits
+        self._block_gap_s = block_gap_s
         timeout = ClientTimeout(total=None, sock_connect=limits.connect_timeout_s)
         self._pooled = ClientSession(
             connector=TCPConnector(limit=0, keepalive_timeout=limits.idle_connection_s),
@@ -134,7 +138,9 @@
         done = False
         try:
             while not reader.at_eof():
-                data = await _read(reader, watch)
+                watch.before_read()
+                data = await reader.readany()
+                watch.after_read()
                 part = scanner.feed(data)
                 if part is None:
                     continue
@@ -144,6 +150,13 @@
                 waiting = deliver(part)
                 if waiting is not None:
                     await waiting
+                gap_s = self._block_gap_s()
+                if gap_s and not done:
+                    await asyncio.sleep(gap_s)
+        except TimeoutError as error:
+            raise AttemptError(FailureKind.STALLED, "silent stream") from error
+        except (ClientError, OSError) as error:
+            raise AttemptError(FailureKind.LOST, lost=True) from error
         finally:
             watch.close()
         if not done:
@@ -155,18 +168,6 @@
         await self._fresh.close()
 
 
-async def _read(reader: StreamReader, watch: SilenceWatch) -> bytes:
-    watch.before_read()
-    try:
-        data = await reader.readany()
-    except TimeoutError as error:
-        raise AttemptError(FailureKind.STALLED, "silent stream") from error
-    except (ClientError, OSError) as error:
-        raise AttemptError(FailureKind.LOST, lost=True) from error
-    watch.after_read()
-    return data
-
-
 def _headers(request: EngineRequest) -> dict[str, str]:
     return {
         "X-Request-Id": request.identity,
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -48,7 +48,10 @@
 TOKENS_PER_REPORT = 16
 LEASE_RETRY_S = 1.0
 
-_Item = Decision | AttemptEnded | CallerStalled
+# Failures after which the backend server is known to be alive, since it has answered.
+_SURVIVED = (FailureKind.ERROR, FailureKind.REFUSED)
+
+_Item = Decision | AttemptEnded | Exception
 
 _log = get_logger("entry")
 
@@ -74,11 +77,13 @@
         self._inbox: asyncio.Queue[_Item] = asyncio.Queue()
         self._attempts: dict[int, Attempt] = {}
         self._owner: Attempt | None = None
-        self._held: Attempt | None = None
         self._sent = False
         self._trial_server = ""
         self._tasks: set[asyncio.Task[None]] = set()
         self._finished = False
+        # Answers that wait for their rating, by attempt.
+        self._held: dict[int, Attempt] = {}
+        self._awaits_rating = False
 
     async def run(self) -> web.StreamResponse:
         """Serve the request.
@@ -98,28 +103,29 @@
                     return response
         finally:
             decisions.close(self._info.request_id)
-            if not self._finished:
+            if not self._finished or self._awaits_rating:
                 decisions.feed(CallerGone(self._info.request_id))
-            self._end_trial(lost=False)
+            self._end_trial(survived=False)
             await self._stop_tasks()
 
     async def _take(self, item: _Item) -> web.StreamResponse | None:
         match item:
             case Refuse() | GiveUp():
-                # An answer that was rated bad is better than none.
-                return await (self._release() if self._held else self._refuse(item))
+                return await self._refuse(item)
             case Cancel():
                 self._cancel(item.attempt)
             case AskTrial():
                 self._start_task(self._ask_trial(item))
             case Dispatch():
                 return await self._dispatch(item)
-            case Release():
-                return await self._release()
             case AttemptEnded():
                 return await self._attempt_ended(item)
+            case Release():
+                return await self._release(item.attempt)
             case CallerStalled():
                 return self._cut()
+            case Exception():
+                raise item
         return None
 
     async def _dispatch(self, dispatch: Dispatch) -> web.StreamResponse | None:
@@ -160,10 +166,11 @@
         if self._attempts:
             self._not_sent(dispatch, "the control lease has expired")
             return None
-        lapsed = Refuse(self._info.request_id, ResultCode.LEASE_EXPIRED, LEASE_RETRY_S)
         # The policy counts the attempt as sent; this lets it forget the request.
         self._daemon.decisions.feed(CallerGone(self._info.request_id))
-        return await self._refuse(lapsed)
+        return await self._refuse(
+            Refuse(self._info.request_id, ResultCode.LEASE_EXPIRED, LEASE_RETRY_S)
+        )
 
     async def _run_attempt(self, attempt: Attempt, request: EngineRequest) -> None:
         daemon = self._daemon
@@ -230,7 +237,7 @@
         self._sent = self._sent or error is None or error.sent
         self._report_tokens(attempt)
         if attempt.dispatch.backend_server == self._trial_server:
-            self._end_trial(lost=error is not None and error.lost)
+            self._end_trial(survived=error is None or error.kind in _SURVIVED)
         if error is not None:
             self._fail(attempt, error)
             return None
@@ -263,36 +270,46 @@
             AttemptFinished(self._info.request_id, attempt.number, attempt.tokens)
         )
         if attempt.dispatch.rate_first:
-            self._held = attempt
-            self._start_task(self._rate_held(attempt))
+            self._held[attempt.number] = attempt
+            self._awaits_rating = True
+            self._start_task(self._rate(attempt))
             return None
-        self._finished = True
-        response = await self._delivery.finish()
+        response = await self._finish()
         self._delivery.rate_sample()
         return response
 
-    async def _rate_held(self, attempt: Attempt) -> None:
-        """Rate a held answer; the policy then releases it or goes on with another attempt."""
+    async def _finish(self) -> web.StreamResponse:
+        self._finished = True
+        return await self._delivery.finish()
+
+    async def _rate(self, attempt: Attempt) -> None:
         dispatch = attempt.dispatch
         good = await self._delivery.rate(dispatch, attempt.collected)
-        if good is None:
-            self._inbox.put_nowait(Release(self._info.request_id, attempt.number, "no rating"))
-            return
-        self._daemon.decisions.feed(
-            AnswerRated(self._info.request_id, dispatch.model, dispatch.version, good)
-        )
+        request_id = self._info.request_id
+        if good is not None:
+            self._awaits_rating = False
+            event = AnswerRated(request_id, dispatch.model, dispatch.version, good)
+            self._daemon.decisions.feed(event)
+        # An unknown rating is not bad, and a bad answer is better than none if the policy has
+        # nothing else to run.
+        if good is not False or self._inbox.empty():
+            self._inbox.put_nowait(Release(request_id, attempt.number))
 
-    async def _release(self) -> web.StreamResponse | None:
-        held, self._held = self._held, None
-        if held is None:
+    async def _release(self, number: int) -> web.StreamResponse | None:
+        attempt = self._held.pop(number, None)
+        if attempt is None:
             return None
-        self._finished = True
-        self._owner = held
-        await self._delivery.release(held.dispatch, held.collected)
-        return await self._delivery.finish()
+        for running in list(self._attempts):
+            self._cancel(running)
+        await self._delivery.release(attempt.dispatch, attempt.collected)
+        return await self._finish()
 
     async def _refuse(self, decision: Refuse | GiveUp) -> web.StreamResponse:
         self._finished = True
+        if self._held and not self._delivery.tokens:
+            response = await self._release(next(iter(self._held)))
+            assert response is not None
+            return response
         sent = self._sent or any(item.task is not None for item in self._attempts.values())
         refused = Refused(decision.code, decision.reason, decision.retry_after_s, sent=sent)
         self._emit(EventKind.REQUEST_REFUSED, refused.code.name)
@@ -317,7 +334,7 @@
             self._owner = None
         self._emit(EventKind.ATTEMPT_CANCELLED, str(number))
         if attempt.dispatch.backend_server == self._trial_server:
-            self._end_trial(lost=False)
+            self._end_trial(survived=False)
         if attempt.task is not None and attempt.task is not asyncio.current_task():
             attempt.task.cancel()
 
@@ -329,19 +346,26 @@
             self._trial_server = event.backend_server
         self._daemon.decisions.feed(event)
 
-    def _end_trial(self, *, lost: bool) -> None:
+    def _end_trial(self, *, survived: bool) -> None:
+        """End the trial; only a backend server that is seen to have survived clears the suspect."""
         if self._trial_server:
             self._trial_server = ""
             self._daemon.suspects.end_trial(
-                self._info.fingerprint, self._info.request_id, lost=lost
+                self._info.fingerprint, self._info.request_id, lost=not survived
             )
 
     def _start_task(self, work) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._task_ended)
         return task
 
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        failure = None if task.cancelled() else task.exception()
+        if isinstance(failure, Exception):
+            self._inbox.put_nowait(failure)
+
     async def _stop_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -175,7 +175,7 @@
     | AttemptFinished
     | AttemptFailed
     | AnswerRated
+    | TimerFired
     | TrialGranted
     | TrialDenied
-    | TimerFired
 )
--- a/tests/entry/test_chat_attempts.py
+++ b/tests/entry/test_chat_attempts.py
@@ -9,7 +9,7 @@
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.base import RoutingPolicy
-from baobabstream.policy.decisions import AskTrial, Dispatch, GiveUp
+from baobabstream.policy.decisions import AskTrial, Dispatch, GiveUp, Release
 from baobabstream.policy.events import (
     AnswerRated,
     AttemptFailed,
@@ -42,8 +42,10 @@
                 return [self.dispatch(event.request_id, event.delivered_tokens)]
             case AttemptFailed():
                 return [GiveUp(event.request_id, ResultCode.DEADLINE_UNREACHABLE, 2.0)]
-            case AnswerRated(good=False):
+            case AnswerRated(good=False) if self.next < len(self.servers):
                 return [self.dispatch(event.request_id)]
+            case AnswerRated():
+                return [Release(event.request_id, self.next)]
         return []
 
     def dispatch(self, request_id: str, resume: int = 0) -> Dispatch:
@@ -167,6 +169,7 @@
     def handle(self, event, now_s):
         if isinstance(event, RequestArrived):
             self.events.append(event)
+            self.next = 0
             return [AskTrial(event.request.request_id, ("a", "b"))]
         if isinstance(event, TrialGranted):
             return [self.dispatch(event.request_id)]
@@ -176,8 +179,9 @@
 
 
 async def test_trial_is_asked_for_and_ended() -> None:
-    """Guards against a suspect without a trial and a trial that blocks its server for ever."""
-    async with harness(FakeServer("a"), policy=TrialPolicy("a")) as entry:
+    """Guards against suspects without a trial, trials without an end, and hasty acquittals."""
+    server = FakeServer("a")
+    async with harness(server, policy=TrialPolicy("a")) as entry:
         entry.control.trial_reply = TrialReply(retry_after_ms=700)
         status, document = await entry.answer()
         assert (status, document["error"]["retry_after_s"]) == (429, 0.7)
@@ -185,19 +189,31 @@
         assert (await entry.answer())[0] == 200
         await until(lambda: len(entry.control.trial_ends) == 1)
         assert not entry.control.trial_ends[0].lost
+        server.gate.clear()
+        call = asyncio.create_task(entry.answer())
+        await until(lambda: len(server.seen) == 2)
+        call.cancel()
+        await until(lambda: len(entry.control.trial_ends) == 2)
+        assert entry.control.trial_ends[1].lost
 
 
 @pytest.mark.parametrize(
-    ("good", "model_answers", "expected"),
-    [(True, 1, "a"), (False, 2, "b"), (None, 1, "a")],
+    ("good", "servers", "model_answers", "expected"),
+    [
+        (True, "ab", 1, "a"),
+        (False, "ab", 2, "b"),
+        (None, "ab", 1, "a"),
+        (False, "a", 1, "a"),
+        (False, "ax", 1, "a"),
+    ],
 )
-async def test_cascade_releases_or_escalates(good, model_answers, expected) -> None:
+async def test_cascade_releases_or_escalates(good, servers, model_answers, expected) -> None:
     """Guards against a bad first answer that is released and a good one that is held back."""
 
     async def rate(_: web.Request) -> web.Response:
         return web.json_response({"good": good})
 
-    policy = ScriptedPolicy("a", "b", rate_first=True)
+    policy = ScriptedPolicy(*servers, rate_first=True)
     first, second = FakeServer("a"), FakeServer("b", tokens=3)
     async with AsyncExitStack() as stack:
         app = web.Application()
@@ -230,3 +246,12 @@
         )
         await entry.answer(stream=False)
         await until(lambda: policy.of(AnswerRated))
+
+
+async def test_failing_task_ends_its_request() -> None:
+    """Guards against a caller that waits for ever when a task of its request fails."""
+    policy = TrialPolicy()
+    async with harness(FakeServer("a"), policy=policy) as entry:
+        entry.control.trial_reply = TrialReply("a")
+        status, document = await entry.answer()
+    assert (status, document["error"]["code"]) == (500, ResultCode.INTERNAL_ERROR)
