Metrics, TLS between all parts, hybrid clock on the wire, RPC faults

Cause: no metrics and no TLS; clocks of daemons and engines were not related; a call that timed out raised pynng's Closed instead of a numbered error, which ended the caller's task (the entry's poll loop for good); 64 fixed RPC workers could all be held by long polls. Change: OpenTelemetry metrics with a Prometheus exporter, TLS on entry, admin and peer listeners, readings in frames and in X-Hybrid-Time, RPC contexts closed safely, workers added on demand, reference pages written from the code and compared by a test. The clock test's wall clock gets a further reading, since observe now reads it to ignore hosts far ahead. Conclusion: votes, claims and bills no longer wait behind polls.

--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientError, ClientMiddlewareType, ClientSession, ClientTimeout, TCPConnector
 
 from baobabstream.policy.events import FailureKind
 
@@ -63,6 +63,8 @@
         Limits on connecting, on the first byte and on the gap between bytes.
     idle_connection_s
         Longest time that a connection stays in the pool without use.
+    middlewares
+        Client middlewares that see each call.
     """
 
     def __init__(
@@ -71,11 +73,12 @@
         first_byte_timeout_s: float,
         gap_timeout_s: float,
         idle_connection_s: float,
+        middlewares: tuple[ClientMiddlewareType, ...] = (),
     ) -> None:
         connector = TCPConnector(limit=0, keepalive_timeout=idle_connection_s)
         timeout = ClientTimeout(total=None, sock_connect=connect_timeout_s, sock_read=gap_timeout_s)
         self._first_byte_timeout_s = first_byte_timeout_s
-        self.session = ClientSession(connector=connector, timeout=timeout)
+        self.session = ClientSession(connector=connector, timeout=timeout, middlewares=middlewares)
 
     async def stream(self, request: EngineRequest) -> AsyncGenerator[StreamPart, None]:
         """Yield an answer's server-sent events as they arrive.
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -16,8 +16,11 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
 from baobabstream.settings.models import ControlPeer, ControlSettings
+from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
+from baobabstream.telemetry.instruments import MetricName
 from baobabstream.telemetry.logs import get_logger
+from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.messages import (
@@ -33,6 +36,7 @@
     SuspectRequest,
 )
 from baobabstream.wire.rpc import RpcClient, RpcServer
+from baobabstream.wire.tls import client_tls, server_tls
 
 __all__ = ["ControlDaemon"]
 
@@ -53,7 +57,11 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self.settings = settings
-        self.timeline = TimeLine(settings.timeline_file, settings.host, "control", HybridClock())
+        self.metrics = Metrics("control", settings.host, settings.metrics_ip, settings.metrics_port)
+        clock = HybridClock()
+        self.timeline = TimeLine(
+            settings.timeline_file, settings.host, "control", clock, self.metrics.count_event
+        )
         self.state = ConfigState()
         self.log: CommandLog = LocalLog(settings.control[0].host, self.state.apply)
         self.registry = BackendRegistry(time.time_ns(), settings.announcement_expiry_s)
@@ -62,9 +70,14 @@
         settings.data_folder.mkdir(parents=True, exist_ok=True)
         self.ledger = Ledger(settings.data_folder / "ledger.log")
         secret = settings.peer_secret.get_secret_value()
-        self._codec = WireCodec(settings.cluster, settings.host, secret)
+        self._codec = WireCodec(settings.cluster, settings.host, secret, clock)
+        tls = settings.peer_tls
         self._peers = {
-            peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
+            peer.host: RpcClient(
+                f"tcp://{peer.ip}:{peer.port}",
+                self._codec,
+                client_tls(tls, peer.host) if tls else None,
+            )
             for peer in settings.control
             if peer.host != settings.host
         }
@@ -78,10 +91,24 @@
     async def start(self) -> None:
         """Open the listeners."""
         own = self._own_address()
-        self._server = RpcServer(f"tcp://{own.ip}:{own.port}", self._codec, self._handle)
-        self._runner = web.AppRunner(AdminApi(self).application(), access_log=None)
+        peer_tls, admin_tls = self.settings.peer_tls, self.settings.admin_tls
+        self._server = RpcServer(
+            f"tcp://{own.ip}:{own.port}",
+            self._codec,
+            self._handle,
+            server_tls(peer_tls) if peer_tls is not None else None,
+        )
+        app = AdminApi(self).application()
+        measure_requests(app, self.metrics)
+        self._observe()
+        self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, own.ip, own.http_port)
+        site = web.TCPSite(
+            self._runner,
+            own.ip,
+            own.http_port,
+            ssl_context=admin_tls.server_context() if admin_tls is not None else None,
+        )
         try:
             await site.start()
         except OSError as error:
@@ -104,6 +131,7 @@
         self.ledger.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
+        self.metrics.close()
 
     async def forward(self, request: ForwardRequest) -> ForwardReply:
         """Send an HTTP call to the leader and return its answer."""
@@ -112,6 +140,16 @@
             raise PeerError(ResultCode.NO_LEADER)
         return await leader.call(request, PROPOSE_TIMEOUT_S)
 
+    def _observe(self) -> None:
+        now_s = asyncio.get_running_loop().time
+        observe = self.metrics.observe
+        observe(MetricName.CONFIG_REVISION, lambda: self.state.revision)
+        observe(MetricName.BACKEND_SERVERS, lambda: len(self.registry.records()))
+        observe(MetricName.CONTROL_LEADER, lambda: int(self.leads))
+        observe(MetricName.CONTROL_TERM, lambda: self.log.term)
+        observe(MetricName.CONTROL_ENTRY_HOSTS, lambda: self.leases.count_live(now_s()))
+        observe(MetricName.CONTROL_BILLS, lambda: len(self.ledger))
+
     def _own_address(self) -> ControlPeer:
         return next(peer for peer in self.settings.control if peer.host == self.settings.host)
 
--- a/src/baobabstream/control/entry_leases.py
+++ b/src/baobabstream/control/entry_leases.py
@@ -46,6 +46,10 @@
         }
         return self._leases.values()
 
+    def count_live(self, now_s: float) -> int:
+        """Return the number of live leases; safe to call from another thread."""
+        return sum(lease.expires_s > now_s for lease in tuple(self._leases.values()))
+
     def in_force(self, revision: int, now_s: float) -> bool:
         """Return whether every entry with a live lease has applied a revision."""
         if now_s < self._all_known_s:
--- a/src/baobabstream/control/registry.py
+++ b/src/baobabstream/control/registry.py
@@ -84,7 +84,7 @@
 
     def records(self) -> list[BackendRecord]:
         """Return all present backend servers."""
-        return [known.record for known in self._known.values()]
+        return [known.record for known in tuple(self._known.values())]
 
     def delta(self, epoch: int, version: int) -> RegistryDelta:
         """Return what changed since a version that a subscriber has applied."""
--- a/src/baobabstream/emulator/engine.py
+++ b/src/baobabstream/emulator/engine.py
@@ -17,6 +17,7 @@
 from baobabstream.emulator.load_reports import LaggingReports, LoadReport
 from baobabstream.emulator.orders import OrderDesk
 from baobabstream.emulator.prefix_cache import CacheFeed, PrefixCache
+from baobabstream.telemetry.clock_headers import follow_callers
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.timeline import TimeLine
 
@@ -53,7 +54,8 @@
         self._cache_feed = CacheFeed(options.cache_event_delay_s, options.cache_event_loss, random)
         self._reports = LaggingReports(options.report_lag_s)
         self._kv_store = KvStore()
-        self._timeline = TimeLine(options.timeline_path, options.identity, "engine", HybridClock())
+        self._clock = HybridClock()
+        self._timeline = TimeLine(options.timeline_path, options.identity, "engine", self._clock)
         self._chat = ChatStreams(
             options,
             self.batch,
@@ -69,6 +71,7 @@
     def application(self) -> web.Application:
         """Return the aiohttp application."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
+        follow_callers(app, self._clock)
         app.router.add_post("/v1/chat/completions", self._chat.handle)
         app.router.add_get("/healthz", self._health)
         for part in (self.orders, self.faults, self._kv_store):
--- a/src/baobabstream/emulator/service.py
+++ b/src/baobabstream/emulator/service.py
@@ -13,6 +13,7 @@
 from baobabstream.emulator.announcer import Announcer
 from baobabstream.emulator.engine_options import CRASH_MARKER
 from baobabstream.emulator.faults import Faults, FaultSwitch
+from baobabstream.telemetry.clock_headers import follow_callers
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 
@@ -53,11 +54,13 @@
         self.faults = FaultSwitch(options.faults, Random(options.seed))
         self.runs: Counter[str] = Counter()
         self._in_flight = 0
-        self._timeline = TimeLine(options.timeline_path, options.identity, "service", HybridClock())
+        self._clock = HybridClock()
+        self._timeline = TimeLine(options.timeline_path, options.identity, "service", self._clock)
 
     def application(self) -> web.Application:
         """Return the aiohttp application."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
+        follow_callers(app, self._clock)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/emulate/v1/runs", self._show_runs)
         self.faults.add_routes(app)
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -20,8 +20,12 @@
 from baobabstream.policy.events import ViewChanged
 from baobabstream.policy.view import ClusterView
 from baobabstream.settings.models import EntrySettings
+from baobabstream.telemetry.clock_headers import carry_clock
+from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
+from baobabstream.telemetry.instruments import MetricName
 from baobabstream.telemetry.logs import get_logger
+from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.rows import AccountRow
@@ -44,12 +48,16 @@
 
     def __init__(self, settings: EntrySettings, random: Random) -> None:
         self.settings = settings
-        self.timeline = TimeLine(settings.timeline_file, settings.host, "entry", HybridClock())
+        self.metrics = Metrics("entry", settings.host, settings.metrics_ip, settings.metrics_port)
+        self.clock = HybridClock()
+        self.timeline = TimeLine(
+            settings.timeline_file, settings.host, "entry", self.clock, self.metrics.count_event
+        )
         self.view = ClusterView()
         self.sessions = SessionTokens(settings.session_secret.get_secret_value())
         self.decisions = DecisionLoop(LeastInFlight(random), self._version_stopped)
         secret = settings.peer_secret.get_secret_value()
-        codec = WireCodec(settings.cluster, settings.host, secret)
+        codec = WireCodec(settings.cluster, settings.host, secret, self.clock)
         self.control = ControlSession(
             settings.host,
             settings.availability_zone,
@@ -57,6 +65,7 @@
             codec,
             self.view,
             self._view_changed,
+            settings.peer_tls,
         )
         self.bills = BillSender(self.control, self.control.zones)
         self._stopping = False
@@ -69,15 +78,24 @@
             settings.first_byte_timeout_s,
             settings.gap_timeout_s,
             settings.idle_connection_s,
+            (carry_clock(self.clock),),
         )
         self._poller = asyncio.create_task(self.control.run())
         app = web.Application(client_max_size=settings.max_body_bytes)
         app.router.add_post("/v1/chat/completions", ChatHandler(self).handle)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
+        measure_requests(app, self.metrics)
+        self._observe()
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, settings.listener.ip, settings.listener.port)
+        tls = settings.listener.tls
+        site = web.TCPSite(
+            self._runner,
+            settings.listener.ip,
+            settings.listener.port,
+            ssl_context=tls.server_context() if tls is not None else None,
+        )
         try:
             await site.start()
         except OSError as error:
@@ -99,6 +117,7 @@
         self.control.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
+        self.metrics.close()
 
     def require_ready(self) -> None:
         """Raise RequestRefused if this entry may not take new work."""
@@ -137,6 +156,13 @@
         except TimeoutError as error:
             raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
 
+    def _observe(self) -> None:
+        now_s = asyncio.get_running_loop().time
+        observe = self.metrics.observe
+        observe(MetricName.CONFIG_REVISION, lambda: self.view.revision)
+        observe(MetricName.BACKEND_SERVERS, lambda: len(self.view.backends))
+        observe(MetricName.ENTRY_LEASE_REMAINING, lambda: self.control.lease.remaining_s(now_s()))
+
     async def _health(self, _: web.Request) -> web.Response:
         return web.json_response({"host": self.settings.host})
 
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -73,8 +73,9 @@
     )
     log: LogSettings = Field(default_factory=LogSettings, description="The log.")
     metrics_port: Port | None = Field(
-        default=None, description="TCP port of the Prometheus exporter on the loopback address."
+        default=None, description="TCP port of the Prometheus exporter; without it none runs."
     )
+    metrics_ip: Ip = Field(default="127.0.0.1", description="Address of the exporter.")
 
     @model_validator(mode="after")
     def _check_control_hosts(self) -> Self:
--- a/src/baobabstream/telemetry/hybrid_clock.py
+++ b/src/baobabstream/telemetry/hybrid_clock.py
@@ -8,6 +8,10 @@
 __all__ = ["HybridClock", "HybridTime"]
 
 
+# A host whose wall clock is further ahead than this does not move the clocks of others.
+MAX_AHEAD_MS = 60_000
+
+
 class HybridTime(Struct, frozen=True, order=True):
     """A reading: wall time in milliseconds and a counter that orders equal times."""
 
@@ -43,5 +47,6 @@
         return self._last
 
     def observe(self, other: HybridTime) -> None:
-        """Advance past a reading received from another host."""
-        self._last = max(self._last, other)
+        """Advance past a reading received from another host, unless it is far ahead."""
+        if other.wall_ms <= int(self._wall_clock() * 1000) + MAX_AHEAD_MS:
+            self._last = max(self._last, other)
--- a/src/baobabstream/telemetry/logs.py
+++ b/src/baobabstream/telemetry/logs.py
@@ -9,6 +9,9 @@
 
 _ROOT = "baobabstream"
 
+# Libraries whose warnings belong in the log; their records get the logger's name as prefix.
+_LIBRARIES = ("aiohttp", "asyncio")
+
 
 class PartLogger(logging.LoggerAdapter):
     """Puts the name of the part before each message."""
@@ -39,13 +42,19 @@
     host
         Name of this host, part of each record.
     """
+    _send_to_stderr(_ROOT, level, json_lines, host, "%(message)s")
+    for library in _LIBRARIES:
+        _send_to_stderr(library, "WARNING", json_lines, host, f"{library}: %(message)s")
+
+
+def _send_to_stderr(name: str, level: str, json_lines: bool, host: str, message: str) -> None:
     handler = logging.StreamHandler(sys.stderr)
     if json_lines:
-        fields = ["asctime", "levelname", "message"]
+        fields = ["asctime", "levelname", "name", "message"]
         handler.setFormatter(JsonFormatter(fields, static_fields={"host": host}))
     else:
-        handler.setFormatter(logging.Formatter(f"%(asctime)s %(levelname)s {host} %(message)s"))
-    root = logging.getLogger(_ROOT)
-    root.handlers = [handler]
-    root.setLevel(level)
-    root.propagate = False
+        handler.setFormatter(logging.Formatter(f"%(asctime)s %(levelname)s {host} {message}"))
+    logger = logging.getLogger(name)
+    logger.handlers = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
--- /dev/null
+++ b/src/baobabstream/telemetry/metrics.py
@@ -0,0 +1,108 @@
+"""OpenTelemetry metrics of one daemon, exported in the Prometheus format."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import start_http_server
+
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.telemetry.instruments import INSTRUMENTS, InstrumentKind, MetricName
+from baobabstream.telemetry.timeline import EventKind
+
+__all__ = ["Metrics"]
+
+# Upper bounds in seconds; the targets of the classes lie between 0.05 s and 60 s.
+DURATION_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0)
+
+
+class Metrics:
+    """Records the metrics of a daemon; without a port it records nothing.
+
+    Parameters
+    ----------
+    role
+        ``entry`` or ``control``.
+    host
+        Name of this host, part of the resource.
+    ip, port
+        Address of the Prometheus exporter.
+
+    Raises
+    ------
+    BaobabstreamError
+        ``ADDRESS_IN_USE`` if the exporter cannot listen.
+    """
+
+    def __init__(self, role: str, host: str, ip: str, port: int | None) -> None:
+        self._role = role
+        self._instruments: dict[MetricName, Any] = {}
+        self._server: Any = None
+        if port is None:
+            return
+        try:
+            self._server, self._thread = start_http_server(port, addr=ip)
+        except OSError as error:
+            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, f"{ip}:{port}") from error
+        resource = Resource.create({"service.name": f"baobabstream-{role}", "host.name": host})
+        self._provider = MeterProvider([PrometheusMetricReader()], resource=resource)
+        self._meter = self._provider.get_meter("baobabstream")
+        for name, instrument in INSTRUMENTS.items():
+            if role in instrument.roles and instrument.kind is not InstrumentKind.GAUGE:
+                self._instruments[name] = self._create(name)
+
+    def add(self, name: MetricName, amount: float, attributes: dict[str, str]) -> None:
+        """Add to a counter or an up-down counter."""
+        instrument = self._instruments.get(name)
+        if instrument is not None:
+            instrument.add(amount, attributes)
+
+    def record(self, name: MetricName, value: float, attributes: dict[str, str]) -> None:
+        """Record a value of a histogram."""
+        instrument = self._instruments.get(name)
+        if instrument is not None:
+            instrument.record(value, attributes)
+
+    def observe(self, name: MetricName, read: Callable[[], float]) -> None:
+        """Export what ``read`` returns as a gauge; it runs in the exporter's thread."""
+        if self._server is None:
+            return
+
+        def callback(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        instrument = INSTRUMENTS[name]
+        self._instruments[name] = self._meter.create_observable_gauge(
+            name, [callback], instrument.unit, instrument.summary
+        )
+
+    def count_event(self, kind: EventKind) -> None:
+        """Count a timeline event."""
+        self.add(MetricName.EVENTS, 1, {"kind": kind.value})
+
+    def close(self) -> None:
+        """Stop the exporter."""
+        if self._server is not None:
+            self._provider.shutdown()
+            self._server.shutdown()
+            self._server.server_close()
+            self._thread.join()
+            self._server = None
+
+    def _create(self, name: MetricName) -> Any:
+        instrument = INSTRUMENTS[name]
+        match instrument.kind:
+            case InstrumentKind.COUNTER:
+                return self._meter.create_counter(name, instrument.unit, instrument.summary)
+            case InstrumentKind.UP_DOWN_COUNTER:
+                return self._meter.create_up_down_counter(name, instrument.unit, instrument.summary)
+        return self._meter.create_histogram(
+            name,
+            instrument.unit,
+            instrument.summary,
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+        )
--- a/src/baobabstream/telemetry/timeline.py
+++ b/src/baobabstream/telemetry/timeline.py
@@ -1,5 +1,6 @@
 """Typed events of one daemon, written as JSON lines."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from pathlib import Path
 
@@ -68,12 +69,22 @@
         Name of this host and role of this daemon.
     clock
         Clock that stamps the events.
+    on_emit
+        Called with the kind of each event, also when there is no file.
     """
 
-    def __init__(self, path: Path | None, host: str, role: str, clock: HybridClock) -> None:
+    def __init__(
+        self,
+        path: Path | None,
+        host: str,
+        role: str,
+        clock: HybridClock,
+        on_emit: Callable[[EventKind], None] | None = None,
+    ) -> None:
         self._host = host
         self._role = role
         self._clock = clock
+        self._on_emit = on_emit
         self._encoder = Encoder()
         self._file = None
         if path is not None:
@@ -84,6 +95,8 @@
         self, kind: EventKind, request_id: str = "", revision: int = 0, detail: str = ""
     ) -> None:
         """Write one event with the current time."""
+        if self._on_emit is not None:
+            self._on_emit(kind)
         if self._file is None:
             return
         now = self._clock.now()
--- a/src/baobabstream/wire/codec.py
+++ b/src/baobabstream/wire/codec.py
@@ -9,6 +9,7 @@
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import PeerError
+from baobabstream.telemetry.hybrid_clock import HybridClock, HybridTime
 from baobabstream.wire.registry import MessageUnion
 
 __all__ = ["MAX_FRAME_BYTES", "PROTOCOL_VERSION", "Envelope", "WireCodec"]
@@ -18,12 +19,13 @@
 
 
 class Envelope(Struct, array_like=True, frozen=True):
-    """Frame around each message."""
+    """Frame around each message; ``time`` is the sender's hybrid clock reading."""
 
     protocol_version: int
     cluster: str
     sender: str
     proof: bytes
+    time: HybridTime
     body: Raw
 
 
@@ -37,13 +39,18 @@
     sender
         Name of the host that sends.
     peer_secret
-        Secret shared by the daemons; each frame carries an HMAC over its body.
+        Secret shared by the daemons; each frame carries an HMAC over its contents.
+    clock
+        Hybrid clock that stamps frames and follows the readings of peers.
     """
 
-    def __init__(self, cluster: str, sender: str, peer_secret: str) -> None:
+    def __init__(
+        self, cluster: str, sender: str, peer_secret: str, clock: HybridClock | None = None
+    ) -> None:
         self._cluster = cluster
         self._sender = sender
         self._secret = peer_secret.encode()
+        self._clock = clock or HybridClock()
         self._encoder = Encoder()
         self._envelopes = Decoder(Envelope)
         self._bodies: Decoder[Any] = Decoder(MessageUnion)
@@ -51,8 +58,9 @@
     def encode(self, message: Struct) -> bytes:
         """Return the frame that carries a message."""
         body = self._encoder.encode(message)
-        proof = self._proof(self._sender, body)
-        envelope = Envelope(PROTOCOL_VERSION, self._cluster, self._sender, proof, Raw(body))
+        time = self._clock.now()
+        proof = self._proof(self._sender, time, body)
+        envelope = Envelope(PROTOCOL_VERSION, self._cluster, self._sender, proof, time, Raw(body))
         return self._encoder.encode(envelope)
 
     def decode(self, frame: bytes) -> tuple[str, Any]:
@@ -71,6 +79,7 @@
         except (DecodeError, ValidationError) as error:
             raise PeerError(ResultCode.MESSAGE_MALFORMED, str(error)) from error
         self._check(envelope)
+        self._clock.observe(envelope.time)
         try:
             return envelope.sender, self._bodies.decode(envelope.body)
         except (DecodeError, ValidationError) as error:
@@ -81,10 +90,11 @@
             raise PeerError(ResultCode.WRONG_PROTOCOL_VERSION)
         if envelope.cluster != self._cluster:
             raise PeerError(ResultCode.WRONG_CLUSTER)
-        expected = self._proof(envelope.sender, bytes(envelope.body))
+        expected = self._proof(envelope.sender, envelope.time, bytes(envelope.body))
         if not hmac.compare_digest(expected, envelope.proof):
             raise PeerError(ResultCode.PEER_UNAUTHENTICATED)
 
-    def _proof(self, sender: str, body: bytes) -> bytes:
-        head = f"{PROTOCOL_VERSION}|{self._cluster}|{sender}|".encode()
+    def _proof(self, sender: str, time: HybridTime, body: bytes) -> bytes:
+        stamp = f"{time.wall_ms}.{time.counter}"
+        head = f"{PROTOCOL_VERSION}|{self._cluster}|{sender}|{stamp}|".encode()
         return hmac.digest(self._secret, head + body, hashlib.sha256)[:16]
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -1,11 +1,12 @@
 """Request/reply client and server over pynng."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 from msgspec import Struct
-from pynng import Rep0, Req0
+from pynng import Rep0, Req0, TLSConfig
 from pynng.exceptions import AddressInUse, NNGException
 
 from baobabstream.errors.codes import ResultCode
@@ -13,6 +14,7 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import MAX_FRAME_BYTES, WireCodec
 from baobabstream.wire.messages import ErrorReply
+from baobabstream.wire.tls import tls_url
 
 __all__ = ["Handler", "RpcClient", "RpcServer"]
 
@@ -21,6 +23,11 @@
 DIAL_RETRY_MIN_MS = 50
 DIAL_RETRY_MAX_MS = 500
 
+# Workers that wait for a call. A long poll of each of 330 entry hosts holds a worker, so the
+# number of workers follows the calls, and votes, claims and bills always find a free one.
+IDLE_WORKERS = 8
+MAX_WORKERS = 4096
+
 _log = get_logger("wire")
 
 
@@ -36,11 +43,14 @@
         nng address of the peer, such as ``tcp://127.0.0.1:7001``.
     codec
         Codec of this cluster.
+    tls
+        TLS configuration, or None for plain TCP.
     """
 
-    def __init__(self, url: str, codec: WireCodec) -> None:
-        self.url = url
+    def __init__(self, url: str, codec: WireCodec, tls: TLSConfig | None = None) -> None:
+        self.url = url if tls is None else tls_url(url)
         self._codec = codec
+        self._tls = tls
         self._socket: Req0 | None = None
 
     async def call(self, message: Struct, timeout_s: float) -> Any:
@@ -49,23 +59,25 @@
         Raises
         ------
         PeerError
-            ``PEER_TIMEOUT`` if no reply came within ``timeout_s``, or the code of the peer's
+            ``PEER_UNREACHABLE`` if the message was certainly not sent, ``PEER_TIMEOUT`` if it may
+            have been and no reply came within ``timeout_s``, or the code of the peer's
             ``ErrorReply``.
         """
         socket = self._open()
-        context = socket.new_context()
+        sent = False
         try:
-            async with asyncio.timeout(timeout_s):
-                await context.asend(self._codec.encode(message))
-                frame = await context.arecv()
+            with _request_context(socket) as context:
+                async with asyncio.timeout(timeout_s):
+                    await context.asend(self._codec.encode(message))
+                    sent = True
+                    frame = await context.arecv()
         except TimeoutError as error:
             self._discard(socket)
             raise PeerError(ResultCode.PEER_TIMEOUT, f"no reply from {self.url}") from error
         except NNGException as error:
             self._discard(socket)
-            raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
-        finally:
-            context.close()
+            code = ResultCode.PEER_TIMEOUT if sent else ResultCode.PEER_UNREACHABLE
+            raise PeerError(code, f"{self.url}: {error}") from error
         _, reply = self._codec.decode(frame)
         if isinstance(reply, ErrorReply):
             refusal = PeerError(ResultCode(reply.code), reply.detail)
@@ -85,6 +97,7 @@
                 reconnect_time_min=DIAL_RETRY_MIN_MS,
                 reconnect_time_max=DIAL_RETRY_MAX_MS,
                 resend_time=-1,
+                tls_config=self._tls,
             )
             socket.dial(self.url, block=False)
             self._socket = socket
@@ -96,8 +109,19 @@
         socket.close()
 
 
+@contextmanager
+def _request_context(socket: Req0) -> Iterator[Any]:
+    """Open a context and close it, even if another call has closed the socket meanwhile."""
+    context = socket.new_context()
+    try:
+        yield context
+    finally:
+        with suppress(NNGException):
+            context.close()
+
+
 class RpcServer:
-    """Answers peers; each worker serves one call at a time.
+    """Answers peers; each worker serves one call at a time, and workers are added on demand.
 
     Parameters
     ----------
@@ -107,39 +131,66 @@
         Codec of this cluster.
     handler
         Coroutine function that gets sender and message and returns the reply.
-    workers
-        Number of calls served at once. Long polls hold a worker while they wait.
+    tls
+        TLS configuration, or None for plain TCP.
+    max_workers
+        Most calls served at once. Long polls hold a worker while they wait.
     """
 
-    def __init__(self, url: str, codec: WireCodec, handler: Handler, workers: int = 64) -> None:
+    def __init__(
+        self,
+        url: str,
+        codec: WireCodec,
+        handler: Handler,
+        tls: TLSConfig | None = None,
+        max_workers: int = MAX_WORKERS,
+    ) -> None:
         self._codec = codec
         self._handler = handler
-        self._socket = Rep0(recv_max_size=MAX_FRAME_BYTES)
+        self._max_workers = max_workers
+        self._idle = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._socket = Rep0(recv_max_size=MAX_FRAME_BYTES, tls_config=tls)
         try:
-            self._socket.listen(url)
+            self._socket.listen(url if tls is None else tls_url(url))
         except AddressInUse as error:
             self._socket.close()
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, url) from error
-        self._tasks = [asyncio.create_task(self._serve()) for _ in range(workers)]
+        self._add_workers()
 
     async def close(self) -> None:
         """Stop serving and close the socket."""
-        for task in self._tasks:
+        for task in (tasks := list(self._tasks)):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._socket.close()
 
+    def _add_workers(self) -> None:
+        while self._idle < IDLE_WORKERS and len(self._tasks) < self._max_workers:
+            self._idle += 1
+            task = asyncio.create_task(self._serve())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     async def _serve(self) -> None:
         context = self._socket.new_context()
+        idle = True
         try:
-            while True:
+            while self._idle <= IDLE_WORKERS:
                 frame = await context.arecv()
+                self._idle -= 1
+                idle = False
+                self._add_workers()
                 reply = await self._answer(frame)
                 await context.asend(self._codec.encode(reply))
+                self._idle += 1
+                idle = True
         except NNGException as error:
             _log.warning("Worker stops: %s.", error)
         finally:
-            context.close()
+            self._idle -= idle
+            with suppress(NNGException):
+                context.close()
 
     async def _answer(self, frame: bytes) -> Struct:
         try:
--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,29 @@
+"""Reference pages follow the code."""
+
+import re
+import runpy
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+WRITER = runpy.run_path(str(ROOT / "scripts" / "write_pages.py"))
+
+
+@pytest.mark.parametrize("name", sorted(WRITER["PAGES"]))
+def test_page_follows_the_code(name):
+    """Guards against pages that describe codes, metrics, settings or commands of old."""
+    written = (ROOT / "docs" / name).read_text(encoding="utf-8")
+    assert written == WRITER["PAGES"][name](), "run scripts/write_pages.py"
+
+
+def test_links_between_pages_lead_to_files():
+    """Guards against links to pages that were moved or never written."""
+    pages = [*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")]
+    links = [
+        (page.name, target)
+        for page in pages
+        for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text(encoding="utf-8"))
+        if not (page.parent / target).exists()
+    ]
+    assert links == []
--- a/tests/telemetry/test_timeline.py
+++ b/tests/telemetry/test_timeline.py
@@ -1,7 +1,7 @@
 """Timelines of several processes: order, filters, explanation and picture."""
 
 import json
-from itertools import count
+from itertools import chain, count, repeat
 
 from typer.testing import CliRunner
 
@@ -65,8 +65,17 @@
 
 def test_clock_never_goes_back():
     """Guards against events out of order after the wall clock is set back."""
-    wall = iter([10.0, 9.0, 9.0])
+    wall = chain([10.0], repeat(9.0))
     clock = HybridClock(lambda: next(wall))
     times = [clock.now(), clock.now()]
     clock.observe(HybridTime(20_000, 3))
-    assert times[0] < times[1] < clock.now()
+    times.append(clock.now())
+    assert times == sorted(times)
+    assert times[-1] == HybridTime(20_000, 4)
+
+
+def test_clock_far_ahead_is_not_followed():
+    """Guards against one host with a wrong date that moves the events of all others."""
+    clock = HybridClock(lambda: 10.0)
+    clock.observe(HybridTime(10_000_000, 0))
+    assert clock.now().wall_ms == 10_000
