--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := src
 
-.PHONY: setup demo test lint format bench
+.PHONY: setup demo test lint format bench package
 
 setup:
 	VENV=$(VENV) bash scripts/setup.sh
@@ -21,3 +21,6 @@
 
 test: lint
 	$(BIN)/python -m pytest
+
+package: setup
+	VENV=$(VENV) bash scripts/package.sh
--- a/src/baobabstream/cli/daemons.py
+++ b/src/baobabstream/cli/daemons.py
@@ -1,4 +1,7 @@
-"""Commands that run the daemons."""
+"""Commands that run the daemons.
+
+Each command imports its daemon itself, so that operator commands start without them.
+"""
 
 from pathlib import Path
 from random import SystemRandom
@@ -6,14 +9,6 @@
 
 import typer
 
-from baobabstream.cli.run_daemon import run_until_stopped
-from baobabstream.control.daemon import ControlDaemon
-from baobabstream.entry.daemon import EntryDaemon
-from baobabstream.settings.load import load_settings
-from baobabstream.settings.models import ControlSettings, EntrySettings
-from baobabstream.telemetry.logs import configure_logging
-from baobabstream.wire.threads import limit_nng_threads
-
 __all__ = ["control", "entry"]
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML settings file.")]
@@ -21,6 +16,13 @@
 
 def entry(settings_file: SettingsFile) -> None:
     """Run an entry daemon."""
+    from baobabstream.cli.run_daemon import run_until_stopped
+    from baobabstream.entry.daemon import EntryDaemon
+    from baobabstream.settings.load import load_settings
+    from baobabstream.settings.models import EntrySettings
+    from baobabstream.telemetry.logs import configure_logging
+    from baobabstream.wire.threads import limit_nng_threads
+
     settings = load_settings(settings_file, EntrySettings)
     configure_logging(settings.log.level, settings.log.json_lines, settings.host)
     limit_nng_threads()
@@ -29,6 +31,13 @@
 
 def control(settings_file: SettingsFile) -> None:
     """Run a control daemon."""
+    from baobabstream.cli.run_daemon import run_until_stopped
+    from baobabstream.control.daemon import ControlDaemon
+    from baobabstream.settings.load import load_settings
+    from baobabstream.settings.models import ControlSettings
+    from baobabstream.telemetry.logs import configure_logging
+    from baobabstream.wire.threads import limit_nng_threads
+
     settings = load_settings(settings_file, ControlSettings)
     configure_logging(settings.log.level, settings.log.json_lines, settings.host)
     limit_nng_threads()
--- a/src/baobabstream/telemetry/metrics.py
+++ b/src/baobabstream/telemetry/metrics.py
@@ -1,14 +1,8 @@
 """OpenTelemetry metrics of one daemon, exported in the Prometheus format."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import start_http_server
-
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.telemetry.instruments import INSTRUMENTS, InstrumentKind, MetricName
@@ -44,6 +38,12 @@
         self._server: Any = None
         if port is None:
             return
+        # OpenTelemetry takes 4 MB and is loaded only where metrics are exported.
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+        from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.resources import Resource
+        from prometheus_client import start_http_server
+
         try:
             self._server, self._thread = start_http_server(port, addr=ip)
         except OSError as error:
@@ -71,8 +71,9 @@
         """Export what ``read`` returns as a gauge; it runs in the exporter's thread."""
         if self._server is None:
             return
+        from opentelemetry.metrics import Observation
 
-        def callback(_: CallbackOptions) -> Iterable[Observation]:
+        def callback(_: Any) -> list[Observation]:
             return [Observation(read())]
 
         instrument = INSTRUMENTS[name]
