wire: cancellations that pynng swallows take effect

Cause: pynng drops a cancellation that meets the completion of an operation; a time limit that ended during the send left the receive without a limit, and a cancelled worker went on. Change: after each operation a cancellation request made meanwhile is raised. Conclusion: closing a server needs one cancellation of each worker.

--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, suppress
-from typing import Any
+from typing import Any, TypeVar
 
 from msgspec import Struct
 from pynng import Rep0, Req0, TLSConfig
@@ -16,8 +16,9 @@
 from baobabstream.wire.messages import ErrorReply
 from baobabstream.wire.tls import tls_url
 
-__all__ = ["Handler", "RpcClient", "RpcServer"]
+__all__ = ["Handler", "RpcClient", "RpcServer", "finish"]
 
+ResultT = TypeVar("ResultT")
 Handler = Callable[[str, Any], Awaitable[Struct]]
 
 DIAL_RETRY_MIN_MS = 50
@@ -31,6 +32,21 @@
 _log = get_logger("wire")
 
 
+async def finish(operation: Awaitable[ResultT]) -> ResultT:
+    """Await a pynng operation and raise a cancellation that it swallowed.
+
+    pynng drops a cancellation that meets the completion of the operation. Without this a time
+    limit that ends during the send would leave the receive without one.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    requests = task.cancelling()
+    result = await operation
+    if task.cancelling() > requests:
+        raise asyncio.CancelledError
+    return result
+
+
 class RpcClient:
     """Calls one peer over one request socket.
 
@@ -68,9 +84,9 @@
         try:
             with _request_context(socket) as context:
                 async with asyncio.timeout(timeout_s):
-                    await context.asend(self._codec.encode(message))
+                    await finish(context.asend(self._codec.encode(message)))
                     sent = True
-                    frame = await context.arecv()
+                    frame = await finish(context.arecv())
         except TimeoutError as error:
             self._discard(socket)
             raise PeerError(ResultCode.PEER_TIMEOUT, f"no reply from {self.url}") from error
@@ -177,12 +193,12 @@
         idle = True
         try:
             while self._idle <= IDLE_WORKERS:
-                frame = await context.arecv()
+                frame = await finish(context.arecv())
                 self._idle -= 1
                 idle = False
                 self._add_workers()
                 reply = await self._answer(frame)
-                await context.asend(self._codec.encode(reply))
+                await finish(context.asend(self._codec.encode(reply)))
                 self._idle += 1
                 idle = True
         except NNGException as error:
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -16,7 +16,7 @@
 from baobabstream.wire import codec as codec_module
 from baobabstream.wire.codec import PROTOCOL_VERSION, WireCodec
 from baobabstream.wire.messages import BillReply, BillRequest, TrialEnd, TrialEndReply
-from baobabstream.wire.rpc import RpcClient, RpcServer
+from baobabstream.wire.rpc import RpcClient, RpcServer, finish
 from baobabstream.wire.tls import client_tls, server_tls
 from waiting import until
 
@@ -197,6 +197,25 @@
         assert await asyncio.gather(*polls) == [REPLY] * 330
 
 
+async def swallow_cancellation() -> bytes:
+    """Behave as pynng does when a cancellation meets the completion."""
+    with suppress(asyncio.CancelledError):
+        await asyncio.Event().wait()
+    return b"reply"
+
+
+async def test_swallowed_cancellation_and_time_limit_still_take_effect():
+    """Guards against a call that waits for ever, and against a task that cannot be ended."""
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01):
+            await finish(swallow_cancellation())
+    task = asyncio.create_task(finish(swallow_cancellation()))
+    await asyncio.sleep(0)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+
+
 def tls_files(folder, authority, name) -> PeerTlsFiles:
     certificate = authority.issue_cert(name)
     paths = {kind: folder / f"{name}.{kind}" for kind in ("pem", "key", "ca")}
