--- a/scripts/demo_settings.py
+++ b/scripts/demo_settings.py
@@ -6,7 +6,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-PORT_COUNT = 40
+PORT_COUNT = 60
 
 
 def free_port_block() -> int:
@@ -44,7 +44,8 @@
         text = (
             f'cluster = "demo"\nhost = "entry-{n}"\navailability_zone = "zone-{n}"\n'
             f'peer_secret = "{peer_secret}"\nsession_secret = "{session_secret}"\n'
-            f'drain_notice_s = 0.5\ntimeline_file = "{folder}/timeline/entry-{n}.jsonl"\n'
+            f'drain_notice_s = 0.5\nrating_url = "http://127.0.0.1:{base + 50}"\n'
+            f'timeline_file = "{folder}/timeline/entry-{n}.jsonl"\n'
             f"[listener]\nport = {base + 20 + n}\n{peers}"
         )
         (folder / f"entry-{n}.toml").write_text(text)
