wire: TLS belongs to the codec that every connection uses

Cause: TLS was an argument of each RpcClient and RpcServer, so that a connection opened elsewhere, such as by the replicated log, would have stayed in plain TCP. Change: the codec carries the TLS; peer_codec makes it from the settings with secret and clock. Conclusion: code that opens connections needs no change for TLS.

--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -22,7 +22,6 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
-from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.messages import (
     BillReply,
     BillRequest,
@@ -35,8 +34,8 @@
     SuspectReply,
     SuspectRequest,
 )
+from baobabstream.wire.peers import peer_codec
 from baobabstream.wire.rpc import RpcClient, RpcServer
-from baobabstream.wire.tls import client_tls, server_tls
 
 __all__ = ["ControlDaemon"]
 
@@ -69,15 +68,9 @@
         self.polls = PollService(self.state, self.registry, self.leases)
         settings.data_folder.mkdir(parents=True, exist_ok=True)
         self.ledger = Ledger(settings.data_folder / "ledger.log")
-        secret = settings.peer_secret.get_secret_value()
-        self._codec = WireCodec(settings.cluster, settings.host, secret, clock)
-        tls = settings.peer_tls
+        self._codec = peer_codec(settings, clock)
         self._peers = {
-            peer.host: RpcClient(
-                f"tcp://{peer.ip}:{peer.port}",
-                self._codec,
-                client_tls(tls, peer.host) if tls else None,
-            )
+            peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
             for peer in settings.control
             if peer.host != settings.host
         }
@@ -91,23 +84,18 @@
     async def start(self) -> None:
         """Open the listeners."""
         own = self._own_address()
-        peer_tls, admin_tls = self.settings.peer_tls, self.settings.admin_tls
-        self._server = RpcServer(
-            f"tcp://{own.ip}:{own.port}",
-            self._codec,
-            self._handle,
-            server_tls(peer_tls) if peer_tls is not None else None,
-        )
+        self._server = RpcServer(f"tcp://{own.ip}:{own.port}", self._codec, self._handle)
         app = AdminApi(self).application()
         measure_requests(app, self.metrics)
         self._observe()
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
+        tls = self.settings.admin_tls
         site = web.TCPSite(
             self._runner,
             own.ip,
             own.http_port,
-            ssl_context=admin_tls.server_context() if admin_tls is not None else None,
+            ssl_context=tls.server_context() if tls is not None else None,
         )
         try:
             await site.start()
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -27,7 +27,7 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
-from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.peers import peer_codec
 from baobabstream.wire.rows import AccountRow
 
 __all__ = ["EntryDaemon"]
@@ -56,16 +56,13 @@
         self.view = ClusterView()
         self.sessions = SessionTokens(settings.session_secret.get_secret_value())
         self.decisions = DecisionLoop(LeastInFlight(random), self._version_stopped)
-        secret = settings.peer_secret.get_secret_value()
-        codec = WireCodec(settings.cluster, settings.host, secret, self.clock)
         self.control = ControlSession(
             settings.host,
             settings.availability_zone,
             settings.control,
-            codec,
+            peer_codec(settings, self.clock),
             self.view,
             self._view_changed,
-            settings.peer_tls,
         )
         self.bills = BillSender(self.control, self.control.zones)
         self._stopping = False
--- a/src/baobabstream/membership/control_session.py
+++ b/src/baobabstream/membership/control_session.py
@@ -11,12 +11,11 @@
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.membership.lease import Lease
 from baobabstream.policy.view import ClusterView
-from baobabstream.settings.models import ControlPeer, PeerTlsFiles
+from baobabstream.settings.models import ControlPeer
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.messages import PollReply, PollRequest
 from baobabstream.wire.rpc import RpcClient
-from baobabstream.wire.tls import client_tls
 
 __all__ = ["ControlSession"]
 
@@ -42,8 +41,6 @@
         View that is updated.
     on_change
         Called after each change of the view.
-    tls
-        Certificate files for the connections, or None for plain TCP.
     """
 
     def __init__(
@@ -54,7 +51,6 @@
         codec: WireCodec,
         view: ClusterView,
         on_change: Callable[[], None],
-        tls: PeerTlsFiles | None = None,
     ) -> None:
         self._host = host
         self._zone = availability_zone
@@ -62,10 +58,7 @@
         self._on_change = on_change
         self._incarnation = time.time_ns()
         self._clients = {
-            peer.host: RpcClient(
-                f"tcp://{peer.ip}:{peer.port}", codec, client_tls(tls, peer.host) if tls else None
-            )
-            for peer in control
+            peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", codec) for peer in control
         }
         self.zones = {peer.host: peer.availability_zone for peer in control}
         self._next_host = cycle(self._clients)
--- a/src/baobabstream/wire/codec.py
+++ b/src/baobabstream/wire/codec.py
@@ -11,6 +11,7 @@
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.telemetry.hybrid_clock import HybridClock, HybridTime
 from baobabstream.wire.registry import MessageUnion
+from baobabstream.wire.tls import PeerTls
 
 __all__ = ["MAX_FRAME_BYTES", "PROTOCOL_VERSION", "Envelope", "WireCodec"]
 
@@ -42,11 +43,20 @@
         Secret shared by the daemons; each frame carries an HMAC over its contents.
     clock
         Hybrid clock that stamps frames and follows the readings of peers.
+    tls
+        TLS of all connections that use this codec, or None for plain TCP. It is kept here so
+        that no connection can be opened without it.
     """
 
     def __init__(
-        self, cluster: str, sender: str, peer_secret: str, clock: HybridClock | None = None
+        self,
+        cluster: str,
+        sender: str,
+        peer_secret: str,
+        clock: HybridClock | None = None,
+        tls: PeerTls | None = None,
     ) -> None:
+        self.tls = tls
         self._cluster = cluster
         self._sender = sender
         self._secret = peer_secret.encode()
--- /dev/null
+++ b/src/baobabstream/wire/peers.py
@@ -0,0 +1,26 @@
+"""Makes the codec of a daemon from its settings."""
+
+from baobabstream.settings.models import ControlSettings, EntrySettings
+from baobabstream.telemetry.hybrid_clock import HybridClock
+from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.tls import PeerTls
+
+__all__ = ["peer_codec"]
+
+
+def peer_codec(settings: EntrySettings | ControlSettings, clock: HybridClock) -> WireCodec:
+    """Return the codec that every connection of a daemon uses.
+
+    Parameters
+    ----------
+    settings
+        Settings of the daemon; they give cluster, secret and TLS files.
+    clock
+        Hybrid clock of the daemon.
+    """
+    tls = None
+    if settings.peer_tls is not None:
+        names = {f"tcp://{peer.ip}:{peer.port}": peer.host for peer in settings.control}
+        tls = PeerTls(settings.peer_tls, names)
+    secret = settings.peer_secret.get_secret_value()
+    return WireCodec(settings.cluster, settings.host, secret, clock, tls)
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -6,7 +6,7 @@
 from typing import Any, TypeVar
 
 from msgspec import Struct
-from pynng import Rep0, Req0, TLSConfig
+from pynng import Rep0, Req0
 from pynng.exceptions import AddressInUse, NNGException
 
 from baobabstream.errors.codes import ResultCode
@@ -58,15 +58,13 @@
     url
         nng address of the peer, such as ``tcp://127.0.0.1:7001``.
     codec
-        Codec of this cluster.
-    tls
-        TLS configuration, or None for plain TCP.
+        Codec of this cluster, with the TLS of the connection.
     """
 
-    def __init__(self, url: str, codec: WireCodec, tls: TLSConfig | None = None) -> None:
-        self.url = url if tls is None else tls_url(url)
+    def __init__(self, url: str, codec: WireCodec) -> None:
+        self.url = url if codec.tls is None else tls_url(url)
         self._codec = codec
-        self._tls = tls
+        self._tls = None if codec.tls is None else codec.tls.client(url)
         self._socket: Req0 | None = None
 
     async def call(self, message: Struct, timeout_s: float) -> Any:
@@ -144,29 +142,25 @@
     url
         nng address to listen on.
     codec
-        Codec of this cluster.
+        Codec of this cluster, with the TLS of the listener.
     handler
         Coroutine function that gets sender and message and returns the reply.
-    tls
-        TLS configuration, or None for plain TCP.
     max_workers
         Most calls served at once. Long polls hold a worker while they wait.
     """
 
     def __init__(
-        self,
-        url: str,
-        codec: WireCodec,
-        handler: Handler,
-        tls: TLSConfig | None = None,
-        max_workers: int = MAX_WORKERS,
+        self, url: str, codec: WireCodec, handler: Handler, max_workers: int = MAX_WORKERS
     ) -> None:
         self._codec = codec
         self._handler = handler
         self._max_workers = max_workers
         self._idle = 0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._socket = Rep0(recv_max_size=MAX_FRAME_BYTES, tls_config=tls)
+        tls = codec.tls
+        self._socket = Rep0(
+            recv_max_size=MAX_FRAME_BYTES, tls_config=None if tls is None else tls.server()
+        )
         try:
             self._socket.listen(url if tls is None else tls_url(url))
         except AddressInUse as error:
--- a/src/baobabstream/wire/tls.py
+++ b/src/baobabstream/wire/tls.py
@@ -1,10 +1,12 @@
-"""TLS configuration of the connections between daemons."""
+"""TLS of the connections between daemons."""
+
+from collections.abc import Mapping
 
 from pynng import TLSConfig
 
 from baobabstream.settings.tls import PeerTlsFiles
 
-__all__ = ["client_tls", "server_tls", "tls_url"]
+__all__ = ["PeerTls", "tls_url"]
 
 
 def tls_url(url: str) -> str:
@@ -12,22 +14,35 @@
     return url.replace("tcp://", "tls+tcp://", 1)
 
 
-def server_tls(files: PeerTlsFiles) -> TLSConfig:
-    """Return the configuration of a listener that demands a client certificate."""
-    return _config(files, TLSConfig.MODE_SERVER)
-
-
-def client_tls(files: PeerTlsFiles, server_name: str) -> TLSConfig:
-    """Return the configuration of a connection to the host named ``server_name``."""
-    return _config(files, TLSConfig.MODE_CLIENT, server_name)
-
-
-def _config(files: PeerTlsFiles, mode: int, server_name: str | None = None) -> TLSConfig:
-    return TLSConfig(
-        mode,
-        server_name=server_name,
-        ca_string=files.ca_file.read_text(encoding="ascii"),
-        own_cert_string=files.certificate_file.read_text(encoding="ascii"),
-        own_key_string=files.key_file.read_text(encoding="ascii"),
-        auth_mode=TLSConfig.AUTH_MODE_REQUIRED,
-    )
+class PeerTls:
+    """TLS configurations of one daemon.
+
+    Parameters
+    ----------
+    files
+        Certificate of this daemon and the authority of all daemons' certificates.
+    names
+        Host name in the certificate of the daemon at each nng address.
+    """
+
+    def __init__(self, files: PeerTlsFiles, names: Mapping[str, str]) -> None:
+        self._files = files
+        self._names = names
+
+    def server(self) -> TLSConfig:
+        """Return the configuration of a listener that demands a client certificate."""
+        return self._config(TLSConfig.MODE_SERVER, None)
+
+    def client(self, url: str) -> TLSConfig:
+        """Return the configuration of a connection to the daemon at an address."""
+        return self._config(TLSConfig.MODE_CLIENT, self._names[url])
+
+    def _config(self, mode: int, server_name: str | None) -> TLSConfig:
+        return TLSConfig(
+            mode,
+            server_name=server_name,
+            ca_string=self._files.ca_file.read_text(encoding="ascii"),
+            own_cert_string=self._files.certificate_file.read_text(encoding="ascii"),
+            own_key_string=self._files.key_file.read_text(encoding="ascii"),
+            auth_mode=TLSConfig.AUTH_MODE_REQUIRED,
+        )
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -17,15 +17,15 @@
 from baobabstream.wire.codec import PROTOCOL_VERSION, WireCodec
 from baobabstream.wire.messages import BillReply, BillRequest, TrialEnd, TrialEndReply
 from baobabstream.wire.rpc import RpcClient, RpcServer, finish
-from baobabstream.wire.tls import client_tls, server_tls
+from baobabstream.wire.tls import PeerTls
 from waiting import until
 
 SECRET = "correct-horse-battery"
 REPLY = BillReply("control-1", "zone-1", 0)
 
 
-def codec(cluster="c", secret=SECRET) -> WireCodec:
-    return WireCodec(cluster, "host", secret)
+def codec(cluster="c", secret=SECRET, tls=None) -> WireCodec:
+    return WireCodec(cluster, "host", secret, tls=tls)
 
 
 async def answer(_sender, _message):
@@ -33,9 +33,9 @@
 
 
 @asynccontextmanager
-async def server(handler=answer, tls=None, **options):
-    port = free_port()
-    served = RpcServer(f"tcp://127.0.0.1:{port}", codec(), handler, tls, **options)
+async def server(handler=answer, tls=None, port=None):
+    port = port or free_port()
+    served = RpcServer(f"tcp://127.0.0.1:{port}", codec(tls=tls), handler)
     try:
         yield f"tcp://127.0.0.1:{port}"
     finally:
@@ -49,8 +49,8 @@
 
 
 @asynccontextmanager
-async def client(url, own_codec=None, tls=None):
-    caller = RpcClient(url, own_codec or codec(), tls)
+async def client(url, own_codec=None):
+    caller = RpcClient(url, own_codec or codec())
     try:
         yield caller
     finally:
@@ -231,11 +231,13 @@
     (tmp_path / "theirs").mkdir()
     own = tls_files(tmp_path, ours, "control-1")
     foreign = tls_files(tmp_path / "theirs", theirs, "control-1")
-    async with server(tls=server_tls(own)) as url:
-        async with client(url, tls=client_tls(own, "control-1")) as caller:
+    port = free_port()
+    url = f"tcp://127.0.0.1:{port}"
+    async with server(tls=PeerTls(own, {}), port=port):
+        async with client(url, codec(tls=PeerTls(own, {url: "control-1"}))) as caller:
             assert await caller.call(BillRequest(()), 5) == REPLY
-        refused = (client_tls(own, "control-2"), client_tls(foreign, "control-1"), None)
-        for configuration in refused:
-            async with client(url, tls=configuration) as caller:
+        refused = (PeerTls(own, {url: "control-2"}), PeerTls(foreign, {url: "control-1"}), None)
+        for tls in refused:
+            async with client(url, codec(tls=tls)) as caller:
                 with pytest.raises(PeerError):
                     await caller.call(BillRequest(()), 0.3)
