wire: the limit on calls served at once keeps its name

Cause: the parameter workers had been renamed, which callers of RpcServer in other packages use. Change: workers is the most calls served at once.

--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -145,16 +145,16 @@
         Codec of this cluster, with the TLS of the listener.
     handler
         Coroutine function that gets sender and message and returns the reply.
-    max_workers
+    workers
         Most calls served at once. Long polls hold a worker while they wait.
     """
 
     def __init__(
-        self, url: str, codec: WireCodec, handler: Handler, max_workers: int = MAX_WORKERS
+        self, url: str, codec: WireCodec, handler: Handler, workers: int = MAX_WORKERS
     ) -> None:
         self._codec = codec
         self._handler = handler
-        self._max_workers = max_workers
+        self._max_workers = workers
         self._idle = 0
         self._tasks: set[asyncio.Task[None]] = set()
         tls = codec.tls
