--- a/src/baobabstream/cli/operate.py
+++ b/src/baobabstream/cli/operate.py
@@ -14,6 +14,20 @@
 
 __all__ = ["operate_app"]
 
+# Columns of the tables for people; --json shows all fields.
+ENTRY_COLUMNS = ("host", "availability_zone", "applied_revision", "draining")
+BACKEND_COLUMNS = (
+    "identity",
+    "kind",
+    "availability_zone",
+    "service",
+    "loaded",
+    "slots",
+    "in_flight",
+    "queued_tokens",
+    "url",
+)
+
 operate_app = typer.Typer(no_args_is_help=True)
 quarantine_app = typer.Typer(help="Requests that crashed backend servers.", no_args_is_help=True)
 operate_app.add_typer(account_app, name="account")
@@ -34,8 +48,12 @@
         return
     lists: dict[str, Any] = {"entries": [], "backends": []}
     print_table([{key: document[key] for key in document if key not in lists}], "control")
-    print_table(document["entries"], "entry hosts")
-    print_table(document["backends"], "backend servers")
+    print_table(_columns(document["entries"], ENTRY_COLUMNS), "entry hosts")
+    print_table(_columns(document["backends"], BACKEND_COLUMNS), "backend servers")
+
+
+def _columns(rows: list[dict[str, Any]], names: tuple[str, ...]) -> list[dict[str, Any]]:
+    return [{name: row.get(name) for name in names} for row in rows]
 
 
 @operator_command(operate_app, "members")
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -25,8 +25,10 @@
 DIAL_RETRY_MAX_MS = 500
 
 # Workers that wait for a call. A long poll of each of 330 entry hosts holds a worker, so the
-# number of workers follows the calls, and votes, claims and bills always find a free one.
-IDLE_WORKERS = 8
+# number of workers follows the calls, and votes, claims and bills always find a free one. The two
+# bounds lie apart, so that steady load does not start and end a worker with each call.
+MIN_IDLE_WORKERS = 8
+MAX_IDLE_WORKERS = 32
 MAX_WORKERS = 4096
 
 _log = get_logger("wire")
@@ -176,7 +178,7 @@
         self._socket.close()
 
     def _add_workers(self) -> None:
-        while self._idle < IDLE_WORKERS and len(self._tasks) < self._max_workers:
+        while self._idle < MIN_IDLE_WORKERS and len(self._tasks) < self._max_workers:
             self._idle += 1
             task = asyncio.create_task(self._serve())
             self._tasks.add(task)
@@ -186,7 +188,7 @@
         context = self._socket.new_context()
         idle = True
         try:
-            while self._idle <= IDLE_WORKERS:
+            while self._idle <= MAX_IDLE_WORKERS:
                 frame = await finish(context.arecv())
                 self._idle -= 1
                 idle = False
