wire, cli: failures of a peer's handler are not called not run

Cause: a handler that failed was answered with a code whose run state is no; an unknown code, an unusable address or a proxy's error page raised bare exceptions. Change: code 4007 PEER_FAILED with run state unknown, also for codes of newer peers; refused frames are logged once in 10 s per code; answers that are not a control host's count as unreachable. Conclusion: what a peer call raises is always numbered.

--- a/src/baobabstream/cli/admin_client.py
+++ b/src/baobabstream/cli/admin_client.py
@@ -89,16 +89,20 @@
                     continue
                 if answer.status == 200:
                     return document
-                problem = _refusal(document)
+                problem = _refusal(document, f"{url}: HTTP status {answer.status}")
                 if answer.status < 500:
                     raise problem
             await asyncio.sleep(RESEND_DELAY_S)
         raise problem
 
 
-def _refusal(document: Any) -> RequestRefused:
-    error = document["error"]
-    return RequestRefused(ResultCode(error["code"]), error["message"])
+def _refusal(document: Any, where: str) -> RequestRefused:
+    """Return the error of an answer; one that is not a control host's counts as unreachable."""
+    try:
+        error = document["error"]
+        return RequestRefused(ResultCode(error["code"]), error["message"])
+    except (KeyError, TypeError, ValueError):
+        return RequestRefused(ResultCode.NO_LEADER, where)
 
 
 def with_client(
--- a/src/baobabstream/errors/codes.py
+++ b/src/baobabstream/errors/codes.py
@@ -66,6 +66,7 @@
     MESSAGE_MALFORMED = 4004
     PEER_TIMEOUT = 4005
     PEER_UNREACHABLE = 4006
+    PEER_FAILED = 4007
     LOG_DAMAGED = 5001
     DISK_FAILED = 5002
     DATA_FOLDER_IN_USE = 5003
@@ -150,6 +151,7 @@
         CodeRow(_C.MESSAGE_MALFORMED, 400, _NO, False, "The message cannot be decoded."),
         CodeRow(_C.PEER_TIMEOUT, 504, _UNKNOWN, True, "The peer did not answer in time."),
         CodeRow(_C.PEER_UNREACHABLE, 503, _NO, True, "The peer cannot be reached."),
+        CodeRow(_C.PEER_FAILED, 500, _UNKNOWN, True, "The peer failed while it served the call."),
         CodeRow(_C.LOG_DAMAGED, 500, _UNKNOWN, False, "A log record is damaged."),
         CodeRow(_C.DISK_FAILED, 500, _UNKNOWN, False, "Writing or syncing a file failed."),
         CodeRow(_C.DATA_FOLDER_IN_USE, 500, _NO, False, "Another daemon uses the data folder."),
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -9,7 +9,7 @@
 from pynng import Rep0, Req0
 from pynng.exceptions import AddressInUse, NNGException
 
-from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.codes import CODE_TABLE, ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import MAX_FRAME_BYTES, WireCodec
@@ -31,6 +31,9 @@
 MAX_IDLE_WORKERS = 32
 MAX_WORKERS = 4096
 
+# A refused peer tries again several times a second; one log line for each code is enough.
+REFUSAL_LOG_INTERVAL_S = 10.0
+
 _log = get_logger("wire")
 
 
@@ -79,8 +82,11 @@
             have been and no reply came within ``timeout_s``, or the code of the peer's
             ``ErrorReply``.
         """
-        socket = self._open()
         sent = False
+        try:
+            socket = self._open()
+        except NNGException as error:
+            raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
         try:
             with _request_context(socket) as context:
                 async with asyncio.timeout(timeout_s):
@@ -96,9 +102,7 @@
             raise PeerError(code, f"{self.url}: {error}") from error
         _, reply = self._codec.decode(frame)
         if isinstance(reply, ErrorReply):
-            refusal = PeerError(ResultCode(reply.code), reply.detail)
-            refusal.leader = reply.leader
-            raise refusal
+            raise _refusal(reply)
         return reply
 
     def close(self) -> None:
@@ -115,8 +119,8 @@
                 resend_time=-1,
                 tls_config=self._tls,
             )
-            socket.dial(self.url, block=False)
             self._socket = socket
+            socket.dial(self.url, block=False)
         return self._socket
 
     def _discard(self, socket: Req0) -> None:
@@ -125,6 +129,15 @@
         socket.close()
 
 
+def _refusal(reply: ErrorReply) -> PeerError:
+    """Return the error of a reply; a newer peer may send a code that is not known here."""
+    known = reply.code in CODE_TABLE
+    code = ResultCode(reply.code) if known else ResultCode.PEER_FAILED
+    refusal = PeerError(code, reply.detail if known else f"code {reply.code}: {reply.detail}")
+    refusal.leader = reply.leader
+    return refusal
+
+
 @contextmanager
 def _request_context(socket: Req0) -> Iterator[Any]:
     """Open a context and close it, even if another call has closed the socket meanwhile."""
@@ -158,6 +171,7 @@
         self._handler = handler
         self._max_workers = workers
         self._idle = 0
+        self._logged_s: dict[ResultCode, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         tls = codec.tls
         self._socket = Rep0(
@@ -207,10 +221,20 @@
     async def _answer(self, frame: bytes) -> Struct:
         try:
             sender, message = self._codec.decode(frame)
+        except PeerError as error:
+            self._log_refusal(error)
+            return ErrorReply(int(error.code), error.detail)
+        try:
             return await self._handler(sender, message)
         except BaobabstreamError as error:
             leader = getattr(error, "leader", "")
             return ErrorReply(int(error.code), error.detail, leader)
         except Exception:
-            _log.exception("Handler failed.")
-            return ErrorReply(int(ResultCode.MESSAGE_MALFORMED), "the handler failed")
+            _log.exception("The handler of a call failed.")
+            return ErrorReply(int(ResultCode.PEER_FAILED), "the handler failed")
+
+    def _log_refusal(self, error: PeerError) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._logged_s.get(error.code, float("-inf")) >= REFUSAL_LOG_INTERVAL_S:
+            self._logged_s[error.code] = now_s
+            _log.warning("Refused a peer's frame: %s.", error)
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -10,12 +10,12 @@
 from hypothesis import strategies as st
 from msgspec.msgpack import encode
 
-from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.settings.tls import PeerTlsFiles
 from baobabstream.wire import codec as codec_module
 from baobabstream.wire.codec import PROTOCOL_VERSION, WireCodec
-from baobabstream.wire.messages import BillReply, BillRequest, TrialEnd, TrialEndReply
+from baobabstream.wire.messages import BillReply, BillRequest, ErrorReply, TrialEnd, TrialEndReply
 from baobabstream.wire.rpc import RpcClient, RpcServer, finish
 from baobabstream.wire.tls import PeerTls
 from waiting import until
@@ -197,6 +197,29 @@
         assert await asyncio.gather(*polls) == [REPLY] * 330
 
 
+@pytest.mark.parametrize("failure", [ValueError("bug"), ErrorReply(9999, "from the future")])
+async def test_failed_handler_and_unknown_code_leave_the_run_state_unknown(failure):
+    """Guards against a call that is called not run although its handler had begun."""
+
+    async def handler(_, __):
+        if isinstance(failure, Exception):
+            raise failure
+        return failure
+
+    async with server(handler) as url, client(url) as caller:
+        with pytest.raises(PeerError) as caught:
+            await caller.call(BillRequest(()), 5)
+    assert CODE_TABLE[caught.value.code].run_state is RunState.UNKNOWN
+
+
+async def test_unusable_address_is_a_numbered_error():
+    """Guards against a mistyped address that ends the caller's task."""
+    async with client("tcp://not an address") as caller:
+        with pytest.raises(PeerError) as caught:
+            await caller.call(BillRequest(()), 1)
+    assert caught.value.code is ResultCode.PEER_UNREACHABLE
+
+
 async def swallow_cancellation() -> bytes:
     """Behave as pynng does when a cancellation meets the completion."""
     with suppress(asyncio.CancelledError):
