Emulator: events of an answer from a prepared head, uvloop

Cause: each token cost a whole JSON encoding; load tests share the machine with the stand-ins. Change: only token, index and end are encoded per event; emulate commands run on uvloop.

--- a/src/baobabstream/cli/emulate.py
+++ b/src/baobabstream/cli/emulate.py
@@ -1,10 +1,10 @@
 """Commands that run stand-in backend servers."""
 
-import asyncio
 from pathlib import Path
 from typing import Annotated
 
 import typer
+import uvloop
 
 from baobabstream.cli.run_daemon import stop_event
 from baobabstream.emulator.announcer import Announcer
@@ -93,7 +93,7 @@
     async def run() -> None:
         await EngineApp(options).run(Announcer(control_url, backend_key), stop_event())
 
-    asyncio.run(run())
+    uvloop.run(run())
 
 
 @emulate_app.command()
@@ -127,7 +127,7 @@
     async def run() -> None:
         await ServiceApp(options).run(Announcer(control_url, backend_key), stop_event())
 
-    asyncio.run(run())
+    uvloop.run(run())
 
 
 @emulate_app.command()
@@ -146,7 +146,7 @@
     async def run() -> None:
         await RatingApp(options).run(stop_event())
 
-    asyncio.run(run())
+    uvloop.run(run())
 
 
 def _share(item: str) -> tuple[str, float]:
--- a/src/baobabstream/emulator/answers.py
+++ b/src/baobabstream/emulator/answers.py
@@ -7,9 +7,9 @@
 
 __all__ = [
     "BAD_MARK",
+    "ChunkWriter",
     "answer_text",
     "answer_word",
-    "chunk",
     "prefix_digests",
     "prompt_seed",
     "prompt_tokens",
@@ -53,20 +53,31 @@
     return "".join(answer_word(seed, index) for index in range(tokens))
 
 
-def chunk(request_id: str, model: str, index: int, text: str, last: bool) -> bytes:
-    """Return one server-sent event that carries one token."""
-    document = {
-        "id": f"chatcmpl-{request_id}",
-        "object": "chat.completion.chunk",
-        "created": int(time.time()),
-        "model": model,
-        "choices": [
+class ChunkWriter:
+    """Makes the server-sent events of one answer, each of which carries one token.
+
+    Parameters
+    ----------
+    request_id
+        Identity of the request, as its sender gave it.
+    model
+        Model and version that answer.
+    """
+
+    def __init__(self, request_id: str, model: str) -> None:
+        head = json.dumps(
             {
-                "index": 0,
-                "delta": {"content": text},
-                "finish_reason": "stop" if last else None,
+                "id": f"chatcmpl-{request_id}",
+                "object": "chat.completion.chunk",
+                "created": int(time.time()),
+                "model": model,
             }
-        ],
-        "token_index": index,
-    }
-    return b"data: " + json.dumps(document).encode() + b"\n\n"
+        )
+        # Only token, index and end differ between the events of an answer.
+        self._head = f'data: {head[:-1]}, "choices": [{{"index": 0, "delta": {{"content": '
+
+    def chunk(self, index: int, text: str, last: bool) -> bytes:
+        """Return the event of one token."""
+        reason = '"stop"' if last else "null"
+        tail = f'}}, "finish_reason": {reason}}}], "token_index": {index}}}'
+        return f"{self._head}{json.dumps(text)}{tail}\n\n".encode()
--- a/src/baobabstream/emulator/chat.py
+++ b/src/baobabstream/emulator/chat.py
@@ -9,8 +9,8 @@
 
 from baobabstream.emulator.answers import (
     BAD_MARK,
+    ChunkWriter,
     answer_word,
-    chunk,
     prefix_digests,
     prompt_seed,
     prompt_tokens,
@@ -160,6 +160,7 @@
         }
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
+        writer = ChunkWriter(shown.request_id, shown.label)
         sent: list[bytes] = []
         while (index := await sequence.tokens.get()) is not None:
             if len(sent) == faults.stall_after_tokens:
@@ -167,17 +168,14 @@
             if len(sent) == faults.cut_after_tokens:
                 self._cut(request)
                 return response
-            sent.append(self._chunk(shown, index, index == prompt.end_token - 1))
+            word = f"{BAD_MARK} " if shown.bad else answer_word(shown.seed, index)
+            sent.append(writer.chunk(index, word, index == prompt.end_token - 1))
             await response.write(sent[-1])
         await response.write(b"data: [DONE]\n\n")
         if faults.doubled:
             await response.write(b"".join(sent) + b"data: [DONE]\n\n")
         return response
 
-    def _chunk(self, prompt: _Prompt, index: int, last: bool) -> bytes:
-        text = f"{BAD_MARK} " if prompt.bad else answer_word(prompt.seed, index)
-        return chunk(prompt.request_id, prompt.label, index, text, last)
-
     def _cut(self, request: web.Request) -> None:
         if request.transport is not None:
             request.transport.abort()
