Version option, exit code for storage, https control hosts for the stand-ins

Cause: a daemon that cannot use its data folder ended like a refused change; stand-in backend servers could not announce to https control hosts; the demo read the bills of the leader once, which may get its copy after two other hosts. Conclusion: a supervisor can tell a failed disk from a refusal.

--- a/scripts/demo_client.py
+++ b/scripts/demo_client.py
@@ -15,6 +15,7 @@
 
 READY_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 15.0
+BILL_TIMEOUT_S = 5.0
 ENTRIES = 2
 BACKEND_SERVERS = 6
 
@@ -154,8 +155,11 @@
 
 
 def show_bill(request_id: str, summary: Summary) -> None:
-    """Look for the bills of a request."""
-    bills = [bill for bill in operate("bills") if bill["request_id"] == request_id]
+    """Look for the bills of a request; the leader may get its copy a little later."""
+    deadline_s = time.monotonic() + BILL_TIMEOUT_S
+    bills: list[dict[str, Any]] = []
+    while not bills and time.monotonic() < deadline_s:
+        bills = [bill for bill in operate("bills") if bill["request_id"] == request_id]
     shown = ", ".join(f"{bill['output_tokens']} tokens cost {bill['cost']:.4f}" for bill in bills)
     summary.add("bill of the chat request", len(bills) == 1, f"{len(bills)} bill, {shown}")
 
--- a/src/baobabstream/cli/app.py
+++ b/src/baobabstream/cli/app.py
@@ -1,9 +1,11 @@
 """The ``baobabstream`` command."""
 
 import sys
+from typing import Annotated
 
 import typer
 
+from baobabstream import __version__
 from baobabstream.cli.check_settings import check_settings
 from baobabstream.cli.daemons import control, entry
 from baobabstream.cli.emulate import emulate_app
@@ -11,6 +13,7 @@
 from baobabstream.cli.operate import operate_app
 from baobabstream.cli.timeline import explain, timeline
 from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.wire.protocol import PROTOCOL_VERSION
 
 __all__ = ["app", "main"]
 
@@ -19,6 +22,26 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"baobabstream {__version__}, peer protocol {PROTOCOL_VERSION}")
+        raise typer.Exit
+
+
+@app.callback()
+def options(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version", is_eager=True, callback=_show_version, help="Show the version and exit."
+        ),
+    ] = False,
+) -> None:
+    """Model-aware router: daemons and operator client."""
+
+
 app.command()(entry)
 app.command()(control)
 app.command()(timeline)
--- a/src/baobabstream/cli/emulate.py
+++ b/src/baobabstream/cli/emulate.py
@@ -25,6 +25,10 @@
 Ip = Annotated[str, typer.Option()]
 ControlUrls = Annotated[list[str], typer.Option(help="Control host, may be repeated.")]
 BackendKey = Annotated[str, typer.Option(envvar="BAOBABSTREAM_BACKEND_KEY")]
+CaFile = Annotated[
+    Path | None,
+    typer.Option(envvar="BAOBABSTREAM_CA_FILE", help="Authority of https control hosts."),
+]
 Zone = Annotated[str, typer.Option()]
 TimelineFile = Annotated[Path | None, typer.Option()]
 FaultText = Annotated[str, typer.Option(help="Faults from the start, as JSON.")]
@@ -63,6 +67,7 @@
     faults: FaultText = "{}",
     seed: Seed = 1,
     timeline_file: TimelineFile = None,
+    ca_file: CaFile = None,
 ) -> None:
     """Run a stand-in model engine."""
     configure_logging("INFO", False, identity)
@@ -91,7 +96,7 @@
     )
 
     async def run() -> None:
-        await EngineApp(options).run(Announcer(control_url, backend_key), stop_event())
+        await EngineApp(options).run(Announcer(control_url, backend_key, ca_file), stop_event())
 
     uvloop.run(run())
 
@@ -109,6 +114,7 @@
     faults: FaultText = "{}",
     seed: Seed = 1,
     timeline_file: TimelineFile = None,
+    ca_file: CaFile = None,
 ) -> None:
     """Run a stand-in plain service that records each run of a call."""
     configure_logging("INFO", False, identity)
@@ -125,7 +131,7 @@
     )
 
     async def run() -> None:
-        await ServiceApp(options).run(Announcer(control_url, backend_key), stop_event())
+        await ServiceApp(options).run(Announcer(control_url, backend_key, ca_file), stop_event())
 
     uvloop.run(run())
 
--- a/src/baobabstream/cli/exit_codes.py
+++ b/src/baobabstream/cli/exit_codes.py
@@ -7,11 +7,12 @@
 
 __all__ = ["EXIT_MEANINGS", "ExitCode", "exit_code"]
 
+FIRST_STORAGE_CODE = 5000
 FIRST_SETTINGS_CODE = 6000
 
 
 class ExitCode(IntEnum):
-    """Exit code of the command."""
+    """Exit code of the command; ``STORAGE`` is EX_IOERR of sysexits.h."""
 
     DONE = 0
     FAILED = 1
@@ -22,6 +23,7 @@
     SETTINGS = 6
     OUTCOME_UNKNOWN = 7
     NOT_YET = 8
+    STORAGE = 74
 
 
 EXIT_MEANINGS: dict[ExitCode, str] = {
@@ -34,6 +36,7 @@
     ExitCode.SETTINGS: "A settings file, its TLS files or a listening address is not usable.",
     ExitCode.OUTCOME_UNKNOWN: "It is not known whether the change was accepted.",
     ExitCode.NOT_YET: "A wait ran out before the change was in force or the rollout had ended.",
+    ExitCode.STORAGE: "A control daemon cannot use its data folder, log or ledger.",
 }
 
 _BY_RESULT = {
@@ -48,4 +51,6 @@
     """Return the exit code that an error ends the command with."""
     if error.code >= FIRST_SETTINGS_CODE:
         return ExitCode.SETTINGS
+    if error.code >= FIRST_STORAGE_CODE:
+        return ExitCode.STORAGE
     return _BY_RESULT.get(error.code, ExitCode.REFUSED)
--- a/src/baobabstream/emulator/announcer.py
+++ b/src/baobabstream/emulator/announcer.py
@@ -1,10 +1,12 @@
 """Announces a stand-in backend server to the control hosts."""
 
 import asyncio
+import ssl
 from itertools import cycle
+from pathlib import Path
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from baobabstream.telemetry.logs import get_logger
 
@@ -25,9 +27,14 @@
         HTTP addresses of the control hosts.
     backend_key
         Key that authenticates backend servers.
+    ca_file
+        Authority of https control hosts, or None for the system's ones.
     """
 
-    def __init__(self, control_urls: list[str], backend_key: str) -> None:
+    def __init__(
+        self, control_urls: list[str], backend_key: str, ca_file: Path | None = None
+    ) -> None:
+        self._tls = ssl.create_default_context(cafile=ca_file) if ca_file is not None else True
         self._urls = cycle(control_urls)
         self._url = next(self._urls)
         self._tries = len(control_urls)
@@ -42,7 +49,10 @@
     async def send(self, call: str, body: dict[str, Any]) -> None:
         """Send one call, trying each control host once."""
         timeout = ClientTimeout(total=CALL_TIMEOUT_S)
-        async with ClientSession(timeout=timeout, headers=self._headers) as session:
+        connector = TCPConnector(ssl=self._tls)
+        async with ClientSession(
+            connector=connector, timeout=timeout, headers=self._headers
+        ) as session:
             for _ in range(self._tries):
                 try:
                     async with session.post(f"{self._url}/backend/v1/{call}", json=body) as answer:
--- a/src/baobabstream/wire/codec.py
+++ b/src/baobabstream/wire/codec.py
@@ -10,12 +10,12 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.telemetry.hybrid_clock import HybridClock, HybridTime
+from baobabstream.wire.protocol import PROTOCOL_VERSION
 from baobabstream.wire.registry import MessageUnion
 from baobabstream.wire.tls import PeerTls
 
 __all__ = ["MAX_FRAME_BYTES", "PROTOCOL_VERSION", "Envelope", "WireCodec"]
 
-PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 
--- /dev/null
+++ b/src/baobabstream/wire/protocol.py
@@ -0,0 +1,6 @@
+"""Version of the protocol between daemons."""
+
+__all__ = ["PROTOCOL_VERSION"]
+
+# Frames of another version are refused with WRONG_PROTOCOL_VERSION.
+PROTOCOL_VERSION = 1
--- a/tests/cli/test_operate.py
+++ b/tests/cli/test_operate.py
@@ -86,6 +86,7 @@
         (504, 2006, ExitCode.OUTCOME_UNKNOWN),
         (400, 2001, ExitCode.REFUSED),
         (502, "not a code of ours", ExitCode.UNREACHABLE),
+        (500, 5003, ExitCode.STORAGE),
     ],
 )
 def test_refusals_end_with_their_exit_code(status, code, expected):
