Picture: room for labels at the right edge

Cause: the label of the last event could be cut off. Change: a right margin of 260 px. Conclusion: not looked at in a browser; none is installed here.

--- a/src/baobabstream/telemetry/picture.py
+++ b/src/baobabstream/telemetry/picture.py
@@ -10,6 +10,7 @@
 
 LEFT_PX = 140
 WIDTH_PX = 900
+RIGHT_PX = 260
 LANE_PX = 90
 LABEL_STEP_PX = 14
 LABEL_LEVELS = 4
@@ -58,7 +59,8 @@
         marks=marks,
         span_ms=span_ms,
         left=LEFT_PX,
-        width=LEFT_PX + WIDTH_PX + LEFT_PX,
+        right=LEFT_PX + WIDTH_PX,
+        width=LEFT_PX + WIDTH_PX + RIGHT_PX,
         height=(len(lanes) + 1) * LANE_PX,
     )
 
