--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from baobabstream.emulator.faults import Faults
+
 ROOT = Path(__file__).resolve().parents[2]
 WRITER = runpy.run_path(str(ROOT / "scripts" / "write_pages.py"))
 
@@ -17,6 +19,12 @@
     assert written == WRITER["PAGES"][name](), "run scripts/write_pages.py"
 
 
+def test_emulator_page_names_every_fault():
+    """Guards against faults that nobody finds."""
+    page = (ROOT / "docs" / "emulator.md").read_text(encoding="utf-8")
+    assert [name for name in Faults.model_fields if f"`{name}`" not in page] == []
+
+
 def test_links_between_pages_lead_to_files():
     """Guards against links to pages that were moved or never written."""
     pages = [*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")]
