--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -8,6 +8,7 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientMiddlewareType,
     ClientResponse,
     ClientSession,
     ClientTimeout,
@@ -69,10 +70,15 @@
         Time limits on connections.
     block_gap_s
         Returns the least time in seconds between two blocks of tokens of one stream.
+    middlewares
+        Client middlewares that see each call.
     """
 
     def __init__(
-        self, limits: EngineLimits, block_gap_s: Callable[[], float] = lambda: 0.0
+        self,
+        limits: EngineLimits,
+        block_gap_s: Callable[[], float] = lambda: 0.0,
+        middlewares: tuple[ClientMiddlewareType, ...] = (),
     ) -> None:
         self._limits = limits
         self._block_gap_s = block_gap_s
@@ -81,9 +87,12 @@
             connector=TCPConnector(limit=0, keepalive_timeout=limits.idle_connection_s),
             timeout=timeout,
             read_bufsize=READ_BUFFER_BYTES,
+            middlewares=middlewares,
         )
         self._fresh = ClientSession(
-            connector=TCPConnector(limit=0, force_close=True), timeout=timeout
+            connector=TCPConnector(limit=0, force_close=True),
+            timeout=timeout,
+            middlewares=middlewares,
         )
 
     async def stream(
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -1,6 +1,7 @@
 """Control daemon: wires log, registry, ledger, admin interface and inner protocol."""
 
 import asyncio
+import time
 
 from aiohttp import web
 
@@ -16,19 +17,20 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
 from baobabstream.settings.models import ControlPeer, ControlSettings
+from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.logs import get_logger
+from baobabstream.telemetry.instruments import MetricName
+from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
-from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.messages import ForwardReply, ForwardRequest
+from baobabstream.wire.peers import peer_codec
 from baobabstream.wire.rpc import RpcClient, RpcServer
 
 __all__ = ["ControlDaemon"]
 
 PROPOSE_TIMEOUT_S = 2.0
 LEADERSHIP_CHECK_S = 0.05
-# Each entry holds one worker with its long poll; 330 entries are planned for.
-RPC_WORKERS = 512
 
 _log = get_logger("control")
 
@@ -44,12 +46,15 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self.settings = settings
-        self.timeline = TimeLine(settings.timeline_file, settings.host, "control", HybridClock())
+        self.metrics = Metrics("control", settings.host, settings.metrics_ip, settings.metrics_port)
+        clock = HybridClock()
+        self.timeline = TimeLine(
+            settings.timeline_file, settings.host, "control", clock, self.metrics.count_event
+        )
         self.state = ConfigState()
         self._leadership: Leadership | None = None
         self._notified_revision = 0
-        secret = settings.peer_secret.get_secret_value()
-        self._codec = WireCodec(settings.cluster, settings.host, secret)
+        self._codec = peer_codec(settings, clock)
         # Takes the lock on the data folder, so it comes before the ledger.
         self.log = open_log(settings, self.state, self._codec, self.timeline, self.notify_applied)
         self.ledger = Ledger(settings.data_folder / "ledger.log")
@@ -73,12 +78,19 @@
         """Open the listeners."""
         own = self._own_address()
         service = PeerService(self)
-        self._server = RpcServer(
-            f"tcp://{own.ip}:{own.port}", self._codec, service.handle, RPC_WORKERS
-        )
-        self._runner = web.AppRunner(self.admin.application(), access_log=None)
+        self._server = RpcServer(f"tcp://{own.ip}:{own.port}", self._codec, service.handle)
+        app = self.admin.application()
+        measure_requests(app, self.metrics)
+        self._observe()
+        self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, own.ip, own.http_port)
+        tls = self.settings.admin_tls
+        site = web.TCPSite(
+            self._runner,
+            own.ip,
+            own.http_port,
+            ssl_context=tls.server_context() if tls is not None else None,
+        )
         try:
             await site.start()
         except OSError as error:
@@ -108,6 +120,7 @@
         await self.ledger.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
+        self.metrics.close()
 
     def require_leadership(self) -> Leadership:
         """Return the soft state of this leader.
@@ -153,6 +166,23 @@
             raise PeerError(ResultCode.NO_LEADER)
         return await leader.call(request, timeout_s)
 
+    def _observe(self) -> None:
+        observe = self.metrics.observe
+        observe(MetricName.CONFIG_REVISION, lambda: self.state.revision)
+        observe(MetricName.CONTROL_LEADER, lambda: int(self.leads))
+        observe(MetricName.CONTROL_TERM, lambda: self.log.term)
+        observe(MetricName.CONTROL_BILLS, lambda: len(self.ledger))
+        observe(MetricName.BACKEND_SERVERS, self._count_backend_servers)
+        observe(MetricName.CONTROL_ENTRY_HOSTS, self._count_entry_hosts)
+
+    def _count_backend_servers(self) -> int:
+        leadership = self._leadership
+        return len(leadership.registry.records()) if leadership is not None else 0
+
+    def _count_entry_hosts(self) -> int:
+        leadership = self._leadership
+        return leadership.leases.count_live(time.monotonic()) if leadership is not None else 0
+
     def _own_address(self) -> ControlPeer:
         return next(peer for peer in self.settings.control if peer.host == self.settings.host)
 
--- a/src/baobabstream/control/registry.py
+++ b/src/baobabstream/control/registry.py
@@ -134,7 +134,7 @@
 
     def records(self) -> list[BackendRecord]:
         """Return all present backend servers."""
-        return [known.record for known in self._known.values()]
+        return [known.record for known in tuple(self._known.values())]
 
     def record(self, identity: str) -> BackendRecord | None:
         """Return a present backend server, or None."""
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -32,10 +32,14 @@
 from baobabstream.policy.outcome_policy import OutcomePolicy
 from baobabstream.policy.view import ClusterView
 from baobabstream.settings.models import EntrySettings
+from baobabstream.telemetry.clock_headers import carry_clock
+from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.logs import get_logger
+from baobabstream.telemetry.instruments import MetricName
+from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
-from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.peers import peer_codec
 from baobabstream.wire.rows import AccountRow
 
 __all__ = ["EntryDaemon"]
@@ -71,13 +75,20 @@
         clock: Callable[[], float] | None = None,
     ) -> None:
         self.settings = settings
-        self.timeline = TimeLine(settings.timeline_file, settings.host, "entry", HybridClock())
+        self.metrics = Metrics("entry", settings.host, settings.metrics_ip, settings.metrics_port)
+        self.hybrid_clock = HybridClock()
+        self.timeline = TimeLine(
+            settings.timeline_file,
+            settings.host,
+            "entry",
+            self.hybrid_clock,
+            self.metrics.count_event,
+        )
         self.random = random
         self._clock = clock or asyncio.get_running_loop().time
         self.view = ClusterView()
         self.sessions = SessionTokens(settings.session_secret.get_secret_value())
-        secret = settings.peer_secret.get_secret_value()
-        codec = WireCodec(settings.cluster, settings.host, secret)
+        codec = peer_codec(settings, self.hybrid_clock)
         self.control = ControlSession(
             settings.host,
             settings.availability_zone,
@@ -116,9 +127,16 @@
         app.router.add_get("/readyz", self._ready)
         ChatHandler(self).add_routes(app.router)
         app.router.add_route("*", "/{path:.*}", PlainHandler(self).handle)
+        measure_requests(app, self.metrics)
+        self._observe()
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self._runner.setup()
-        self._site = web.SockSite(self._runner, listening_socket, backlog=ACCEPT_BACKLOG)
+        self._site = web.SockSite(
+            self._runner,
+            listening_socket,
+            backlog=ACCEPT_BACKLOG,
+            ssl_context=listener.tls.server_context() if listener.tls is not None else None,
+        )
         await self._site.start()
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on port %d.", listener.port)
@@ -141,6 +159,7 @@
         self.control.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
+        self.metrics.close()
 
     async def _stop_poller(self) -> None:
         # pynng swallows a cancellation that meets the completion of the call, so it is repeated.
@@ -158,6 +177,7 @@
                 settings.idle_connection_s,
             ),
             lambda: self.load.block_gap_s,
+            (carry_clock(self.hybrid_clock),),
         )
         self.services = ServiceClient(settings.connect_timeout_s, settings.idle_connection_s)
         self.prober = Prober(settings.probe_timeout_s)
@@ -211,6 +231,15 @@
         except TimeoutError as error:
             raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
 
+    def _observe(self) -> None:
+        observe = self.metrics.observe
+        observe(MetricName.CONFIG_REVISION, lambda: self.view.revision)
+        observe(MetricName.BACKEND_SERVERS, lambda: len(self.view.backends))
+        observe(
+            MetricName.ENTRY_LEASE_REMAINING,
+            lambda: self.control.lease.remaining_s(self._clock()),
+        )
+
     async def _health(self, _: web.Request) -> web.Response:
         return web.json_response({"host": self.settings.host})
 
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -1,31 +1,57 @@
 """Request/reply client and server over pynng."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
-from typing import Any
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
+from typing import Any, TypeVar
 
 from msgspec import Struct
 from pynng import Rep0, Req0
 from pynng.exceptions import AddressInUse, NNGException
 
-from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.codes import CODE_TABLE, ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import MAX_FRAME_BYTES, WireCodec
 from baobabstream.wire.messages import ErrorReply
+from baobabstream.wire.tls import tls_url
 
-__all__ = ["Handler", "RpcClient", "RpcServer"]
+__all__ = ["Handler", "RpcClient", "RpcServer", "finish"]
 
+ResultT = TypeVar("ResultT")
 Handler = Callable[[str, Any], Awaitable[Struct]]
 
 DIAL_RETRY_MIN_MS = 50
 DIAL_RETRY_MAX_MS = 500
-CANCEL_REPEAT_S = 0.1
+
+# Workers that wait for a call. A long poll of each of 330 entry hosts holds a worker, so the
+# number of workers follows the calls, and votes, claims and bills always find a free one. The two
+# bounds lie apart, so that steady load does not start and end a worker with each call.
+MIN_IDLE_WORKERS = 8
+MAX_IDLE_WORKERS = 32
+MAX_WORKERS = 4096
+
+# A refused peer tries again several times a second; one log line for each code is enough.
+REFUSAL_LOG_INTERVAL_S = 10.0
 
 _log = get_logger("wire")
 
 
+async def finish(operation: Awaitable[ResultT]) -> ResultT:
+    """Await a pynng operation and raise a cancellation that it swallowed.
+
+    pynng drops a cancellation that meets the completion of the operation. Without this a time
+    limit that ends during the send would leave the receive without one.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    requests = task.cancelling()
+    result = await operation
+    if task.cancelling() > requests:
+        raise asyncio.CancelledError
+    return result
+
+
 class RpcClient:
     """Calls one peer over one request socket.
 
@@ -37,12 +63,13 @@
     url
         nng address of the peer, such as ``tcp://127.0.0.1:7001``.
     codec
-        Codec of this cluster.
+        Codec of this cluster, with the TLS of the connection.
     """
 
     def __init__(self, url: str, codec: WireCodec) -> None:
-        self.url = url
+        self.url = url if codec.tls is None else tls_url(url)
         self._codec = codec
+        self._tls = None if codec.tls is None else codec.tls.client(url)
         self._socket: Req0 | None = None
 
     async def call(self, message: Struct, timeout_s: float) -> Any:
@@ -51,29 +78,31 @@
         Raises
         ------
         PeerError
-            ``PEER_TIMEOUT`` if no reply came within ``timeout_s``, or the code of the peer's
+            ``PEER_UNREACHABLE`` if the message was certainly not sent, ``PEER_TIMEOUT`` if it may
+            have been and no reply came within ``timeout_s``, or the code of the peer's
             ``ErrorReply``.
         """
-        socket = self._open()
-        context = socket.new_context()
+        sent = False
         try:
-            async with asyncio.timeout(timeout_s):
-                await context.asend(self._codec.encode(message))
-                frame = await context.arecv()
+            socket = self._open()
+        except NNGException as error:
+            raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
+        try:
+            with _request_context(socket) as context:
+                async with asyncio.timeout(timeout_s):
+                    await finish(context.asend(self._codec.encode(message)))
+                    sent = True
+                    frame = await finish(context.arecv())
         except TimeoutError as error:
             self._discard(socket)
             raise PeerError(ResultCode.PEER_TIMEOUT, f"no reply from {self.url}") from error
         except NNGException as error:
             self._discard(socket)
-            raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
-        finally:
-            with suppress(NNGException):
-                context.close()
+            code = ResultCode.PEER_TIMEOUT if sent else ResultCode.PEER_UNREACHABLE
+            raise PeerError(code, f"{self.url}: {error}") from error
         _, reply = self._codec.decode(frame)
         if isinstance(reply, ErrorReply):
-            refusal = PeerError(ResultCode(reply.code), reply.detail)
-            refusal.leader = reply.leader
-            raise refusal
+            raise _refusal(reply)
         return reply
 
     def close(self) -> None:
@@ -88,9 +117,10 @@
                 reconnect_time_min=DIAL_RETRY_MIN_MS,
                 reconnect_time_max=DIAL_RETRY_MAX_MS,
                 resend_time=-1,
+                tls_config=self._tls,
             )
-            socket.dial(self.url, block=False)
             self._socket = socket
+            socket.dial(self.url, block=False)
         return self._socket
 
     def _discard(self, socket: Req0) -> None:
@@ -99,60 +129,112 @@
         socket.close()
 
 
+def _refusal(reply: ErrorReply) -> PeerError:
+    """Return the error of a reply; a newer peer may send a code that is not known here."""
+    known = reply.code in CODE_TABLE
+    code = ResultCode(reply.code) if known else ResultCode.PEER_FAILED
+    refusal = PeerError(code, reply.detail if known else f"code {reply.code}: {reply.detail}")
+    refusal.leader = reply.leader
+    return refusal
+
+
+@contextmanager
+def _request_context(socket: Req0) -> Iterator[Any]:
+    """Open a context and close it, even if another call has closed the socket meanwhile."""
+    context = socket.new_context()
+    try:
+        yield context
+    finally:
+        with suppress(NNGException):
+            context.close()
+
+
 class RpcServer:
-    """Answers peers; each worker serves one call at a time.
+    """Answers peers; each worker serves one call at a time, and workers are added on demand.
 
     Parameters
     ----------
     url
         nng address to listen on.
     codec
-        Codec of this cluster.
+        Codec of this cluster, with the TLS of the listener.
     handler
         Coroutine function that gets sender and message and returns the reply.
     workers
-        Number of calls served at once. Long polls hold a worker while they wait.
+        Most calls served at once. Long polls hold a worker while they wait.
     """
 
-    def __init__(self, url: str, codec: WireCodec, handler: Handler, workers: int = 64) -> None:
+    def __init__(
+        self, url: str, codec: WireCodec, handler: Handler, workers: int = MAX_WORKERS
+    ) -> None:
         self._codec = codec
         self._handler = handler
-        self._socket = Rep0(recv_max_size=MAX_FRAME_BYTES)
+        self._max_workers = workers
+        self._idle = 0
+        self._logged_s: dict[ResultCode, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        tls = codec.tls
+        self._socket = Rep0(
+            recv_max_size=MAX_FRAME_BYTES, tls_config=None if tls is None else tls.server()
+        )
         try:
-            self._socket.listen(url)
+            self._socket.listen(url if tls is None else tls_url(url))
         except AddressInUse as error:
             self._socket.close()
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, url) from error
-        self._tasks = [asyncio.create_task(self._serve()) for _ in range(workers)]
+        self._add_workers()
 
     async def close(self) -> None:
         """Stop serving and close the socket."""
-        # pynng swallows a cancellation that meets the completion of the call, so it is repeated.
-        while running := {task for task in self._tasks if not task.done()}:
-            for task in running:
-                task.cancel()
-            await asyncio.wait(running, timeout=CANCEL_REPEAT_S)
+        for task in (tasks := list(self._tasks)):
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._socket.close()
 
+    def _add_workers(self) -> None:
+        while self._idle < MIN_IDLE_WORKERS and len(self._tasks) < self._max_workers:
+            self._idle += 1
+            task = asyncio.create_task(self._serve())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     async def _serve(self) -> None:
         context = self._socket.new_context()
+        idle = True
         try:
-            while True:
-                frame = await context.arecv()
+            while self._idle <= MAX_IDLE_WORKERS:
+                frame = await finish(context.arecv())
+                self._idle -= 1
+                idle = False
+                self._add_workers()
                 reply = await self._answer(frame)
-                await context.asend(self._codec.encode(reply))
+                await finish(context.asend(self._codec.encode(reply)))
+                self._idle += 1
+                idle = True
         except NNGException as error:
             _log.warning("Worker stops: %s.", error)
         finally:
-            context.close()
+            self._idle -= idle
+            with suppress(NNGException):
+                context.close()
 
     async def _answer(self, frame: bytes) -> Struct:
         try:
             sender, message = self._codec.decode(frame)
+        except PeerError as error:
+            self._log_refusal(error)
+            return ErrorReply(int(error.code), error.detail)
+        try:
             return await self._handler(sender, message)
         except BaobabstreamError as error:
             leader = getattr(error, "leader", "")
             return ErrorReply(int(error.code), error.detail, leader)
         except Exception:
-            _log.exception("Handler failed.")
-            return ErrorReply(int(ResultCode.MESSAGE_MALFORMED), "the handler failed")
+            _log.exception("The handler of a call failed.")
+            return ErrorReply(int(ResultCode.PEER_FAILED), "the handler failed")
+
+    def _log_refusal(self, error: PeerError) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._logged_s.get(error.code, float("-inf")) >= REFUSAL_LOG_INTERVAL_S:
+            self._logged_s[error.code] = now_s
+            _log.warning("Refused a peer's frame: %s.", error)
