control: admin interface tested over real sockets; measurement of control traffic

Change: tests of two control hosts over real sockets, checked page offsets, a new ledger identity after a cut, scripts/measure_control.py.

--- /dev/null
+++ b/scripts/measure_control.py
@@ -0,0 +1,344 @@
+"""Measures control traffic, processor time and the time until a change is applied.
+
+Run ``python scripts/measure_control.py``. One control daemon, the announcing backend servers and
+all entries but one run in processes of their own; sockets are real, on the loopback address.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import secrets
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import psutil
+import uvloop
+from aiohttp import ClientError, ClientSession
+
+from baobabstream.control.daemon import ControlDaemon
+from baobabstream.membership.control_session import ControlSession
+from baobabstream.policy.view import ClusterView
+from baobabstream.settings.models import ControlPeer, ControlSettings
+from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.threads import limit_nng_threads
+
+VERSIONS = 30
+SUBSCRIBERS_PER_PROCESS = 100
+READY_TIMEOUT_S = 30.0
+CHANGES = 300
+
+
+class CountingCodec(WireCodec):
+    """Counts the bytes of the frames in both directions."""
+
+    size_bytes = 0
+
+    def encode(self, message):
+        """Return the frame of a message."""
+        frame = super().encode(message)
+        self.size_bytes += len(frame)
+        return frame
+
+    def decode(self, frame):
+        """Return sender and message of a frame."""
+        self.size_bytes += len(frame)
+        return super().decode(frame)
+
+
+class Subscriber:
+    """One entry's session."""
+
+    def __init__(self, settings: dict, name: str) -> None:
+        peer = ControlPeer(**settings["control"][0])
+        self.codec = CountingCodec(settings["cluster"], name, settings["peer_secret"])
+        self.view = ClusterView()
+        self.changed = asyncio.Event()
+        self.session = ControlSession(
+            name, "zone-1", [peer], self.codec, self.view, self._view_changed
+        )
+        self._task = asyncio.create_task(self.session.run())
+
+    def _view_changed(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def wait(self, condition: Callable[[ClusterView], bool]) -> None:
+        """Wait until the view meets a condition."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not condition(self.view):
+                await self.changed.wait()
+
+    async def close(self) -> None:
+        """End the session."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self.session.close()
+
+
+def write_settings(folder: Path) -> dict:
+    """Write the settings of one control host on free ports and return them."""
+    with socket.socket() as first, socket.socket() as second:
+        first.bind(("127.0.0.1", 0))
+        second.bind(("127.0.0.1", 0))
+        ports = first.getsockname()[1], second.getsockname()[1]
+    settings = {
+        "cluster": "measure",
+        "host": "control-1",
+        "availability_zone": "zone-1",
+        "peer_secret": secrets.token_hex(16),
+        "backend_key": secrets.token_hex(16),
+        "operator_keys": {"op": secrets.token_hex(16)},
+        "data_folder": str(folder / "data"),
+        "control": [
+            {
+                "host": "control-1",
+                "availability_zone": "zone-1",
+                "port": ports[0],
+                "http_port": ports[1],
+            }
+        ],
+    }
+    (folder / "settings.json").write_text(json.dumps(settings))
+    return settings
+
+
+async def run_control(settings: dict) -> None:
+    """Run the control daemon until the process is ended."""
+    daemon = ControlDaemon(ControlSettings(**settings))
+    await daemon.start()
+    await asyncio.Event().wait()
+
+
+async def run_subscribers(settings: dict, start: int, count: int) -> None:
+    """Run entries until the process is ended."""
+    subscribers = [Subscriber(settings, f"entry-{start + n}") for n in range(count)]
+    assert subscribers
+    await asyncio.Event().wait()
+
+
+async def run_backends(settings: dict, count: int) -> None:
+    """Announce backend servers with random load, each once a second."""
+    random = Random(count)
+    headers = {"Authorization": f"Bearer {settings['backend_key']}"}
+    async with ClientSession(headers=headers) as session:
+        await asyncio.gather(
+            *(announce(session, settings, f"engine-{n:04d}", random) for n in range(count))
+        )
+
+
+async def announce(session: ClientSession, settings: dict, name: str, random: Random) -> None:
+    """Announce one backend server until cancelled."""
+    url = f"{admin_url(settings, '').removesuffix('/admin/v1')}/backend/v1/announce"
+    loaded = [{"model": "model", "version": str(random.randrange(VERSIONS))}]
+    while True:
+        body = {
+            "identity": name,
+            "incarnation": 1,
+            "kind": "engine",
+            "url": "http://127.0.0.1:1",
+            "availability_zone": "zone-1",
+            "loaded": loaded,
+            "in_flight": random.randrange(64),
+            "queued_tokens": random.randrange(8000),
+        }
+        try:
+            async with session.post(url, json=body) as answer:
+                await answer.read()
+        except ClientError:
+            pass
+        await asyncio.sleep(random.uniform(0.9, 1.1))
+
+
+def admin_url(settings: dict, path: str) -> str:
+    """Return the address of an admin call."""
+    return f"http://127.0.0.1:{settings['control'][0]['http_port']}/admin/v1{path}"
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile."""
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+class Processes:
+    """Processes of one measurement."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._started: list[subprocess.Popen] = []
+
+    def start(self, role: str, *numbers: int) -> psutil.Process:
+        """Start this script in another role."""
+        arguments = [sys.executable, __file__, "--role", role, "--folder", str(self._folder)]
+        arguments += [str(number) for number in numbers]
+        process = subprocess.Popen(arguments)
+        self._started.append(process)
+        return psutil.Process(process.pid)
+
+    def stop(self) -> None:
+        """End the processes started here."""
+        for process in self._started:
+            process.terminate()
+        for process in self._started:
+            process.wait()
+
+
+async def wait_for_control(client: ClientSession, settings: dict) -> None:
+    """Wait until the control daemon answers."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            try:
+                async with client.get(admin_url(settings, "/status")):
+                    return
+            except ClientError:
+                await asyncio.sleep(0.1)
+
+
+async def measure_traffic(subscribers: int, backends: int, seconds: float) -> str:
+    """Return a table row with the cost of one entry and of the leader."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        settings = write_settings(folder)
+        processes = Processes(folder)
+        try:
+            leader = processes.start("control")
+            headers = {"Authorization": f"Bearer {settings['operator_keys']['op']}"}
+            async with ClientSession(headers=headers) as client:
+                await wait_for_control(client, settings)
+            processes.start("backends", backends)
+            for start in range(1, subscribers, SUBSCRIBERS_PER_PROCESS):
+                count = min(SUBSCRIBERS_PER_PROCESS, subscribers - start)
+                processes.start("subscribers", start, count)
+            entry = Subscriber(settings, "entry-0")
+            await entry.wait(lambda view: len(view.backends) >= backends)
+            await asyncio.sleep(4.0)
+            working = asyncio.create_task(record_results(entry))
+            leader_s, own_s, size = cpu_s(leader), time.process_time(), entry.codec.size_bytes
+            await asyncio.sleep(seconds)
+            own = (time.process_time() - own_s) / seconds
+            lead = (cpu_s(leader) - leader_s) / seconds
+            rate = (entry.codec.size_bytes - size) / seconds
+            memory = leader.memory_info().rss / 1e6
+            working.cancel()
+            await entry.close()
+        finally:
+            processes.stop()
+    cells = (
+        str(subscribers),
+        str(backends),
+        f"{rate / 1000:.2f}",
+        f"{own:.2%}",
+        f"{lead:.1%}",
+        f"{memory:.0f}",
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+async def record_results(entry: Subscriber) -> None:
+    """Record evidence on all versions, as an entry with 30 versions in use does."""
+    while True:
+        for version in range(VERSIONS):
+            entry.session.evidence.record_success("model", str(version))
+        await asyncio.sleep(0.1)
+
+
+def cpu_s(process: psutil.Process) -> float:
+    """Return the processor time of a process in seconds."""
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+async def measure_delay(entries: int) -> str:
+    """Return how long changes take until all entries have applied them."""
+    applied_ms: list[float] = []
+    in_force_ms: list[float] = []
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        settings = write_settings(folder)
+        processes = Processes(folder)
+        try:
+            processes.start("control")
+            headers = {"Authorization": f"Bearer {settings['operator_keys']['op']}"}
+            async with ClientSession(headers=headers) as client:
+                await wait_for_control(client, settings)
+                subscribers = [Subscriber(settings, f"entry-{n}") for n in range(entries)]
+                await asyncio.sleep(5.0)
+                for number in range(CHANGES):
+                    times = await one_change(client, settings, subscribers, number)
+                    applied_ms.append(times[0])
+                    in_force_ms.append(times[1])
+                    await asyncio.sleep(0.01)
+                for subscriber in subscribers:
+                    await subscriber.close()
+        finally:
+            processes.stop()
+    parts = []
+    for label, values in (("applied on all", applied_ms), ("reported in force", in_force_ms)):
+        p50, p99 = percentile(values, 0.5), percentile(values, 0.99)
+        parts.append(f"{label}: p50 {p50:.1f} ms, p99 {p99:.1f} ms, max {max(values):.1f} ms")
+    return f"{entries} entries, {CHANGES} changes, from sending the change: {'; '.join(parts)}"
+
+
+async def one_change(
+    client: ClientSession, settings: dict, subscribers: list[Subscriber], number: int
+) -> tuple[float, float]:
+    """Send one change and return the times until it is applied and reported in force, in ms."""
+    async with client.get(admin_url(settings, "/config")) as answer:
+        base = (await answer.json())["operator_revision"]
+    row = {"type": "class", "name": "c", "quality": 0.9, "first_token_ms": 1.0}
+    change = {
+        "change_id": f"change-{number}",
+        "base_revision": base,
+        "put": [row | {"total_ms": 10.0 + number}],
+    }
+    started_s = time.perf_counter()
+    applied = [
+        asyncio.create_task(subscriber.wait(lambda view: view.revision > base))
+        for subscriber in subscribers
+    ]
+    async with client.post(admin_url(settings, "/changes"), json=change) as answer:
+        revision = (await answer.json())["revision"]
+    await asyncio.gather(*applied)
+    applied_s = time.perf_counter()
+    url = admin_url(settings, f"/in-force?revision={revision}&wait_s=5")
+    async with client.get(url) as answer:
+        assert (await answer.json())["in_force"]
+    return (applied_s - started_s) * 1000, (time.perf_counter() - started_s) * 1000
+
+
+async def measure(seconds: float) -> None:
+    """Print all figures."""
+    print(await measure_delay(8))
+    print("| entries | backend servers | KB/s of one entry | its processor time |", end="")
+    print(" leader's processor time | leader's memory, MB |")
+    print("|---|---|---|---|---|---|")
+    for subscribers, backends in ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100)):
+        print(await measure_traffic(subscribers, backends, seconds), flush=True)
+
+
+def main() -> None:
+    """Run the measurement or one of its processes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--role", default="")
+    parser.add_argument("--folder", type=Path)
+    parser.add_argument("numbers", type=int, nargs="*")
+    options = parser.parse_args()
+    limit_nng_threads()
+    if not options.role:
+        uvloop.run(measure(options.seconds))
+        return
+    settings = json.loads((options.folder / "settings.json").read_text())
+    roles = {"control": run_control, "subscribers": run_subscribers, "backends": run_backends}
+    uvloop.run(roles[options.role](settings, *options.numbers))
+
+
+if __name__ == "__main__":
+    os.environ.setdefault("PYTHONPATH", str(Path(__file__).resolve().parent.parent / "src"))
+    main()
--- a/src/baobabstream/billing/ledger.py
+++ b/src/baobabstream/billing/ledger.py
@@ -11,6 +11,8 @@
 
 from baobabstream.billing.bill_index import BillIndex
 from baobabstream.billing.ledger_file import LedgerFile
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.wire.messages import Bill
 
 __all__ = ["AccountTotal", "BillPage", "Ledger"]
@@ -145,9 +147,16 @@
             Offset that an earlier page gave, or 0.
         limit
             Most bills returned.
+
+        Raises
+        ------
+        RequestRefused
+            ``CHANGE_INVALID`` if no page gave the offset.
         """
         found: list[Bill] = []
-        start = offset = max(after, self._file.start)
+        start = offset = after or self._file.start
+        if not await self._run(partial(self._file.is_boundary, start)):
+            raise RequestRefused(ResultCode.CHANGE_INVALID, f"after: no page ended at {after}")
         while offset < self.end and len(found) < limit and offset - start < MAX_SCAN_BYTES:
             left = limit - len(found)
             part = await self._run(
--- a/src/baobabstream/billing/ledger_file.py
+++ b/src/baobabstream/billing/ledger_file.py
@@ -111,6 +111,13 @@
             position += _HEADER.size + len(body)
             yield start, body, self._decoder.decode(body), offset + position
 
+    def is_boundary(self, offset: int) -> bool:
+        """Return whether a record starts at an offset, or the file ends there."""
+        if not self.start <= offset < self.end:
+            return offset == self.end
+        data = os.pread(self._descriptor, _HEADER.size + MAX_RECORD_BYTES, offset)
+        return _body_at(data, 0) is not None
+
     def load(self) -> Iterator[tuple[int, bytes, Bill]]:
         """Return all records; cuts a torn one at the end."""
         # Mapped, since a ledger may be larger than the memory.
@@ -150,8 +157,13 @@
         if any(_body_at(data, later) for later in following):
             detail = f"{self._path}: record at byte {position}"
             raise StorageError(ResultCode.LOG_DAMAGED, detail)
+        # Other hosts may have read what is cut, if the damage came after the sync. The new
+        # identity makes them read this file from the start.
+        identity = secrets.token_bytes(_ID_BYTES)
+        os.pwrite(self._descriptor, identity, len(_MAGIC))
         os.ftruncate(self._descriptor, position)
         os.fsync(self._descriptor)
+        self.ledger_id = identity.hex()
         self.end = position
         self.tail_was_cut = True
 
--- a/tests/billing/test_ledger.py
+++ b/tests/billing/test_ledger.py
@@ -80,9 +80,12 @@
     """Guards against a ledger that cannot be opened after a crash in the middle of a write."""
     path = tmp_path / "ledger"
     await _stored(path, 5)
-    path.write_bytes(path.read_bytes()[:-cut])
+    before = path.read_bytes()
+    path.write_bytes(before[:-cut])
     ledger = Ledger(path)
     assert_that((len(ledger), ledger.tail_was_cut), Equals((4, True)))
+    # Peers that had read the lost record must not go on from their old offsets.
+    assert_that(ledger.ledger_id in before[8:24].hex(), Is(False))
     await ledger.put((bill(9),))
     await ledger.close()
     ledger = Ledger(path)
--- /dev/null
+++ b/tests/control/test_admin.py
@@ -0,0 +1,245 @@
+"""Admin and backend interfaces of two control hosts over real sockets."""
+
+import json
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession
+from testtools.assertions import assert_that
+from testtools.matchers import ContainsAll, Equals, HasLength
+
+from baobabstream.control.admin_api import MAX_BACKEND_BODY_BYTES
+from baobabstream.control.commands import RecordLoss
+from baobabstream.control.daemon import ControlDaemon
+from baobabstream.errors.codes import ResultCode
+from baobabstream.settings.models import ControlSettings
+from baobabstream.wire.messages import Bill
+
+OPERATOR, BACKEND = "operator-key-0123456", "backend-key-01234567"
+LEASE_S = 0.5
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Client:
+    """Calls a control host as operator or as backend server."""
+
+    def __init__(self, session: ClientSession, port: int) -> None:
+        self._session = session
+        self.port = port
+
+    async def call(
+        self, method: str, path: str, body: Any = None, key: str = OPERATOR
+    ) -> tuple[int, Any]:
+        prefix = "" if path.startswith("/") else "/admin/v1/"
+        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {key}"}
+        url = f"http://127.0.0.1:{self.port}{prefix}{path}"
+        async with self._session.request(method, url, data=data, headers=headers) as answer:
+            return answer.status, await answer.json()
+
+    async def get(self, path: str) -> Any:
+        status, document = await self.call("GET", path)
+        assert status == 200, document
+        return document
+
+    async def act(self, path: str, change_id: str, **fields: Any) -> tuple[int, Any]:
+        return await self.call("POST", path, {"change_id": change_id} | fields)
+
+    async def put(self, change_id: str, *rows: dict[str, Any]) -> int:
+        base = (await self.get("config"))["operator_revision"]
+        status, document = await self.act("changes", change_id, base_revision=base, put=rows)
+        assert status == 200, document
+        return document["revision"]
+
+
+class Group:
+    """Two control hosts; the first leads."""
+
+    def __init__(self, folder: Path, session: ClientSession) -> None:
+        ports = free_ports(4)
+        peers = [
+            {
+                "host": f"control-{n}",
+                "availability_zone": f"z{n}",
+                "port": ports[2 * n],
+                "http_port": ports[2 * n + 1],
+            }
+            for n in range(2)
+        ]
+        self.daemons = [
+            ControlDaemon(
+                ControlSettings(
+                    cluster="test",
+                    host=f"control-{n}",
+                    availability_zone=f"z{n}",
+                    peer_secret="peer-secret-01234567",
+                    control=peers,
+                    data_folder=folder / f"data-{n}",
+                    operator_keys={"op": OPERATOR},
+                    backend_key=BACKEND,
+                    entry_lease_s=LEASE_S,
+                )
+            )
+            for n in range(2)
+        ]
+        self.leader, self.follower = (Client(session, ports[2 * n + 1]) for n in range(2))
+
+
+@pytest.fixture
+async def group(tmp_path: Path):
+    async with ClientSession() as session:
+        running = Group(tmp_path, session)
+        for daemon in running.daemons:
+            await daemon.start()
+        yield running
+        for daemon in running.daemons:
+            await daemon.stop()
+
+
+ROWS = (
+    {"type": "version", "model": "m", "version": "1", "cost_per_1k_tokens": 1},
+    {"type": "version", "model": "m", "version": "2", "cost_per_1k_tokens": 1},
+    {"type": "class", "name": "c", "quality": 0.9, "first_token_ms": 1, "total_ms": 2},
+    {"type": "route", "name": "x", "service": "waivers", "path_prefix": "/waivers"},
+    {"type": "rollout", "name": "r", "model": "m", "from_version": "1", "to_version": "2"},
+)
+ANNOUNCEMENT = {
+    "identity": "e1",
+    "incarnation": 1,
+    "kind": "engine",
+    "url": "http://127.0.0.1:1",
+    "availability_zone": "z",
+}
+
+
+async def test_operator_actions_through_a_follower(group: Group) -> None:
+    """Guards against an operator action that has no call, or works on the leader only."""
+    client = group.follower
+    await client.put("c1", *ROWS)
+    for path, count in (("versions", 2), ("classes", 1), ("routes", 1), ("rollouts", 1)):
+        assert_that(await client.get(path), HasLength(count))
+    states = []
+    for action in ("pause", "resume", "withdraw"):
+        status, _ = await client.act(f"rollouts/{action}", action, name="r")
+        states.append((status, (await client.get("rollouts"))[0]["state"]))
+    assert_that(states, Equals([(200, "paused"), (200, "loading"), (200, "stopped")]))
+    status, first = await client.act("versions/withdraw", "w", model="m", version="2")
+    again = await client.act("versions/withdraw", "w", model="m", version="2")
+    assert_that(again, Equals((200, first)))
+    status, refused = await client.act("versions/activate", "a", model="m", version="2")
+    assert_that((status, refused["error"]["code"]), Equals((400, ResultCode.CHANGE_INVALID)))
+    for incarnation in (1, 2):
+        group.daemons[0].state.apply(RecordLoss("e", incarnation, ("f",), 0))
+    assert_that((await client.get("quarantine"))[0]["losses"], Equals(2))
+    assert_that((await client.act("quarantine/release", "q", fingerprint="f"))[0], Equals(200))
+    assert_that(await client.get("quarantine"), Equals([]))
+    assert_that([x["host"] for x in await client.get("members")], HasLength(2))
+    assert_that(await client.get("status"), ContainsAll(["leader", "entries", "backends"]))
+    stale = await client.act("versions/stop", "s", model="m", version="1", base_revision=1)
+    assert_that(stale[0], Equals(409))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status", "code"),
+    [
+        ("GET", "in-force?revision=abc", None, 400, ResultCode.CHANGE_INVALID),
+        ("GET", "in-force?wait_s=1e9", None, 400, ResultCode.CHANGE_INVALID),
+        ("GET", "in-force?revision=-1", None, 400, ResultCode.CHANGE_INVALID),
+        ("GET", "in-force?revision=1&revision=2", None, 400, ResultCode.CHANGE_INVALID),
+        ("GET", "bills?limit=0", None, 400, ResultCode.CHANGE_INVALID),
+        ("GET", "bills?unknown=1", None, 400, ResultCode.CHANGE_INVALID),
+        ("GET", "absent", None, 404, ResultCode.NOT_FOUND),
+        ("DELETE", "config", None, 404, ResultCode.NOT_FOUND),
+        ("POST", "changes", b"{", 400, ResultCode.CHANGE_INVALID),
+        ("POST", "changes", b"\xff\xfe", 400, ResultCode.CHANGE_INVALID),
+        (
+            "POST",
+            "changes",
+            {"change_id": "c", "base_revision": 0, "put": [{"type": "?"}]},
+            400,
+            ResultCode.CHANGE_INVALID,
+        ),
+        ("POST", "rollouts/pause", {"change_id": "c", "name": "x"}, 404, ResultCode.NOT_FOUND),
+        ("POST", "changes", b"x" * 2_000_000, 413, ResultCode.BODY_TOO_LARGE),
+    ],
+)
+async def test_invalid_input_gets_a_numbered_error(
+    group: Group, method: str, path: str, body: Any, status: int, code: ResultCode
+) -> None:
+    """Guards against input that fails without a number, or changes something."""
+    for client in (group.leader, group.follower):
+        answer = await client.call(method, path, body)
+        assert_that((answer[0], answer[1]["error"]["code"]), Equals((status, code)))
+    assert_that(group.daemons[0].state.revision, Equals(0))
+
+
+async def test_backend_bodies_are_limited(group: Group) -> None:
+    """Guards against a backend server that fills the memory or brings back a departed one."""
+    client = group.follower
+
+    async def backend(path: str, body: Any, key: str = BACKEND) -> int:
+        return (await client.call("POST", f"/backend/v1/{path}", body, key))[0]
+
+    leave = {"identity": "e1", "incarnation": 1}
+    statuses = [
+        await backend("announce", ANNOUNCEMENT, "wrong"),
+        await backend("announce", b" " * (MAX_BACKEND_BODY_BYTES + 1)),
+        await backend("announce", ANNOUNCEMENT | {"slots": 0}),
+        await backend("announce", ANNOUNCEMENT),
+        await backend("leave", leave),
+        await backend("leave", leave),
+        await backend("announce", ANNOUNCEMENT),
+    ]
+    assert_that(statuses, Equals([401, 413, 400, 200, 200, 200, 409]))
+    assert_that(group.daemons[0].state.departed, Equals({"e1": 2}))
+
+
+async def test_local_health_needs_no_leader(group: Group, monkeypatch) -> None:
+    """Guards against an operator who cannot see a host's state while there is no leader."""
+    for daemon in group.daemons:
+        monkeypatch.setattr(daemon.log, "holds_leader_lease", lambda: False)
+    local = await group.leader.get("local")
+    assert_that((local["host"], local["leads"]), Equals(("control-0", False)))
+    status, document = await group.leader.call("GET", "status")
+    assert_that((status, document["error"]["code"]), Equals((503, ResultCode.NO_LEADER)))
+    assert_that((await group.leader.call("GET", "local", key="wrong"))[0], Equals(401))
+
+
+async def test_in_force_waits_and_readiness_names_what_is_missing(group: Group) -> None:
+    """Guards against a check that a new leader answers before older leases have run out."""
+    revision = await group.leader.put("c1", ROWS[2])
+    early = await group.leader.get(f"in-force?revision={revision}")
+    late = await group.follower.get(f"in-force?revision={revision}&wait_s=3")
+    future = await group.leader.get(f"in-force?revision={revision + 1}&wait_s=0")
+    assert_that([x["in_force"] for x in (early, late, future)], Equals([False, True, False]))
+    ready = await group.leader.get("ready")
+    assert_that((ready["ready"], ready["checks"]["entries"]), Equals((False, False)))
+
+
+async def test_bills_are_shown_by_page_and_total(group: Group) -> None:
+    """Guards against a billing report that misses bills stored on another control host."""
+    bills = tuple(Bill("desk", f"r{n}", "c", "m", "1", 1, 2, 0.5, "e", n) for n in range(10))
+    await group.daemons[1].ledger.put(bills)
+    await group.daemons[0].ledger_exchange.pull("control-1")
+    page = await group.follower.get("bills/pages?account=desk&since_ms=2&limit=5")
+    rest = await group.follower.get(f"bills/pages?since_ms=2&after={page['next_after']}")
+    names = [bill["request_id"] for bill in page["bills"] + rest["bills"]]
+    assert_that(names, Equals([f"r{n}" for n in range(2, 10)]))
+    assert_that((page["complete"], rest["complete"]), Equals((False, True)))
+    totals = await group.leader.get("bills/totals")
+    assert_that((totals[0]["bills"], totals[0]["cost"]), Equals((10, 5.0)))
+    assert_that(await group.leader.get("bills?limit=3"), HasLength(3))
+    wrong = page["next_after"] + 1
+    bad_offset = f"after: no page ended at {wrong}"
+    bad = await group.leader.call("GET", f"bills/pages?after={wrong}")
+    assert_that((bad[0], bad[1]["error"]["message"]), Equals((400, bad_offset)))
+    assert_that(await group.leader.get("bills/totals"), Equals(totals))
--- a/tests/control/test_polls.py
+++ b/tests/control/test_polls.py
@@ -9,12 +9,14 @@
 
 from baobabstream.control.commands import BackendLeft, ConfigChange
 from baobabstream.control.entry_leases import EntryLease, EntryLeases
+from baobabstream.control.evidence_pool import EvidencePool
 from baobabstream.control.poll_service import PollService
 from baobabstream.control.registry import BackendRegistry
 from baobabstream.control.state import ConfigState
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.membership.control_session import ControlSession
+from baobabstream.membership.evidence import URGENT_BAD_RESULTS
 from baobabstream.policy.view import ClusterView
 from baobabstream.settings.models import ControlPeer
 from baobabstream.wire.codec import WireCodec
@@ -51,7 +53,12 @@
         self.registry = BackendRegistry(self.term, EXPIRY_S, now_s, self.state.departed)
         self.leases = EntryLeases(LEASE_S, now_s if self.wait_one_lease else float("-inf"))
         clock = asyncio.get_running_loop().time
-        self.polls = PollService(self.state, self.registry, self.leases, clock, lambda _: None)
+        self.polls = PollService(self.state, self.registry, self.leases, clock, self._take)
+        self.pool = EvidencePool()
+        self.errors = 0
+
+    def _take(self, request: PollRequest) -> None:
+        self.errors += sum(item.errors for item in self.pool.accept(request))
 
     def change(self) -> int:
         revision = self.state.operator_revision
@@ -193,6 +200,33 @@
     assert_that(asyncio.get_running_loop().time() - started_s, LessThan(3.5))
 
 
+async def test_evidence_is_counted_once_over_a_lossy_network() -> None:
+    """Guards against results that are lost with a poll or counted with its copy too."""
+    group = Group(Random(7))
+    entry = Entry(group, "entry-1")
+    await asyncio.sleep(1.0)
+    group.loss, group.delay_s = 0.3, 0.2
+    for step in range(400):
+        entry.session.evidence.record_error("m", str(step % 3))
+        await asyncio.sleep(0.05)
+    group.loss = 0.0
+    await asyncio.sleep(20.0)
+    assert_that(group.errors, Equals(400))
+    await entry.stop()
+
+
+async def test_urgent_evidence_does_not_wait_for_the_poll() -> None:
+    """Guards against bad results that reach the leader only at the end of a long poll."""
+    group = Group(Random(1))
+    entry = Entry(group, "entry-1")
+    await asyncio.sleep(1.03)
+    for _ in range(URGENT_BAD_RESULTS):
+        entry.session.evidence.record_error("m", "1")
+    await asyncio.sleep(0.01)
+    assert_that(group.errors, Equals(URGENT_BAD_RESULTS))
+    await entry.stop()
+
+
 async def test_registry_changes_wake_entries_together() -> None:
     """Guards against a rolling restart that wakes every entry for each backend server."""
     group = Group(Random(1))
