--- a/src/baobabstream/billing/ledger.py
+++ b/src/baobabstream/billing/ledger.py
@@ -12,7 +12,7 @@
 from baobabstream.billing.bill_index import BillIndex
 from baobabstream.billing.ledger_file import LedgerFile
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.errors.exceptions import PeerError, RequestRefused, StorageError
 from baobabstream.wire.messages import Bill
 
 __all__ = ["AccountTotal", "BillPage", "Ledger"]
@@ -25,6 +25,9 @@
 
 ResultT = TypeVar("ResultT")
 
+# A bill and the body of its record.
+_Encoded = tuple[Bill, bytes]
+
 
 @dataclass(slots=True)
 class AccountTotal:
@@ -62,6 +65,9 @@
     ----------
     path
         File of the ledger; created if missing.
+    on_failure
+        Called once when writing or syncing fails. What reached the disk is then not known, so the
+        ledger takes no more bills.
 
     Attributes
     ----------
@@ -79,7 +85,9 @@
     the file is synced are written together.
     """
 
-    def __init__(self, path: Path) -> None:
+    def __init__(
+        self, path: Path, on_failure: Callable[[StorageError], None] = lambda _: None
+    ) -> None:
         self._file = LedgerFile(path)
         self._index = BillIndex()
         self._totals: dict[str, AccountTotal] = {}
@@ -87,7 +95,9 @@
         for offset, body, bill in self._file.load():
             self._place(offset, body, bill)
         self._thread = ThreadPoolExecutor(1, "ledger")
-        self._waiting: list[tuple[tuple[Bill, ...], asyncio.Future[int]]] = []
+        self._waiting: list[tuple[list[_Encoded], asyncio.Future[int]]] = []
+        self._on_failure = on_failure
+        self._failure: StorageError | None = None
         self._writer: asyncio.Task[None] | None = None
 
     def __len__(self) -> int:
@@ -124,9 +134,16 @@
         ------
         StorageError
             ``DISK_FAILED`` if the bills could not be synced.
+        PeerError
+            ``MESSAGE_MALFORMED`` if a bill is too large.
         """
+        if self._failure is not None:
+            raise self._failure
+        encoded = [(bill, self._file.encode(bill)) for bill in bills]
+        if any(len(body) > MAX_BILL_BYTES for _, body in encoded):
+            raise PeerError(ResultCode.MESSAGE_MALFORMED, f"a bill is over {MAX_BILL_BYTES} bytes")
         future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._waiting.append((bills, future))
+        self._waiting.append((encoded, future))
         if self._writer is None or self._writer.done():
             self._writer = asyncio.create_task(self._write())
         return await future
@@ -182,23 +199,28 @@
             try:
                 batches = [bills for bills, _ in waiting]
                 counts = await self._run(partial(self._commit, batches))
-            except Exception as error:
-                for _, future in waiting:
-                    if not future.done():
-                        future.set_exception(error)
-                continue
+            except StorageError as error:
+                self._fail(error, [future for _, future in waiting + self._waiting])
+                return
             for (_, future), count in zip(waiting, counts, strict=True):
                 if not future.done():
                     future.set_result(count)
 
-    def _commit(self, batches: list[tuple[Bill, ...]]) -> list[int]:
+    def _fail(self, error: StorageError, futures: list[asyncio.Future[int]]) -> None:
+        self._failure = error
+        self._waiting = []
+        for future in futures:
+            if not future.done():
+                future.set_exception(error)
+        self._on_failure(error)
+
+    def _commit(self, batches: list[list[_Encoded]]) -> list[int]:
         """Write the bills of several puts with one sync and return the new ones of each."""
-        chosen: dict[tuple[str, str], tuple[Bill, bytes]] = {}
+        chosen: dict[tuple[str, str], _Encoded] = {}
         counts = []
         for bills in batches:
             count = 0
-            for bill in bills:
-                body = self._file.encode(bill)
+            for bill, body in bills:
                 key = _key(bill)
                 stored = chosen.get(key) or self._stored(key)
                 if stored is None:
--- a/src/baobabstream/control/admin_api.py
+++ b/src/baobabstream/control/admin_api.py
@@ -10,7 +10,7 @@
 from baobabstream.control.admin_models import MAX_IN_FORCE_WAIT_S
 from baobabstream.control.admin_operations import AdminOperations
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
+from baobabstream.errors.exceptions import BaobabstreamError, PeerError, RequestRefused
 from baobabstream.wire.messages import ForwardReply, ForwardRequest
 
 if TYPE_CHECKING:
@@ -19,9 +19,11 @@
 __all__ = ["AdminApi"]
 
 MAX_ADMIN_BODY_BYTES = 1024 * 1024
-# An announcement names at most 256 loaded versions.
-MAX_BACKEND_BODY_BYTES = 128 * 1024
+# An announcement names at most 256 loaded versions and 1,024 cache events.
+MAX_BACKEND_BODY_BYTES = 256 * 1024
 FORWARD_TIMEOUT_S = 3.0
+# A connection that fails after the call was sent leaves open whether the leader carried it out.
+_MAY_HAVE_RUN = (ResultCode.PEER_TIMEOUT, ResultCode.PEER_UNREACHABLE)
 
 
 class AdminApi:
@@ -72,12 +74,12 @@
 
     async def _backend(self, request: web.Request) -> web.Response:
         key = _bearer(request)
-        if not hmac.compare_digest(key.encode(), self._daemon.settings.backend_key.encode()):
+        if not hmac.compare_digest(key, self._daemon.settings.backend_key.encode()):
             return error_response(RequestRefused(ResultCode.ANNOUNCEMENT_UNAUTHENTICATED))
         return await self._serve(request, "", MAX_BACKEND_BODY_BYTES)
 
     def _operator(self, request: web.Request) -> str | None:
-        key = _bearer(request).encode()
+        key = _bearer(request)
         keys = self._daemon.settings.operator_keys.items()
         return next(
             (name for name, value in keys if hmac.compare_digest(value.encode(), key)), None
@@ -99,7 +101,12 @@
         waits = request.path == "/admin/v1/in-force"
         timeout_s = FORWARD_TIMEOUT_S + (MAX_IN_FORCE_WAIT_S if waits else 0.0)
         forwarded = ForwardRequest(request.method, path, body, operator)
-        reply = await self._daemon.forward(forwarded, timeout_s)
+        try:
+            reply = await self._daemon.forward(forwarded, timeout_s)
+        except PeerError as error:
+            if request.method == "GET" or error.code not in _MAY_HAVE_RUN:
+                raise
+            raise RequestRefused(ResultCode.CHANGE_UNKNOWN, error.detail) from error
         return reply.http_status, reply.body
 
 
@@ -116,5 +123,7 @@
     return body
 
 
-def _bearer(request: web.Request) -> str:
-    return request.headers.get("Authorization", "").removeprefix("Bearer ")
+def _bearer(request: web.Request) -> bytes:
+    value = request.headers.get("Authorization", "").removeprefix("Bearer ")
+    # aiohttp keeps bytes that are not UTF-8 as surrogates.
+    return value.encode("utf-8", "surrogateescape")
--- a/src/baobabstream/control/admin_models.py
+++ b/src/baobabstream/control/admin_models.py
@@ -102,6 +102,9 @@
     honours_fencing: bool = True
     in_flight: Annotated[int, Field(ge=0, lt=2**31)] = 0
     queued_tokens: Annotated[int, Field(ge=0, lt=2**31)] = 0
+    role: Annotated[str, Field(max_length=32)] = ""
+    adapters: list[Name] = []
+    cache_events: Annotated[list[dict[str, Any]], Field(max_length=1024)] = []
 
 
 class LeaveBody(_Body):
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -1,6 +1,7 @@
 """Control daemon: wires log, registry, ledger, admin interface and inner protocol."""
 
 import asyncio
+import os
 
 from aiohttp import web
 
@@ -14,7 +15,7 @@
 from baobabstream.control.peer_service import PeerService
 from baobabstream.control.state import ConfigState
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, PeerError
+from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.settings.models import ControlPeer, ControlSettings
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.logs import get_logger
@@ -29,6 +30,8 @@
 LEADERSHIP_CHECK_S = 0.05
 # Each entry holds one worker with its long poll; 330 entries are planned for.
 RPC_WORKERS = 512
+# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
+DISK_FAILED_EXIT_STATUS = 74
 
 _log = get_logger("control")
 
@@ -48,7 +51,7 @@
         self.state = ConfigState()
         self.log: CommandLog = LocalLog(settings.control[0].host, self.state.apply)
         settings.data_folder.mkdir(parents=True, exist_ok=True)
-        self.ledger = Ledger(settings.data_folder / "ledger.log")
+        self.ledger = Ledger(settings.data_folder / "ledger.log", _end_on_disk_failure)
         self._codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
         self.peers = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
@@ -186,3 +189,9 @@
             await leadership.close()
             _log.info("No longer leading.")
             self.timeline.emit(EventKind.LEADER_LOST, detail=self.settings.host)
+
+
+def _end_on_disk_failure(error: StorageError) -> None:
+    """End the process: a host whose disk fails must not go on to vote and answer."""
+    _log.critical("The ledger cannot be stored, the daemon ends: %s.", error.detail)
+    os._exit(DISK_FAILED_EXIT_STATUS)
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from contextlib import suppress
+from typing import Any, TypeVar
 
 from msgspec import Struct
 from pynng import Rep0, Req0
@@ -21,9 +22,26 @@
 DIAL_RETRY_MIN_MS = 50
 DIAL_RETRY_MAX_MS = 500
 
+ResultT = TypeVar("ResultT")
+
 _log = get_logger("wire")
 
 
+async def finish(operation: Awaitable[ResultT]) -> ResultT:
+    """Await a pynng operation and raise a cancellation that it swallowed.
+
+    pynng drops a cancellation that meets the completion of the operation. Without this a time
+    limit that ends during the send would leave the receive without one.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    requests = task.cancelling()
+    result = await operation
+    if task.cancelling() > requests:
+        raise asyncio.CancelledError
+    return result
+
+
 class RpcClient:
     """Calls one peer over one request socket.
 
@@ -56,8 +74,8 @@
         context = socket.new_context()
         try:
             async with asyncio.timeout(timeout_s):
-                await context.asend(self._codec.encode(message))
-                frame = await context.arecv()
+                await finish(context.asend(self._codec.encode(message)))
+                frame = await finish(context.arecv())
         except TimeoutError as error:
             self._discard(socket)
             raise PeerError(ResultCode.PEER_TIMEOUT, f"no reply from {self.url}") from error
@@ -65,7 +83,9 @@
             self._discard(socket)
             raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
         finally:
-            context.close()
+            # Fails if this call or another one has closed the socket meanwhile.
+            with suppress(NNGException):
+                context.close()
         _, reply = self._codec.decode(frame)
         if isinstance(reply, ErrorReply):
             refusal = PeerError(ResultCode(reply.code), reply.detail)
@@ -133,9 +153,9 @@
         context = self._socket.new_context()
         try:
             while True:
-                frame = await context.arecv()
+                frame = await finish(context.arecv())
                 reply = await self._answer(frame)
-                await context.asend(self._codec.encode(reply))
+                await finish(context.asend(self._codec.encode(reply)))
         except NNGException as error:
             _log.warning("Worker stops: %s.", error)
         finally:
--- a/tests/billing/test_ledger.py
+++ b/tests/billing/test_ledger.py
@@ -60,6 +60,25 @@
     await ledger.close()
 
 
+async def test_ledger_stops_after_a_failed_sync(tmp_path: Path, monkeypatch) -> None:
+    """Guards against a bill that is acknowledged after the disk has lost an earlier write."""
+
+    def failing_sync(_: int) -> None:
+        raise OSError(5, "input/output error")
+
+    failures: list[StorageError] = []
+    ledger = Ledger(tmp_path / "ledger", failures.append)
+    with monkeypatch.context() as patch:
+        patch.setattr(ledger_file.os, "fsync", failing_sync)
+        puts = (ledger.put((bill(n),)) for n in range(5))
+        results = await asyncio.gather(*puts, return_exceptions=True)
+    assert_that([type(item) for item in results], Equals([StorageError] * 5))
+    with ExpectedException(StorageError):
+        await ledger.put((bill(9),))
+    assert_that((len(ledger), len(failures)), Equals((0, 1)))
+    await ledger.close()
+
+
 def _flip(offset_from_end: int) -> Callable[[bytes], bytes]:
     def damage(data: bytes) -> bytes:
         index = len(data) - offset_from_end
--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -1,5 +1,6 @@
 """Admin and backend interfaces of two control hosts over real sockets."""
 
+import asyncio
 import json
 import socket
 from pathlib import Path
@@ -10,6 +11,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import ContainsAll, Equals, HasLength
 
+from baobabstream.control import admin_api
 from baobabstream.control.admin_api import MAX_BACKEND_BODY_BYTES
 from baobabstream.control.commands import RecordLoss
 from baobabstream.control.daemon import ControlDaemon
@@ -214,6 +216,24 @@
     assert_that((await group.leader.call("GET", "local", key="wrong"))[0], Equals(401))
 
 
+async def test_lost_answer_of_a_change_is_not_called_not_run(group: Group, monkeypatch) -> None:
+    """Guards against "not run" for a change that the leader may have carried out."""
+    answer = group.daemons[0].admin.answer_forwarded
+
+    async def answer_late(request):
+        reply = await answer(request)
+        await asyncio.sleep(1.0)
+        return reply
+
+    monkeypatch.setattr(group.daemons[0].admin, "answer_forwarded", answer_late)
+    monkeypatch.setattr(admin_api, "FORWARD_TIMEOUT_S", 0.3)
+    status, document = await group.follower.act("changes", "c", base_revision=0, put=[ROWS[2]])
+    error = document["error"]
+    assert_that((status, error["code"]), Equals((504, ResultCode.CHANGE_UNKNOWN)))
+    assert_that(error["ran"], Equals("unknown"))
+    assert_that(await group.leader.get("classes"), HasLength(1))
+
+
 async def test_in_force_waits_and_readiness_names_what_is_missing(group: Group) -> None:
     """Guards against a check that a new leader answers before older leases have run out."""
     revision = await group.leader.put("c1", ROWS[2])
