--- a/src/baobabstream/control/claims.py
+++ b/src/baobabstream/control/claims.py
@@ -160,6 +160,8 @@
             del self.answered_keys[key]
             self.answers_bytes -= len(self.claims[key].answer)
             self.claims[key].answer = b""
+            # An entry replays an answer only if it has a content type.
+            self.claims[key].content_type = ""
 
     def _drop_old(self) -> None:
         while self.claims:
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -7,10 +7,10 @@
 
 from baobabstream.billing.exchange import LedgerExchange
 from baobabstream.billing.ledger import Ledger
-from baobabstream.consensus.command_log import CommandLog, LocalLog
 from baobabstream.control.admin_api import AdminApi
 from baobabstream.control.commands import Command
 from baobabstream.control.leadership import Leadership
+from baobabstream.control.log_setup import DISK_FAILED_EXIT_STATUS, open_log
 from baobabstream.control.outcome import Outcome
 from baobabstream.control.peer_service import PeerService
 from baobabstream.control.state import ConfigState
@@ -30,8 +30,6 @@
 LEADERSHIP_CHECK_S = 0.05
 # Each entry holds one worker with its long poll; 330 entries are planned for.
 RPC_WORKERS = 512
-# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
-DISK_FAILED_EXIT_STATUS = 74
 
 _log = get_logger("control")
 
@@ -49,10 +47,13 @@
         self.settings = settings
         self.timeline = TimeLine(settings.timeline_file, settings.host, "control", HybridClock())
         self.state = ConfigState()
-        self.log: CommandLog = LocalLog(settings.control[0].host, self.state.apply)
-        settings.data_folder.mkdir(parents=True, exist_ok=True)
+        secret = settings.peer_secret.get_secret_value()
+        self._codec = WireCodec(settings.cluster, settings.host, secret)
+        self._leadership: Leadership | None = None
+        self._notified_revision = 0
+        # Takes the lock on the data folder, so it comes before the ledger.
+        self.log = open_log(settings, self.state, self._codec, self.timeline, self.notify_applied)
         self.ledger = Ledger(settings.data_folder / "ledger.log", _end_on_disk_failure)
-        self._codec = WireCodec(settings.cluster, settings.host, settings.peer_secret)
         self.peers = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
             for peer in settings.control
@@ -62,8 +63,6 @@
             settings.host, self.ledger, self.peers, settings.data_folder / "ledger-sync.json"
         )
         self.admin = AdminApi(self)
-        self._leadership: Leadership | None = None
-        self._notified_revision = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -87,6 +86,7 @@
             raise BaobabstreamError(
                 ResultCode.ADDRESS_IN_USE, f"{own.ip}:{own.http_port}"
             ) from error
+        await self.log.start()
         self._tasks += [
             asyncio.create_task(self._watch_leadership()),
             asyncio.create_task(self.ledger_exchange.run()),
@@ -97,6 +97,7 @@
     async def stop(self) -> None:
         """Close the listeners and files."""
         self.timeline.emit(EventKind.DAEMON_STOPPING)
+        await self.log.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -181,14 +182,12 @@
         if previous is not None:
             self._tasks.append(asyncio.create_task(previous.close()))
         _log.info("Leading in term %d.", self.log.term)
-        self.timeline.emit(EventKind.LEADER_ELECTED, detail=self.settings.host)
 
     async def _end_leadership(self) -> None:
         leadership, self._leadership = self._leadership, None
         if leadership is not None:
             await leadership.close()
             _log.info("No longer leading.")
-            self.timeline.emit(EventKind.LEADER_LOST, detail=self.settings.host)
 
 
 def _end_on_disk_failure(error: StorageError) -> None:
--- a/src/baobabstream/control/peer_service.py
+++ b/src/baobabstream/control/peer_service.py
@@ -9,6 +9,13 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.telemetry.timeline import EventKind
+from baobabstream.wire.consensus_messages import (
+    AppendRequest,
+    JoinRequest,
+    SnapshotRequest,
+    TransferRequest,
+    VoteRequest,
+)
 from baobabstream.wire.messages import (
     BillReply,
     BillRequest,
@@ -70,6 +77,10 @@
             case ForwardRequest():
                 self._daemon.require_leadership()
                 return await self._daemon.admin.answer_forwarded(message)
+            case VoteRequest() | AppendRequest() | SnapshotRequest() | TransferRequest():
+                return await self._daemon.log.handle(sender, message)
+            case JoinRequest():
+                return await self._daemon.log.handle(sender, message)
         raise PeerError(ResultCode.MESSAGE_MALFORMED, f"unexpected {type(message).__name__}")
 
     async def _bill(self, request: BillRequest) -> BillReply:
--- a/src/baobabstream/control/trials.py
+++ b/src/baobabstream/control/trials.py
@@ -59,7 +59,7 @@
             trial.backend_server = ""
             return False
         del self.trials[request.fingerprint]
-        return True
+        return request.ran
 
     def loss_recorded(self, fingerprint: str, backend_server: str) -> None:
         """Drop the trial that lost a backend server; a trial on another one goes on."""
--- a/src/baobabstream/wire/messages.py
+++ b/src/baobabstream/wire/messages.py
@@ -230,12 +230,13 @@
 
 
 class TrialEnd(Struct, frozen=True, tag="trial_end"):
-    """The trial is over; a suspect that did not lose its backend server is cleared."""
+    """The trial is over; a suspect that ran and did not lose its backend server is cleared."""
 
     fingerprint: str
     request_id: str
     host: str
     lost: bool
+    ran: bool = True
 
 
 class TrialEndReply(Struct, frozen=True, tag="trial_end_reply"):
--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -11,10 +11,13 @@
 from testtools.assertions import assert_that
 from testtools.matchers import ContainsAll, Equals, HasLength
 
+from baobabstream.consensus.command_log import LocalLog
 from baobabstream.control import admin_api
+from baobabstream.control import daemon as daemon_module
 from baobabstream.control.admin_api import MAX_BACKEND_BODY_BYTES
 from baobabstream.control.commands import RecordLoss
 from baobabstream.control.daemon import ControlDaemon
+from baobabstream.control.state import ConfigState
 from baobabstream.errors.codes import ResultCode
 from baobabstream.settings.models import ControlSettings
 from baobabstream.wire.messages import Bill
@@ -63,6 +66,21 @@
         return document["revision"]
 
 
+class OneLeaderLog(LocalLog):
+    """Log in which the first host always leads, so that the tests need no election."""
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+
+def open_local_log(settings: ControlSettings, state: ConfigState, *_: Any) -> OneLeaderLog:
+    settings.data_folder.mkdir()
+    return OneLeaderLog("control-0", state.apply)
+
+
 class Group:
     """Two control hosts; the first leads."""
 
@@ -97,7 +115,8 @@
 
 
 @pytest.fixture
-async def group(tmp_path: Path):
+async def group(tmp_path: Path, monkeypatch):
+    monkeypatch.setattr(daemon_module, "open_log", open_local_log)
     async with ClientSession() as session:
         running = Group(tmp_path, session)
         for daemon in running.daemons:
