control: tests of a leader's soft state with entries over real sockets

Cause: the loss of the leader lease during a poll, claims of a restarted entry and the stop of a version were tested only part by part. Conclusion: no mechanism had to change.

--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -1,130 +1,20 @@
 """Admin and backend interfaces of two control hosts over real sockets."""
 
 import asyncio
-import json
-import socket
-from pathlib import Path
 from typing import Any
 
 import pytest
-from aiohttp import ClientSession
 from testtools.assertions import assert_that
 from testtools.matchers import ContainsAll, Equals, HasLength
 
-from baobabstream.consensus.command_log import LocalLog
 from baobabstream.control import admin_api
-from baobabstream.control import daemon as daemon_module
 from baobabstream.control.admin_api import MAX_BACKEND_BODY_BYTES
 from baobabstream.control.commands import RecordLoss
-from baobabstream.control.daemon import ControlDaemon
-from baobabstream.control.state import ConfigState
 from baobabstream.errors.codes import ResultCode
-from baobabstream.settings.models import ControlSettings
 from baobabstream.wire.messages import Bill
+from control.local_group import BACKEND, Group, group
 
-OPERATOR, BACKEND = "operator-key-0123456", "backend-key-01234567"
-LEASE_S = 0.5
-
-
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
-class Client:
-    """Calls a control host as operator or as backend server."""
-
-    def __init__(self, session: ClientSession, port: int) -> None:
-        self._session = session
-        self.port = port
-
-    async def call(
-        self, method: str, path: str, body: Any = None, key: str = OPERATOR
-    ) -> tuple[int, Any]:
-        prefix = "" if path.startswith("/") else "/admin/v1/"
-        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
-        headers = {"Authorization": f"Bearer {key}"}
-        url = f"http://127.0.0.1:{self.port}{prefix}{path}"
-        async with self._session.request(method, url, data=data, headers=headers) as answer:
-            return answer.status, await answer.json()
-
-    async def get(self, path: str) -> Any:
-        status, document = await self.call("GET", path)
-        assert status == 200, document
-        return document
-
-    async def act(self, path: str, change_id: str, **fields: Any) -> tuple[int, Any]:
-        return await self.call("POST", path, {"change_id": change_id} | fields)
-
-    async def put(self, change_id: str, *rows: dict[str, Any]) -> int:
-        base = (await self.get("config"))["operator_revision"]
-        status, document = await self.act("changes", change_id, base_revision=base, put=rows)
-        assert status == 200, document
-        return document["revision"]
-
-
-class OneLeaderLog(LocalLog):
-    """Log in which the first host always leads, so that the tests need no election."""
-
-    async def start(self) -> None:
-        pass
-
-    async def stop(self) -> None:
-        pass
-
-
-def open_local_log(settings: ControlSettings, state: ConfigState, *_: Any) -> OneLeaderLog:
-    settings.data_folder.mkdir()
-    return OneLeaderLog("control-0", state.apply)
-
-
-class Group:
-    """Two control hosts; the first leads."""
-
-    def __init__(self, folder: Path, session: ClientSession) -> None:
-        ports = free_ports(4)
-        peers = [
-            {
-                "host": f"control-{n}",
-                "availability_zone": f"z{n}",
-                "port": ports[2 * n],
-                "http_port": ports[2 * n + 1],
-            }
-            for n in range(2)
-        ]
-        self.daemons = [
-            ControlDaemon(
-                ControlSettings(
-                    cluster="test",
-                    host=f"control-{n}",
-                    availability_zone=f"z{n}",
-                    peer_secret="peer-secret-01234567",
-                    control=peers,
-                    data_folder=folder / f"data-{n}",
-                    operator_keys={"op": OPERATOR},
-                    backend_key=BACKEND,
-                    entry_lease_s=LEASE_S,
-                )
-            )
-            for n in range(2)
-        ]
-        self.leader, self.follower = (Client(session, ports[2 * n + 1]) for n in range(2))
-
-
-@pytest.fixture
-async def group(tmp_path: Path, monkeypatch):
-    monkeypatch.setattr(daemon_module, "open_log", open_local_log)
-    async with ClientSession() as session:
-        running = Group(tmp_path, session)
-        for daemon in running.daemons:
-            await daemon.start()
-        yield running
-        for daemon in running.daemons:
-            await daemon.stop()
-
+__all__ = ["group"]
 
 ROWS = (
     {"type": "version", "model": "m", "version": "1", "cost_per_1k_tokens": 1},
--- /dev/null
+++ b/tests/control/test_leadership.py
@@ -0,0 +1,124 @@
+"""Soft state of a leader, with entries that poll over real sockets."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import pytest
+from testtools import ExpectedException
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, LessThan
+
+from baobabstream.control.commands import AdvanceRollout, ConfigChange
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import PeerError
+from baobabstream.membership.control_session import ControlSession
+from baobabstream.policy.view import ClusterView
+from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.messages import ClaimAction, ClaimRequest, ClaimState, PollRequest
+from baobabstream.wire.rows import RolloutRow, RolloutState, VersionRow, VersionState
+from control.local_group import LEASE_S, Group, group
+
+__all__ = ["group"]
+
+
+class Entry:
+    """An entry's session with the group."""
+
+    def __init__(self, group: Group, incarnation: int) -> None:
+        settings = group.daemons[0].settings
+        secret = settings.peer_secret.get_secret_value()
+        codec = WireCodec(settings.cluster, "entry-1", secret)
+        self.view = ClusterView()
+        self._changed = asyncio.Event()
+        self.session = ControlSession(
+            "entry-1", "z0", settings.control, codec, self.view, self._changed.set
+        )
+        self.session.incarnation = incarnation
+
+    async def __aenter__(self) -> "Entry":
+        self._task = asyncio.create_task(self.session.run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self.session.close()
+
+    async def wait(self, condition: Callable[[], bool], limit_s: float) -> None:
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                self._changed.clear()
+                await self._changed.wait()
+
+
+def poll(group: Group, wait_ms: int, epoch: int = 0) -> PollRequest:
+    revision = group.daemons[0].state.revision
+    return PollRequest("entry-1", 1, "z0", revision, epoch, 0, wait_ms)
+
+
+async def test_poll_is_not_answered_after_the_leader_lease_is_lost(
+    group: Group, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an entry lease from a host that no longer leads."""
+    leader = group.daemons[0]
+    entry = Entry(group, 1)
+    first = leader.require_leadership()
+    epoch = first.registry.epoch
+    held = asyncio.create_task(entry.session.call_host("control-0", poll(group, 500, epoch), 2.0))
+    await asyncio.sleep(0.1)
+    with monkeypatch.context() as patch:
+        patch.setattr(leader.log, "holds_leader_lease", lambda: False)
+        with ExpectedException(PeerError, ".*NO_LEADER.*"):
+            await held
+    await asyncio.sleep(0.1)
+    again = leader.require_leadership()
+    assert_that((again is first, again.registry.epoch == epoch), Equals((False, False)))
+    assert_that(again.leases.in_force(0, time.monotonic()), Is(False))
+    assert_that(again.leases.in_force(0, time.monotonic() + LEASE_S), Is(True))
+    entry.session.close()
+
+
+async def test_claims_of_a_restarted_entry_become_unknown(group: Group) -> None:
+    """Guards against a claim that stays open, or becomes free, when its entry restarts."""
+    leader = group.daemons[0]
+    claim = ClaimRequest(ClaimAction.CLAIM, "desk", "key", "b", "r1", "entry-1", incarnation=1)
+    async with Entry(group, 1) as old:
+        reply = await old.session.call_host("control-0", claim, 1.0)
+        assert_that(ResultCode(reply.code), Is(ResultCode.OK))
+        await asyncio.sleep(0.6)
+        assert_that(len(leader.state.claims.open_keys), Equals(1))
+    async with Entry(group, 2) as new:
+        await asyncio.sleep(0.8)
+        again = ClaimRequest(ClaimAction.CLAIM, "desk", "key", "b", "r2", "entry-1", incarnation=2)
+        reply = await new.session.call_host("control-0", again, 1.0)
+    assert_that(reply.state, Is(ClaimState.UNKNOWN))
+    assert_that(ResultCode(reply.code), Is(ResultCode.OUTCOME_UNKNOWN))
+
+
+async def test_errors_of_an_entry_stop_a_version_within_two_seconds(group: Group) -> None:
+    """Guards against a bad version that keeps its traffic until an operator acts."""
+    leader = group.daemons[0]
+    rows = (VersionRow("m", "1", 1.0), VersionRow("m", "2", 1.0), RolloutRow("r", "m", "1", "2"))
+    leader.state.apply(ConfigChange("c", "op", 0, rows))
+    running = AdvanceRollout("r", RolloutState.LOADING, 0, RolloutState.RUNNING, 0, 0.5)
+    leader.state.apply(running)
+    leader.notify_applied()
+    async with Entry(group, 1) as entry:
+        await entry.wait(lambda: "r" in entry.view.rollouts, 5)
+        evidence = entry.session.evidence
+        for _ in range(10):
+            for version in ("1", "2"):
+                for _ in range(20):
+                    evidence.record_success("m", version)
+            await asyncio.sleep(0.1)
+        started_s = time.monotonic()
+        for _ in range(20):
+            evidence.record_error("m", "2")
+            evidence.record_success("m", "1")
+            await asyncio.sleep(0.02)
+        row = entry.view.versions
+        await entry.wait(lambda: row["m", "2"].state is VersionState.STOPPED, 5)
+        assert_that(time.monotonic() - started_s, LessThan(2.0))
+        rollout = entry.view.rollouts["r"]
+    assert_that((rollout.state, rollout.share), Equals((RolloutState.STOPPED, 0.0)))
