--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -1,6 +1,7 @@
 """Control daemon: wires log, registry, ledger, admin interface and inner protocol."""
 
 import asyncio
+import os
 import time
 
 from aiohttp import web
@@ -10,12 +11,12 @@
 from baobabstream.control.admin_api import AdminApi
 from baobabstream.control.commands import Command
 from baobabstream.control.leadership import Leadership
-from baobabstream.control.log_setup import open_log
+from baobabstream.control.log_setup import DISK_FAILED_EXIT_STATUS, open_log
 from baobabstream.control.outcome import Outcome
 from baobabstream.control.peer_service import PeerService
 from baobabstream.control.state import ConfigState
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, PeerError
+from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.settings.models import ControlPeer, ControlSettings
 from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
@@ -57,7 +58,7 @@
         self._codec = peer_codec(settings, clock)
         # Takes the lock on the data folder, so it comes before the ledger.
         self.log = open_log(settings, self.state, self._codec, self.timeline, self.notify_applied)
-        self.ledger = Ledger(settings.data_folder / "ledger.log")
+        self.ledger = Ledger(settings.data_folder / "ledger.log", _end_on_disk_failure)
         self.peers = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", self._codec)
             for peer in settings.control
@@ -217,3 +218,9 @@
         if leadership is not None:
             await leadership.close()
             _log.info("No longer serving as leader.")
+
+
+def _end_on_disk_failure(error: StorageError) -> None:
+    """End the process: a host whose disk fails must not go on to vote and answer."""
+    _log.critical("The ledger cannot be stored, the daemon ends: %s.", error.detail)
+    os._exit(DISK_FAILED_EXIT_STATUS)
--- a/src/baobabstream/entry/suspects.py
+++ b/src/baobabstream/entry/suspects.py
@@ -74,8 +74,9 @@
             reply: TrialReply = await self._control.call_leader(message, TRIAL_TIMEOUT_S)
         except PeerError as error:
             _log.warning("Trial for %s could not be asked for: %s.", request_id, error)
-            # The leader may have granted the trial. It has not cleared the suspect.
-            self.end_trial(fingerprint, request_id, lost=True)
+            # The leader may have granted it. The suspect did not run, so it is not cleared.
+            not_run = TrialEnd(fingerprint, request_id, self._host, lost=False, ran=False)
+            self._background.start(self._end_trial(not_run))
             return TrialDenied(request_id, TRIAL_RETRY_S, quarantined=False)
         if reply.backend_server:
             return TrialGranted(request_id, reply.backend_server)
