--- a/src/baobabstream/cli/app.py
+++ b/src/baobabstream/cli/app.py
@@ -5,8 +5,8 @@
 
 import typer
 
-from baobabstream.cli.bench import bench_app
 from baobabstream import __version__
+from baobabstream.cli.bench import bench_app
 from baobabstream.cli.check_settings import check_settings
 from baobabstream.cli.daemons import control, entry
 from baobabstream.cli.emulate import emulate_app
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -20,8 +20,8 @@
 from baobabstream.settings.models import ControlPeer, ControlSettings
 from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
-from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.instruments import MetricName
+from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.messages import ForwardReply, ForwardRequest
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -35,8 +35,8 @@
 from baobabstream.telemetry.clock_headers import carry_clock
 from baobabstream.telemetry.http_metrics import measure_requests
 from baobabstream.telemetry.hybrid_clock import HybridClock
-from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.instruments import MetricName
+from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.peers import peer_codec
