policy: load reports no longer enter the expected wait

Cause: the switch showed that the reports' load makes choices worse. Change: reports only teach the entry's share of all requests in flight.

--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -197,19 +197,16 @@
             cached = state.cached_tokens_share(request.prefix_digests)
         prefill_s = (1 - cached) * self._sizes.prefill_s(request)
         prefill_s *= max(1.0, gap_s / self._states.mean_gap_s)
-        wait_s = self._wait_s(state, gap_s, now_s)
+        wait_s = self._wait_s(state, gap_s)
         first_token_s = first_s + prefill_s + state.pending_prefill_s + wait_s
         if now_s - state.failed_at_s < RECENT_FAILURE_S:
             first_token_s += RECENT_FAILURE_COST_S
         total_s = first_token_s + request.expected_output_tokens * gap_s
         return Choice(identity, first_token_s, total_s, cached, SAMPLE)
 
-    def _wait_s(self, state: ServerState, gap_s: float, now_s: float) -> float:
+    def _wait_s(self, state: ServerState, gap_s: float) -> float:
         """Return the expected wait for a batch slot, plus the load's effect on the gap."""
-        others = 0.0
-        if self._switches.load_reports:
-            others = state.expected_others(now_s, self._states.mean_others)
-        load = state.in_flight + others
+        load = state.in_flight
         beyond = max(0.0, load + 1 - state.slots)
         service_s = self._sizes.mean_output_tokens * gap_s
         return beyond * service_s / state.slots + 0.1 * load / state.slots * service_s
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -138,7 +138,7 @@
 
     def _set_view(self, view: ClusterView, now_s: float) -> None:
         changed, gone = self._index.update(view.backends)
-        self._attempts.states.take_records(changed, gone, now_s)
+        self._attempts.states.take_records(changed, gone)
         for key in self._eligibility.set_view(view):
             self._evidence.health.forget(*key)
         self._evidence.set_baselines(view)
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -13,8 +13,6 @@
 # An own measurement loses its weight against that of the peers with this time constant, so that a
 # server that was slow gets probes again within a few seconds.
 MEASURE_AGE_S = 6.0
-# A load report loses its weight with this time constant; reports come about 2 s late.
-REPORT_AGE_S = 2.0
 GAIN = 0.3
 DEFAULT_GAP_S = 0.02
 DEFAULT_FIRST_S = 0.1
@@ -42,8 +40,6 @@
         Recent time between tokens of one stream.
     first_s
         Recent time to the first token beyond the estimated prefill.
-    others
-        Requests of other entries according to the last report.
     window
         Attempts that this entry may have on the server at once.
     pending_prefill_s
@@ -61,8 +57,6 @@
     gap_at_s: float = -1e9
     first_s: float = DEFAULT_FIRST_S
     first_at_s: float = -1e9
-    others: float = 0.0
-    reported_at_s: float = -1e9
     window: float = 1.0
     cut_at_s: float = -1e9
     failed_at_s: float = -1e9
@@ -106,11 +100,6 @@
         """Return whether this entry's window has room for one more attempt."""
         return self.in_flight + 1 <= self.window + self.dither
 
-    def expected_others(self, now_s: float, mean_others: float) -> float:
-        """Return the other entries' requests, from the report as far as it is fresh."""
-        weight = exp(-max(0.0, now_s - self.reported_at_s) / REPORT_AGE_S)
-        return weight * self.others + (1 - weight) * mean_others
-
     def cached_tokens_share(self, digests: tuple[str, ...]) -> float:
         """Return the share of the prompt whose prefix this entry has sent to the server."""
         for index in range(len(digests) - 1, -1, -1):
@@ -131,7 +120,6 @@
         self._random = random
         self._states: dict[str, ServerState] = {}
         self._holders: LRUCache[str, str] = LRUCache(20_000)
-        self.mean_others = 0.0
         self.mean_gap_s = DEFAULT_GAP_S
         self.mean_first_s = DEFAULT_FIRST_S
         self._own_in_flight = FIRST_SHARE
@@ -164,7 +152,7 @@
         """Return a server's state, or None when it is gone."""
         return self._states.get(identity)
 
-    def take_records(self, records: list[BackendRecord], gone: set[str], now_s: float) -> None:
+    def take_records(self, records: list[BackendRecord], gone: set[str]) -> None:
         """Take changed announcements."""
         for identity in gone:
             self._states.pop(identity, None)
@@ -175,10 +163,7 @@
                 self._states[record.identity] = state
             self._learn_share(state.in_flight, record.in_flight)
             state.window = min(state.window, self.window_limit(record.slots))
-            state.others = max(0.0, record.in_flight - state.in_flight)
             state.dither = self._random.random()
-            state.reported_at_s = now_s
-            self.mean_others += 0.05 * (state.others - self.mean_others)
 
     def measure_gap(self, identity: str, gap_s: float, now_s: float) -> None:
         """Take a measured time between tokens of one server."""
--- a/src/baobabstream/policy/switches.py
+++ b/src/baobabstream/policy/switches.py
@@ -17,5 +17,4 @@
     hedges: bool = True
     straggler_rates: bool = True
     prefix_credit: bool = True
-    load_reports: bool = True
     version_health: bool = True
