--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -10,8 +10,8 @@
 # A request is queued only when its predicted wait is below a part of its slack, since the service
 # rate may fall while it waits. The part falls with the share of requests that are refused: in an
 # overload others are served first, and a refusal must come at once.
-WAIT_PART = 0.45
-WAIT_PART_OVERLOADED = 0.15
+WAIT_PART = 0.4
+WAIT_PART_OVERLOADED = 0.12
 REFUSED_GAIN = 0.1
 # The head of an account below its share is served next, so its wait is well known.
 BELOW_SHARE_WAIT_PART = 0.9
