--- a/src/baobabstream/policy/version_health.py
+++ b/src/baobabstream/policy/version_health.py
@@ -37,6 +37,8 @@
 # Evidence of the same rise in the other versions' results, beyond that of one bad result, holds up
 # a verdict.
 OTHERS_RISEN = 2.5
+# Share of a version's rise that a shared fault is taken to cause in the other versions.
+LIKE_RISE_SHARE = 0.5
 # The last version in service is not stopped so soon after another one; the fault may be shared,
 # and nothing would be left to serve.
 LAST_VERSION_S = 120.0
@@ -261,11 +263,21 @@
     def _shared_log_ratio(
         self, record: _VersionRecord, stream: _Stream, seen: Counts, expected: float
     ) -> float:
-        """Return the evidence in others' results for the same rise as this version's."""
+        """Return the evidence in others' results for a like rise as this version's.
+
+        Notes
+        -----
+        The tested rises are small. A version that fails nearly every request would wait for many
+        good results of the others if they were held against the smallest rise only, so the rise
+        that was seen counts, in part since a shared fault may hit the others less.
+        """
         if not seen.total:
             return 0.0
         base = min(max(expected, 0.005), 0.9)
-        return log_ratio(seen.good, seen.bad, base, stream.test.rise)
+        pending = stream.test.pending
+        seen_rise = pending.bad / pending.total - expected if pending.total else 0.0
+        rise = max(stream.test.rise, LIKE_RISE_SHARE * seen_rise)
+        return log_ratio(seen.good, seen.bad, base, rise)
 
     def _reason(self, record: _VersionRecord, stream: _Stream) -> str:
         pending = stream.test.pending
