--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -200,6 +200,16 @@
                 await asyncio.sleep(0.1)
 
 
+async def wait_in_force(client: ClientSession, settings: dict) -> None:
+    """Wait until the first leader may report in force: one lease after its election."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            async with client.get(admin_url(settings, "/in-force?wait_s=10")) as answer:
+                if answer.status == 200 and (await answer.json())["in_force"]:
+                    return
+            await asyncio.sleep(0.1)
+
+
 async def measure_traffic(subscribers: int, backends: int, seconds: float) -> str:
     """Return a table row with the cost of one entry and of the leader."""
     with tempfile.TemporaryDirectory() as name:
@@ -268,7 +278,7 @@
             async with ClientSession(headers=headers) as client:
                 await wait_for_control(client, settings)
                 subscribers = [Subscriber(settings, f"entry-{n}") for n in range(entries)]
-                await asyncio.sleep(5.0)
+                await wait_in_force(client, settings)
                 for number in range(CHANGES):
                     times = await one_change(client, settings, subscribers, number)
                     applied_ms.append(times[0])
