--- a/src/baobabstream/entry/plain_handler.py
+++ b/src/baobabstream/entry/plain_handler.py
@@ -30,11 +30,17 @@
 RETRY_AFTER_S = 1.0
 # Answers that a retry on another server may improve.
 RETRIED_STATUSES = frozenset({502, 503, 504})
+DOT_SEGMENTS = frozenset({".", ".."})
 FORWARDED_HEADERS = (hdrs.CONTENT_TYPE, hdrs.ACCEPT, hdrs.ACCEPT_LANGUAGE)
 
 
 def find_route(view: ClusterView, method: str, path: str) -> RouteRow | None:
-    """Return the route with the longest path prefix that ends at a segment boundary."""
+    """Return the route with the longest path prefix that ends at a segment boundary.
+
+    A path with dot segments has no route: the service might resolve them to another route's path.
+    """
+    if not DOT_SEGMENTS.isdisjoint(path.split("/")):
+        return None
     matching = [
         row
         for row in view.routes.values()
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -124,7 +124,7 @@
             case CallerStalled():
                 return self._cut()
             case Exception():
-                raise item
+                return await self._task_failed(item)
         return None
 
     def _dispatch(self, dispatch: Dispatch) -> None:
@@ -286,13 +286,21 @@
         await self._delivery.release(attempt.dispatch, attempt.collected)
         return await self._finish()
 
+    async def _task_failed(self, failure: Exception) -> web.StreamResponse:
+        _log.error("Request %s failed unexpectedly.", self._info.request_id, exc_info=failure)
+        refused = Refused(ResultCode.INTERNAL_ERROR, sent=self._may_have_run())
+        return await self._delivery.refuse(refused)
+
+    def _may_have_run(self) -> bool:
+        return self._sent or any(item.task is not None for item in self._attempts.values())
+
     async def _refuse(self, decision: Refuse | GiveUp) -> web.StreamResponse:
         self._finished = True
         if self._held and not self._delivery.tokens:
             response = await self._release(next(iter(self._held)))
             assert response is not None
             return response
-        sent = self._sent or any(item.task is not None for item in self._attempts.values())
+        sent = self._may_have_run()
         refused = Refused(decision.code, decision.reason, decision.retry_after_s, sent=sent)
         self._emit(EventKind.REQUEST_REFUSED, refused.code.name)
         return await self._delivery.refuse(refused)
--- a/tests/entry/test_plain_services.py
+++ b/tests/entry/test_plain_services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from baobabstream.entry.plain_handler import find_route
 from baobabstream.errors.codes import ResultCode
 from baobabstream.wire.messages import ClaimState
 from baobabstream.wire.rows import BackendKind
@@ -46,6 +47,8 @@
         ):
             _, document = await call(entry, path)
             assert (document["error"]["code"], document["error"]["ran"]) == (code, "no")
+        assert find_route(entry.daemon.view, "GET", "/notes/1") is not None
+        assert find_route(entry.daemon.view, "GET", "/notes/../waivers") is None
 
 
 async def test_finished_call_is_replayed_and_not_run_again() -> None:
