Version health: results of other versions are dated to 0.1 s

Cause: results were dated by 0.5 s buckets, so healthy results of the other version that came with the first bad ones counted as earlier than the fault and the verdict waited for the 5 s step.

--- a/src/baobabstream/policy/change_test.py
+++ b/src/baobabstream/policy/change_test.py
@@ -16,7 +16,9 @@
 # The margin keeps the false-alarm rate while the reference has few results.
 REFERENCE_DEVIATIONS = 1.5
 KEEP_S = 60.0
-BUCKET_S = 0.5
+# Results are dated by the start of their bucket. At 0.5 s the healthy results that came with the
+# first bad ones counted as earlier than the fault, and a verdict waited 5 s longer.
+BUCKET_S = 0.1
 # A sum is held this close above the limit, so that it falls soon after a disturbance ends.
 EXCESS = 2.0
 
