Let a stopping log end its peer tasks

Cause: a test that stopped a member hung: a cancelled RPC call can end as PeerError, and the peer task then went on.

Change: peer and join tasks also check whether they are still wanted. New tests run three members over real sockets and files: handover, restart, lost disk, minority.

Conclusion: a planned stop ends; other users of RpcClient that loop on PeerError may be affected.

--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -294,7 +294,7 @@
         others = {host: url for host, url in self._addresses.items() if host != self._own_host}
         clients = [RpcClient(url, self._codec) for url in others.values()]
         try:
-            while True:
+            while self._open:
                 members = self.core.membership.voters + self.core.membership.learners
                 if self.core.member not in members:
                     calls = (self._ask(client) for client in clients)
@@ -347,7 +347,8 @@
     async def _talk_to(self, peer: Member, url: str, wake: asyncio.Event) -> None:
         client = RpcClient(url, self._codec)
         try:
-            while True:
+            # A cancelled call may end as PeerError, so the loop checks whether it is still wanted.
+            while self._open and peer in self.core.peers:
                 wake.clear()
                 request = self.core.request_for(peer.member_id, self._loop.time())
                 if request is None:
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -7,7 +7,6 @@
 from itertools import count
 from random import Random
 
-from consensus.history_checker import ClaimOperation, is_linearizable
 from msgspec.msgpack import Decoder, Encoder
 
 from baobabstream.consensus.core import RaftCore, Role
@@ -20,6 +19,7 @@
 from baobabstream.wire.consensus_messages import EntryKind, Member, Membership
 from baobabstream.wire.messages import ClaimAction, ClaimRequest
 from baobabstream.wire.rows import VersionRow
+from consensus.history_checker import ClaimOperation, is_linearizable
 
 __all__ = ["Options", "Simulation", "SmallCore", "Violation", "run_schedule"]
 
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -22,15 +22,15 @@
 GROUP = LogEntry(1, 1, EntryKind.MEMBERSHIP, encode_membership(Membership((A, B, C))))
 
 
-def make_core(kind=RaftCore, vote=VoteState(1), entries=(GROUP,)) -> RaftCore:
+def make_core(kind=RaftCore, term=1, entries=(GROUP,)) -> RaftCore:
     """Return member A of a group of three at time 0."""
-    durable = DurableState(vote, entries=entries)
+    durable = DurableState(VoteState(term), entries=entries)
     return kind(A, durable, Timing(), Random(1), 0.0, lambda term: b"")
 
 
 def make_leader(kind=RaftCore, entries=(GROUP,)) -> RaftCore:
     """Return member A as leader of term 4, elected by B at time 2."""
-    core = make_core(kind, VoteState(3), entries)
+    core = make_core(kind, 3, entries)
     save_all(core, core.tick(2.0))
     for _ in ("pre-vote", "vote"):
         request = core.request_for(B.member_id, 2.0)
--- a/tests/consensus/test_history_checker.py
+++ b/tests/consensus/test_history_checker.py
@@ -1,6 +1,7 @@
 """Tests the history checker against known good and bad histories."""
 
 import pytest
+
 from consensus.history_checker import ClaimOperation, is_linearizable
 
 BUSY = "REQUEST_IN_PROGRESS"
--- /dev/null
+++ b/tests/consensus/test_replicated_log.py
@@ -0,0 +1,186 @@
+"""Runs three members over real sockets and files."""
+
+import asyncio
+import shutil
+import socket
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from baobabstream.consensus.file_storage import FileStorage
+from baobabstream.consensus.records import LeaderChanged
+from baobabstream.consensus.replicated_log import LogListener, LogOptions, ReplicatedLog
+from baobabstream.control.commands import ConfigChange
+from baobabstream.control.state import ConfigState
+from baobabstream.control.state_machine import ConfigStateMachine
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError, StorageError
+from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.rows import VersionRow
+from baobabstream.wire.rpc import RpcServer
+
+HOSTS = ("a", "b", "c")
+WAIT_S = 8.0
+
+
+class _Recorder(LogListener):
+    def __init__(self) -> None:
+        self.applied = 0
+        self.elected: list[int] = []
+
+    def on_applied(self) -> None:
+        self.applied += 1
+
+    def on_leader_changed(self, change: LeaderChanged) -> None:
+        if change.leads:
+            self.elected.append(change.term)
+
+    def on_storage_failed(self, error: StorageError) -> None:
+        raise AssertionError(error)
+
+
+class Group:
+    """Three members in this process; each can be stopped, wiped and started."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        ports = [self._free_port() for _ in HOSTS]
+        self.urls = {
+            host: f"tcp://127.0.0.1:{port}" for host, port in zip(HOSTS, ports, strict=True)
+        }
+        self.logs: dict[str, ReplicatedLog] = {}
+        self.states: dict[str, ConfigState] = {}
+        self.recorders: dict[str, _Recorder] = {}
+        self._servers: dict[str, RpcServer] = {}
+
+    @staticmethod
+    def _free_port() -> int:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            return probe.getsockname()[1]
+
+    async def start(self, host: str) -> None:
+        """Start a member from its files."""
+        self.states[host] = state = ConfigState()
+        self.recorders[host] = recorder = _Recorder()
+        codec = WireCodec("demo", host, "0123456789abcdef")
+        storage = FileStorage(self.folder / host, "demo", host)
+        log = ReplicatedLog(
+            storage,
+            ConfigStateMachine(state),
+            self.urls,
+            codec,
+            recorder,
+            Random(host),
+            LogOptions(snapshot_entries=10),
+        )
+        self._servers[host] = RpcServer(self.urls[host], codec, log.handle, workers=8)
+        self.logs[host] = log
+        await log.start()
+
+    async def stop(self, host: str) -> None:
+        """Stop a member; a leader hands over first."""
+        log = self.logs.pop(host)
+        await log.stop()
+        await self._servers.pop(host).close()
+
+    async def leader(self) -> str:
+        """Wait until a member serves and return its host."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                serving = [host for host, log in self.logs.items() if log.holds_leader_lease()]
+                if serving:
+                    return serving[0]
+                await asyncio.sleep(0.02)
+
+    async def change(self, number: int):
+        """Commit a change through the leader."""
+        host = await self.leader()
+        base = self.states[host].operator_revision
+        row = VersionRow("small", str(number), 1.0)
+        return await self.logs[host].propose(ConfigChange(f"c{number}", "o", base, (row,)), 2.0)
+
+    async def equal_states(self) -> None:
+        """Wait until all running members have the same state."""
+        await self.until(
+            lambda: len({ConfigStateMachine(self.states[h]).snapshot() for h in self.logs}) == 1
+        )
+
+    @staticmethod
+    async def until(condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():  # noqa: ASYNC110 - the log has no event for each condition
+                await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def running_group(folder: Path):
+    """Start three members and stop those that still run."""
+    group = Group(folder)
+    for host in HOSTS:
+        await group.start(host)
+    try:
+        yield group
+    finally:
+        for host in list(group.logs):
+            await group.stop(host)
+
+
+async def test_changes_reach_all_and_survive_a_handover_and_restarts(tmp_path):
+    """Guards against changes lost by a planned stop, a restart, or a snapshot of the state."""
+    async with running_group(tmp_path) as group:
+        for number in range(25):
+            assert (await group.change(number)).code is ResultCode.OK
+        first = await group.leader()
+        follower = next(host for host in HOSTS if host != first)
+        with pytest.raises(BaobabstreamError) as caught:
+            await group.logs[follower].propose(ConfigChange("x", "o", 0), 1.0)
+        assert caught.value.code is ResultCode.NO_LEADER
+        stopped_s = asyncio.get_running_loop().time()
+        await group.stop(first)
+        assert await group.leader() != first
+        # A handover needs no election timeout.
+        assert asyncio.get_running_loop().time() - stopped_s < 1.0
+        assert (await group.change(25)).code is ResultCode.OK
+        await group.start(first)
+        await group.equal_states()
+        assert group.states[first].revision == 26
+        assert group.recorders[first].applied > 0
+
+
+async def test_lost_disk_is_repaired_under_a_new_identity(tmp_path):
+    """Guards against a vote from a member without its log, and against a half-done repair."""
+    async with running_group(tmp_path) as group:
+        for number in range(25):
+            await group.change(number)
+        leader = await group.leader()
+        lost, other = (host for host in HOSTS if host != leader)
+        identity = group.logs[lost].core.member
+        await group.stop(lost)
+        shutil.rmtree(tmp_path / lost)
+        await group.start(lost)
+        core = group.logs[leader].core
+        await group.until(lambda: group.logs[lost].core.member in core.membership.voters)
+        assert identity not in group.logs[leader].core.membership.voters
+        await group.stop(other)
+        assert (await group.change(99)).code is ResultCode.OK
+        await group.equal_states()
+
+
+async def test_minority_does_not_serve(tmp_path):
+    """Guards against answers of a leader that a quorum no longer confirms."""
+    async with running_group(tmp_path) as group:
+        await group.change(1)
+        leader = await group.leader()
+        log = group.logs[leader]
+        for host in [host for host in HOSTS if host != leader]:
+            await group.stop(host)
+        outcome = asyncio.create_task(group.logs[leader].propose(ConfigChange("x", "o", 0), 3.0))
+        with pytest.raises(BaobabstreamError) as caught:
+            await outcome
+        assert caught.value.code is ResultCode.CHANGE_UNKNOWN
+        assert not log.holds_leader_lease()
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -4,11 +4,11 @@
 from dataclasses import replace
 
 import pytest
-from consensus.simulation import Options, Simulation, SmallCore, Violation, run_schedule
 
 from baobabstream.consensus.core import Role
 from baobabstream.consensus.records import Answer, Save
 from baobabstream.consensus.storage import MemoryStorage
+from consensus.simulation import Options, Simulation, SmallCore, Violation, run_schedule
 
 CI_SEEDS = range(40)
 
