Close an RPC context before its socket is discarded

Cause: after a call timed out, closing the context of the closed socket raised pynng's Closed in place of PeerError. It ended the log's task for that peer, and after a second kill -9 of a leader the group did not elect again within 50 s.

Change: the context is closed first, and NNG errors of all steps become PeerError.

--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -53,19 +53,14 @@
             ``ErrorReply``.
         """
         socket = self._open()
-        context = socket.new_context()
         try:
-            async with asyncio.timeout(timeout_s):
-                await context.asend(self._codec.encode(message))
-                frame = await context.arecv()
+            frame = await self._exchange(socket, self._codec.encode(message), timeout_s)
         except TimeoutError as error:
             self._discard(socket)
             raise PeerError(ResultCode.PEER_TIMEOUT, f"no reply from {self.url}") from error
         except NNGException as error:
             self._discard(socket)
             raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
-        finally:
-            context.close()
         _, reply = self._codec.decode(frame)
         if isinstance(reply, ErrorReply):
             refusal = PeerError(ResultCode(reply.code), reply.detail)
@@ -73,6 +68,18 @@
             raise refusal
         return reply
 
+    @staticmethod
+    async def _exchange(socket: Req0, frame: bytes, timeout_s: float) -> bytes:
+        # The context is closed before the socket is discarded: closing it later raises Closed, as
+        # does any use after another call discarded the socket.
+        context = socket.new_context()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await context.asend(frame)
+                return await context.arecv()
+        finally:
+            context.close()
+
     def close(self) -> None:
         """Close the socket."""
         if self._socket is not None:
