End RPC workers whose cancellation was swallowed

Cause: closing a server hung when a worker was cancelled while it sent; pynng completed the call and the worker went on to receive. A stopping control host whose peers retried did not end.

Change: workers also check whether the server is closing. The measuring script ends when its daemons do.

--- a/scripts/measure_consensus.py
+++ b/scripts/measure_consensus.py
@@ -59,7 +59,7 @@
 
     async def leader(self) -> str:
         """Wait for a host that commits."""
-        while True:
+        while sum(process.poll() is None for process in self.processes.values()) > 1:
             for host, process in self.processes.items():
                 if process.poll() is None:
                     try:
@@ -67,6 +67,7 @@
                         return host
                     except BaobabstreamError:
                         await asyncio.sleep(0.01)
+        raise SystemExit("fewer than two control hosts run")
 
     def processor_s(self) -> dict[str, float]:
         """Return the processor time of each daemon."""
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -127,10 +127,12 @@
         except AddressInUse as error:
             self._socket.close()
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, url) from error
+        self._closing = False
         self._tasks = [asyncio.create_task(self._serve()) for _ in range(workers)]
 
     async def close(self) -> None:
         """Stop serving and close the socket."""
+        self._closing = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -139,7 +141,8 @@
     async def _serve(self) -> None:
         context = self._socket.new_context()
         try:
-            while True:
+            # pynng can complete a cancelled call, which swallows the cancellation.
+            while not self._closing:
                 frame = await context.arecv()
                 reply = await self._answer(frame)
                 await context.asend(self._codec.encode(reply))
