--- a/src/baobabstream/entry/claims.py
+++ b/src/baobabstream/entry/claims.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from baobabstream.backends.service_client import ServiceAnswer
 from baobabstream.control.claims import MAX_STORED_ANSWER_BYTES
 from baobabstream.entry.leader_calls import (
@@ -94,15 +96,14 @@
         self, action: ClaimAction, key: ClaimKey, answer: ServiceAnswer | None = None
     ) -> ClaimRequest:
         identity = (key.client_account, key.idempotency_key, key.body_digest, key.request_id)
+        request = ClaimRequest(action, *identity, self._host, incarnation=self._control.incarnation)
         if answer is None:
-            return ClaimRequest(action, *identity, self._host)
+            return request
         if len(answer.body) > MAX_STORED_ANSWER_BYTES:
-            return ClaimRequest(action, *identity, self._host, answer.http_status)
-        return ClaimRequest(
-            action,
-            *identity,
-            self._host,
-            answer.http_status,
-            answer.body,
-            answer.content_type,
+            return replace(request, http_status=answer.http_status)
+        return replace(
+            request,
+            http_status=answer.http_status,
+            answer=answer.body,
+            content_type=answer.content_type,
         )
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -352,8 +352,15 @@
         )
         if isinstance(event, TrialGranted):
             self._trial_server = event.backend_server
+            self._start_task(self._bound_trial(event.trial_s))
         self._daemon.decisions.feed(event)
 
+    async def _bound_trial(self, trial_s: float) -> None:
+        """Give the request up when its trial ends; the leader may then grant another one."""
+        await asyncio.sleep(trial_s)
+        if self._trial_server:
+            self._inbox.put_nowait(GiveUp(self._info.request_id, ResultCode.TIMED_OUT))
+
     def _end_trial(self, *, survived: bool) -> None:
         """End the trial; only a backend server that is seen to have survived clears the suspect."""
         if self._trial_server:
--- a/src/baobabstream/entry/suspects.py
+++ b/src/baobabstream/entry/suspects.py
@@ -79,7 +79,7 @@
             self._background.start(self._end_trial(not_run))
             return TrialDenied(request_id, TRIAL_RETRY_S, quarantined=False)
         if reply.backend_server:
-            return TrialGranted(request_id, reply.backend_server)
+            return TrialGranted(request_id, reply.backend_server, reply.trial_ms / 1000)
         return TrialDenied(request_id, reply.retry_after_ms / 1000, reply.quarantined)
 
     def end_trial(self, fingerprint: str, request_id: str, *, lost: bool) -> None:
--- a/src/baobabstream/policy/events.py
+++ b/src/baobabstream/policy/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 from baobabstream.policy.view import ClusterView
 
@@ -151,10 +152,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialGranted:
-    """The control leader lets a suspect run alone on a backend server."""
+    """The control leader lets a suspect run alone on a backend server, for ``trial_s`` seconds."""
 
     request_id: str
     backend_server: str
+    trial_s: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -146,7 +146,7 @@
         default=None, description="TLS for operators and backend servers; without it plain HTTP."
     )
     entry_lease_s: Annotated[float, Field(ge=0.5, le=60)] = Field(
-        default=4.0, description="Time that an entry host serves without contact to the leader."
+        default=3.0, description="Time that an entry host serves without contact to the leader."
     )
     announcement_expiry_s: Annotated[float, Field(ge=0.5, le=60)] = Field(
         default=3.0, description="Backend servers silent for this time are dropped."
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -48,10 +48,10 @@
 # For each mechanism that is switched off: the options, a seed whose schedule needs it, and the
 # property that then fails.
 SWITCHED_OFF = {
-    "votes are not synced": (Options(storage=_VotesNotSynced), 21, "election safety"),
-    "answers do not wait for the sync": (Options(core=_AnswersBeforeSync), 1, "caught up"),
-    "no leader lease": (Options(core=_NoLeaderLease), 11, "overlap"),
-    "no wait for the old lease": (Options(core=_NoWaitForOldLease), 11, "overlap"),
+    "votes are not synced": (Options(storage=_VotesNotSynced), 85, "election safety"),
+    "answers do not wait for the sync": (Options(core=_AnswersBeforeSync), 0, "caught up"),
+    "no leader lease": (Options(core=_NoLeaderLease), 15, "overlap"),
+    "no wait for the old lease": (Options(core=_NoWaitForOldLease), 15, "overlap"),
     "learner promoted early": (Options(core=_PromotesEarly), 0, "before it caught up"),
     "lost disk keeps its identity": (
         Options(lost_disk_keeps_identity=True),
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -17,6 +17,7 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.policy.base import RoutingPolicy
+from baobabstream.policy.baselines import LeastInFlight
 from baobabstream.settings.models import ControlPeer, EntrySettings, HttpListener
 from baobabstream.wire import messages as m
 from baobabstream.wire.codec import WireCodec
@@ -286,7 +287,7 @@
                 **(defaults | settings),
             ),
             Random(1),
-            policy,
+            policy or LeastInFlight(Random(1)),
         )
         await daemon.start()
         session = ClientSession(headers={"Authorization": f"Bearer {KEY}"})
