--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -352,7 +353,8 @@
         )
         if isinstance(event, TrialGranted):
             self._trial_server = event.backend_server
-            self._start_task(self._bound_trial(event.trial_s))
+            if isfinite(event.trial_s):
+                self._start_task(self._bound_trial(event.trial_s))
         self._daemon.decisions.feed(event)
 
     async def _bound_trial(self, trial_s: float) -> None:
--- a/src/baobabstream/entry/suspects.py
+++ b/src/baobabstream/entry/suspects.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import inf
 
 from baobabstream.entry.leader_calls import (
     BACKGROUND_LIMIT_S,
@@ -79,7 +80,8 @@
             self._background.start(self._end_trial(not_run))
             return TrialDenied(request_id, TRIAL_RETRY_S, quarantined=False)
         if reply.backend_server:
-            return TrialGranted(request_id, reply.backend_server, reply.trial_ms / 1000)
+            trial_s = reply.trial_ms / 1000 if reply.trial_ms else inf
+            return TrialGranted(request_id, reply.backend_server, trial_s)
         return TrialDenied(request_id, reply.retry_after_ms / 1000, reply.quarantined)
 
     def end_trial(self, fingerprint: str, request_id: str, *, lost: bool) -> None:
