policy: a conversation has one home server for all entries

Cause: the credit for cached prefixes measured nothing, since an entry alone seldom knows where a conversation ran, and no workload had more conversations than an engine caches. Change: the hash of the first prefix selects the home, which is always sampled and counts as holding 0.75 of the prompt; workload conversations.

--- a/src/baobabstream/bench/workloads.py
+++ b/src/baobabstream/bench/workloads.py
@@ -155,6 +155,25 @@
     )
 
 
+def _conversations() -> Workload:
+    streams = tuple(
+        Stream(name, "answer", always(rate), 1500, 60, conversations=150, retries=1)
+        for name, rate in (("crew-a", 14.0), ("crew-b", 8.0))
+    )
+    return Workload(
+        "conversations",
+        "Long conversations, three times as many as one engine caches.",
+        streams,
+        (replace_class(ANSWER, quality=0.8),),
+        _accounts("crew-a", "crew-b"),
+        ONE_VERSION,
+        lambda *_: 0.9,
+        warm_up_s=40.0,
+        duration_s=100.0,
+        report_lag_s=2.0,
+    )
+
+
 def _completed(name: str, summary: str) -> Workload:
     workload = _rollout(name, summary, lambda now_s: 0.9 if now_s < 60 else 0.1)
     done = RolloutRow("small-2", "small", "1", "2", state=RolloutState.COMPLETED, share=1.0)
@@ -232,6 +251,7 @@
     _cost_mix(),
     _bus_peak(),
     _crews_start(),
+    _conversations(),
     _gates("gate-histories", "Gate histories beside batch checks.", CHECKS + HISTORIES),
     _gates("gate-checks-only", "The batch checks of gate-histories alone.", CHECKS),
     _gates("gate-histories-only", "The gate histories of gate-histories alone.", HISTORIES),
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -16,6 +16,9 @@
 __all__ = ["BackendChoice", "Choice"]
 
 SAMPLE = 3
+# Part of the prompt that the home server of a conversation is expected to have cached; other
+# entries send the conversation there as well.
+HOME_CACHED = 0.75
 # One way between availability zones takes about 1.5 ms; a request crosses twice.
 OTHER_ZONE_S = 0.003
 # Engines read prompts one after another. A server gets no more prompts while those under way at
@@ -96,21 +99,22 @@
             Whether a server on which this entry has a full window is left out.
         """
         pool = self._pool(request, key)
-        sample = self._sample(pool, request, exclude, respect_window)
+        sample = self._sample(pool, key, request, exclude, respect_window)
         spill = not self._switches.long_separation or not self._sizes.is_long(request)
         if not sample and spill and pool is not self._index.engines(key):
-            sample = self._sample(self._index.engines(key), request, exclude, respect_window)
-        choices = [self._estimate(identity, request, now_s) for identity in sample]
+            sample = self._sample(self._index.engines(key), key, request, exclude, respect_window)
+        home = self._home(key, request) if self._switches.prefix_credit else None
+        choices = [self._estimate(item, request, now_s, item == home) for item in sample]
         return min(choices, key=self._cost, default=None)
 
     def has_room(self, key: tuple[str, str], request: RequestInfo) -> bool:
         """Return whether a sampled server of a version would take a request now."""
         pool = self._pool(request, key)
-        if self._sample(pool, request, (), True):
+        if self._sample(pool, key, request, (), True):
             return True
         if pool is self._index.engines(key) or self._sizes.is_long(request):
             return False
-        return bool(self._sample(self._index.engines(key), request, (), True))
+        return bool(self._sample(self._index.engines(key), key, request, (), True))
 
     def window(self, key: tuple[str, str]) -> float:
         """Return the attempts that this entry may have in flight on a version's servers."""
@@ -147,6 +151,7 @@
     def _sample(
         self,
         pool: list[str],
+        key: tuple[str, str],
         request: RequestInfo,
         exclude: Collection[str],
         respect_window: bool,
@@ -154,7 +159,7 @@
         found: list[str] = []
         holder = None
         if self._switches.prefix_credit and request.prefix_digests:
-            holder = self._states.prefix_holder(request.prefix_digests)
+            holder = self._home(key, request)
             if (
                 holder is not None
                 and holder in pool
@@ -168,6 +173,14 @@
                 found.append(identity)
         return found
 
+    def _home(self, key: tuple[str, str], request: RequestInfo) -> str | None:
+        """Return the server on which all entries look for a conversation's prefixes."""
+        engines = self._index.engines(key)
+        if not engines or not request.prefix_digests:
+            return None
+        digest = xxhash.xxh3_64_intdigest(request.prefix_digests[0].encode())
+        return self._order(key, engines)[digest % len(engines)]
+
     def _draw(self, pool: list[str]) -> list[str]:
         """Return a few servers in random order; a small pool whole, a large one with repeats."""
         size = len(pool)
@@ -185,7 +198,7 @@
             return False
         return state.pending_prefill_s <= PREFILL_WAIT_S * self._states.share
 
-    def _estimate(self, identity: str, request: RequestInfo, now_s: float) -> Choice:
+    def _estimate(self, identity: str, request: RequestInfo, now_s: float, is_home: bool) -> Choice:
         state = self._states[identity]
         gap_s = self._states.mean_gap_s
         first_s = self._states.mean_first_s
@@ -195,6 +208,7 @@
         cached = 0.0
         if self._switches.prefix_credit:
             cached = state.cached_tokens_share(request.prefix_digests)
+            cached = max(cached, HOME_CACHED) if is_home else cached
         prefill_s = (1 - cached) * self._sizes.prefill_s(request)
         prefill_s *= max(1.0, gap_s / self._states.mean_gap_s)
         wait_s = self._wait_s(state, gap_s)
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -119,7 +119,6 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._states: dict[str, ServerState] = {}
-        self._holders: LRUCache[str, str] = LRUCache(20_000)
         self.mean_gap_s = DEFAULT_GAP_S
         self.mean_first_s = DEFAULT_FIRST_S
         self._own_in_flight = FIRST_SHARE
@@ -193,17 +192,7 @@
         return self.mean_first_s + weight * (state.first_s - self.mean_first_s)
 
     def remember_prefixes(self, identity: str, digests: tuple[str, ...]) -> None:
-        """Note which server holds a prompt's prefixes."""
+        """Note that a server caches a prompt's prefixes."""
         state = self._states.get(identity)
         if state is not None and digests:
             state.remember_prefixes(digests)
-            for digest in digests:
-                self._holders[digest] = identity
-
-    def prefix_holder(self, digests: tuple[str, ...]) -> str | None:
-        """Return the server that got the longest known prefix last."""
-        for digest in reversed(digests):
-            holder = self._holders.get(digest)
-            if holder is not None:
-                return holder
-        return None
