Timeline: the reason of each dispatch; demo: blocks of ports in random order

Cause: 'explain' could not say why a server was chosen, and two demonstrations started at once took the same block of ports. Change: ATTEMPT_SENT carries the policy's reason; ports are tried in random order. Conclusion: the collision is less likely, not excluded, since the ports are released before the daemons bind them.

--- a/scripts/demo_settings.py
+++ b/scripts/demo_settings.py
@@ -10,8 +10,14 @@
 
 
 def free_port_block() -> int:
-    """Return the first of a block of consecutive free ports."""
-    for base in range(21000, 32000, PORT_COUNT):
+    """Return the first of a block of consecutive free ports.
+
+    The blocks are tried in random order: the ports are released before the daemons bind them, so
+    two demonstrations that start at once would otherwise take the same block.
+    """
+    bases = list(range(21000, 32000, PORT_COUNT))
+    secrets.SystemRandom().shuffle(bases)
+    for base in bases:
         with ExitStack() as stack:
             try:
                 for port in range(base, base + PORT_COUNT):
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -151,7 +151,8 @@
             offset,
             self._delivery.engine_body,
         )
-        detail = f"{dispatch.backend_server} {dispatch.model}@{dispatch.version}"
+        version = f"{dispatch.model}@{dispatch.version}"
+        detail = f"{dispatch.backend_server} {version} {dispatch.reason}".rstrip()
         self._emit(EventKind.ATTEMPT_SENT, detail)
         self._attempts[dispatch.attempt] = attempt
         attempt.task = self._start_task(self._run_attempt(attempt, engine_request))
