--- a/src/baobabstream/control/state.py
+++ b/src/baobabstream/control/state.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct, field, msgpack
 from msgspec.structs import replace
+from result import Err
 
 from baobabstream.control.accepted_changes import AcceptedChanges
 from baobabstream.control.claims import ClaimTable
@@ -167,9 +168,9 @@
         return outcome
 
     def _change(self, command: ConfigChange) -> Outcome:
-        problem = validate_change(self.rows, command)
-        if problem:
-            return self._outcome(ResultCode.CHANGE_INVALID, problem)
+        checked = validate_change(self.rows, command)
+        if isinstance(checked, Err):
+            return self._outcome(ResultCode.CHANGE_INVALID, checked.err_value)
         changed: dict[str, ConfigRow | None] = dict.fromkeys(command.delete)
         self._store(changed | prepared_rows(command.put, self._present()))
         for key in command.delete:
--- a/src/baobabstream/control/validation.py
+++ b/src/baobabstream/control/validation.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
+from result import Err, Ok, Result
+
 from baobabstream.control.commands import ConfigChange
 from baobabstream.control.rollout_machine import ACTIVE_STATES
 from baobabstream.control.row_checks import field_problem
@@ -25,8 +27,8 @@
 _Rows = Mapping[str, ConfigRow]
 
 
-def validate_change(rows: Mapping[str, RowEntry], change: ConfigChange) -> str:
-    """Return what is wrong with a change, or an empty string.
+def validate_change(rows: Mapping[str, RowEntry], change: ConfigChange) -> Result[None, str]:
+    """Check a change against the present rows.
 
     Parameters
     ----------
@@ -34,19 +36,25 @@
         Present rows by key.
     change
         The change.
+
+    Returns
+    -------
+    Result
+        ``Ok`` if the change is valid, else ``Err`` with what is wrong with it.
     """
     present = {key: entry.row for key, entry in rows.items() if entry.row is not None}
     keys = [row_key(row) for row in change.put] + list(change.delete)
     if not keys or len(keys) > MAX_ROWS_IN_CHANGE:
-        return f"a change holds 1 to {MAX_ROWS_IN_CHANGE} rows"
+        return Err(f"a change holds 1 to {MAX_ROWS_IN_CHANGE} rows")
     if len(set(keys)) < len(keys):
-        return "the change names a row more than once"
+        return Err("the change names a row more than once")
     missing = [key for key in change.delete if key not in present]
     if missing:
-        return f"{missing[0]} does not exist"
+        return Err(f"{missing[0]} does not exist")
     put = {row_key(row): row for row in change.put}
     after = {key: row for key, row in present.items() if key not in change.delete} | put
-    return next(_problems(present, put, after, change.delete), "")
+    problem = next(_problems(present, put, after, change.delete), "")
+    return Err(problem) if problem else Ok(None)
 
 
 def _problems(present: _Rows, put: _Rows, after: _Rows, deleted: Iterable[str]) -> Iterator[str]:
