Bill callers that leave in mid-stream; rate every answer by default

Cause: all tokens reach a streaming caller before the bill; one that closed just before the final marker was never billed. With 5% of answers rated, a bad version gives 20 times the 20 bad answers that are allowed before its ratings tell. Change: a closed stream is billed for the tokens delivered; rating_sample defaults to 1.0. Before: the new test finds no bill. After: it passes. Conclusion: the share of rated answers bounds the exposure; lower it only with that in mind.

--- a/src/baobabstream/entry/delivery.py
+++ b/src/baobabstream/entry/delivery.py
@@ -116,6 +116,16 @@
         self._emit(EventKind.ANSWER_FINISHED)
         return response
 
+    def bill_partial_answer(self) -> None:
+        """Bill what a caller got that closed its connection in the middle of a stream.
+
+        All tokens may have been delivered by then; only the final marker waits for the bill.
+        """
+        if self._info.streaming and self.tokens and self._dispatch is not None:
+            timeout_s = self._daemon.settings.bill_sync_timeout_s
+            self._daemon.background.start(self._daemon.bills.store(self._bill(), timeout_s))
+            self._emit(EventKind.BILL_STORED, f"{self.tokens} tokens, the caller has gone")
+
     async def refuse(self, refused: Refused) -> web.StreamResponse:
         """End with an error: as an HTTP answer, or as the last event of a begun stream."""
         if self._stream.response is None:
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -102,6 +102,10 @@
                 response = await self._take(await self._inbox.get())
                 if response is not None:
                     return response
+        except asyncio.CancelledError:
+            # aiohttp cancels the handler when the caller closes its connection.
+            self._bill_partial_answer()
+            raise
         finally:
             decisions.close(self._info.request_id)
             if not self._finished or self._awaits_rating:
@@ -325,6 +329,10 @@
         self._emit(EventKind.REQUEST_REFUSED, refused.code.name)
         return await self._delivery.refuse(refused)
 
+    def _bill_partial_answer(self) -> None:
+        if not self._finished:
+            self._delivery.bill_partial_answer()
+
     def _cut(self) -> web.StreamResponse:
         _log.warning(
             "%d %s: request %s is cut, its caller does not read.",
@@ -333,6 +341,7 @@
             self._info.request_id,
         )
         self._emit(EventKind.REQUEST_REFUSED, ResultCode.CALLER_STALLED.name)
+        self._bill_partial_answer()
         return self._delivery.cut()
 
     def _cancel(self, number: int) -> None:
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -124,7 +124,7 @@
     )
     rating_timeout_s: PositiveSeconds = Field(default=5.0, description="Limit on one rating.")
     rating_sample: Annotated[float, Field(ge=0, le=1)] = Field(
-        default=0.05, description="Share of answers that are sent to the rating service."
+        default=1.0, description="Share of answers that are sent to the rating service."
     )
     probe_timeout_s: PositiveSeconds = Field(
         default=1.0, description="Limit on the probe of a backend server that went silent."
--- a/tests/entry/test_chat_errors.py
+++ b/tests/entry/test_chat_errors.py
@@ -218,3 +218,16 @@
     with open_listening_socket("127.0.0.1", 0) as listener:
         assert listener.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
         assert listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 30
+
+
+async def test_caller_that_leaves_in_mid_stream_is_billed_for_what_it_got() -> None:
+    """Guards against callers that close just before the last part and never pay."""
+    server = FakeServer("a", stop_after=3, stop="stall")
+    async with harness(server, gap_timeout_s=20.0) as entry:
+        async with entry.ask(stream=True) as response:
+            while b'"content"' not in await response.content.readline():
+                pass
+            response.close()
+        await until(lambda: entry.control.bills["control-0"])
+        bills = list(entry.control.bills["control-0"])
+        assert [bill.output_tokens for bill in bills] == [3]
