A caller that this entry cuts off is not billed

What such a caller has read is not known. Change: only a caller that closes its own connection is billed for a partial answer.

--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -104,7 +104,8 @@
                     return response
         except asyncio.CancelledError:
             # aiohttp cancels the handler when the caller closes its connection.
-            self._bill_partial_answer()
+            if not self._finished:
+                self._delivery.bill_partial_answer()
             raise
         finally:
             decisions.close(self._info.request_id)
@@ -329,10 +330,6 @@
         self._emit(EventKind.REQUEST_REFUSED, refused.code.name)
         return await self._delivery.refuse(refused)
 
-    def _bill_partial_answer(self) -> None:
-        if not self._finished:
-            self._delivery.bill_partial_answer()
-
     def _cut(self) -> web.StreamResponse:
         _log.warning(
             "%d %s: request %s is cut, its caller does not read.",
@@ -341,7 +338,6 @@
             self._info.request_id,
         )
         self._emit(EventKind.REQUEST_REFUSED, ResultCode.CALLER_STALLED.name)
-        self._bill_partial_answer()
         return self._delivery.cut()
 
     def _cancel(self, number: int) -> None:
