--- a/scripts/measure_consensus.py
+++ b/scripts/measure_consensus.py
@@ -12,6 +12,7 @@
 
 import demo_settings
 import psutil
+from aiohttp import ClientError, ClientSession
 
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.control.state import ConfigState
@@ -25,6 +26,8 @@
 
 HOSTS = ("control-1", "control-2", "control-3")
 CALL_TIMEOUT_S = 1.0
+RESTART_TIMEOUT_S = 20.0
+RESTART_CHANGES = (100, 1000, 5000, 20000)
 
 
 class Group:
@@ -34,7 +37,7 @@
         self.folder = folder
         demo_settings.main(folder)
         settings = load_settings(folder / "control-1.toml", ControlSettings)
-        codec = WireCodec(settings.cluster, "control-1", settings.peer_secret)
+        codec = WireCodec(settings.cluster, "control-1", settings.peer_secret.get_secret_value())
         self.clients = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", codec) for peer in settings.control
         }
@@ -160,23 +163,88 @@
         group.stop()
 
 
+class Operator:
+    """Calls of an operator to the control hosts."""
+
+    def __init__(self, folder: Path) -> None:
+        settings = load_settings(folder / "control-1.toml", ControlSettings)
+        key = next(iter(settings.operator_keys.values())).get_secret_value()
+        self._client = ClientSession(headers={"Authorization": f"Bearer {key}"})
+        self._urls = {
+            peer.host: f"http://{peer.ip}:{peer.http_port}/admin/v1" for peer in settings.control
+        }
+
+    async def revision(self, host: str) -> int:
+        """Return the revision that a host has applied."""
+        async with self._client.get(f"{self._urls[host]}/local") as answer:
+            return (await answer.json())["revision"]
+
+    async def change(self, host: str) -> int:
+        """Commit one change and return its revision."""
+        async with self._client.get(f"{self._urls[host]}/config") as answer:
+            base = (await answer.json())["operator_revision"]
+        row = {"type": "class", "name": "c", "quality": 0.9, "first_token_ms": 1, "total_ms": 10}
+        body = {"change_id": "restart", "base_revision": base, "put": [row]}
+        async with self._client.post(f"{self._urls[host]}/changes", json=body) as answer:
+            return (await answer.json())["revision"]
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+
+async def measure_daemon_restart(group: Group, leader: str, number: int) -> None:
+    """Restart one follower and print the time until it has applied all entries."""
+    follower = next(host for host in HOSTS if host != leader)
+    operator = Operator(group.folder)
+    # The last entry; a member that shows its revision has applied all others.
+    revision = await operator.change(leader)
+    group.processes[follower].terminate()
+    group.processes[follower].wait()
+    started_s = time.perf_counter()
+    group.processes[follower] = group.start(follower)
+    listening_s = 0.0
+    async with asyncio.timeout(RESTART_TIMEOUT_S):
+        while True:
+            try:
+                applied = await operator.revision(follower)
+                listening_s = listening_s or time.perf_counter() - started_s
+                if applied >= revision:
+                    break
+            except ClientError:
+                pass
+            await asyncio.sleep(0.005)
+    applied_s = time.perf_counter() - started_s
+    usage = psutil.Process(group.processes[follower].pid)
+    times = usage.cpu_times()
+    print(
+        f"after {number} changes: restarted daemon answers after {listening_s:.3f} s, has applied "
+        f"all after {applied_s:.3f} s, {times.user + times.system:.2f} s of processor time, "
+        f"{usage.memory_info().rss / 1e6:.1f} MB resident, {usage.num_threads()} threads",
+        flush=True,
+    )
+    await operator.close()
+
+
 async def measure_restarts(folder: Path, number: int) -> None:
-    """Commit a number of claims, stop, and measure reading the files."""
+    """Commit a number of claims, restart a daemon, stop, and measure reading the files."""
     group = Group(folder)
     try:
         leader = await group.leader()
         for _ in range(number // 16 + 1):
             await asyncio.gather(*(group.claim(leader) for _ in range(16)))
+        await measure_daemon_restart(group, leader, number)
     finally:
         group.stop()
     measure_restart(folder / "data-1", number)
 
 
 async def main() -> None:
-    """Run all measurements."""
-    with tempfile.TemporaryDirectory() as folder:
-        await measure_group(Path(folder))
-    for number in (100, 1000, 5000):
+    """Run all measurements, or those of a restart alone."""
+    if "--restarts" not in sys.argv:
+        with tempfile.TemporaryDirectory() as folder:
+            await measure_group(Path(folder))
+    for number in RESTART_CHANGES:
         with tempfile.TemporaryDirectory() as folder:
             await measure_restarts(Path(folder), number)
 
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -33,23 +34,36 @@
 SUBSCRIBERS_PER_PROCESS = 100
 READY_TIMEOUT_S = 30.0
 CHANGES = 300
+# Entries whose views the measuring process watches; more would measure that process.
+WATCHED_ENTRIES = 8
+SETTLE_S = 4.0
+TRAFFIC_SIZES = ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100), (300, 1000))
 
 
 class CountingCodec(WireCodec):
-    """Counts the bytes of the frames in both directions."""
+    """Counts frames and their bytes by kind in both directions."""
 
-    size_bytes = 0
+    def __init__(self, cluster: str, host: str, secret: str) -> None:
+        super().__init__(cluster, host, secret)
+        self.frames: Counter[str] = Counter()
+        self.bytes: Counter[str] = Counter()
 
     def encode(self, message):
         """Return the frame of a message."""
         frame = super().encode(message)
-        self.size_bytes += len(frame)
+        self._count(message, frame)
         return frame
 
     def decode(self, frame):
         """Return sender and message of a frame."""
-        self.size_bytes += len(frame)
-        return super().decode(frame)
+        decoded = super().decode(frame)
+        self._count(decoded[1], frame)
+        return decoded
+
+    def _count(self, message, frame: bytes) -> None:
+        kind = type(message).__name__
+        self.frames[kind] += 1
+        self.bytes[kind] += len(frame)
 
 
 class Subscriber:
@@ -227,13 +241,19 @@
                 processes.start("subscribers", start, count)
             entry = Subscriber(settings, "entry-0")
             await entry.wait(lambda view: len(view.backends) >= backends)
-            await asyncio.sleep(4.0)
+            await asyncio.sleep(SETTLE_S)
             working = asyncio.create_task(record_results(entry))
-            leader_s, own_s, size = cpu_s(leader), time.process_time(), entry.codec.size_bytes
+            leader_s, own_s = cpu_s(leader), time.process_time()
+            frames, sizes = entry.codec.frames.copy(), entry.codec.bytes.copy()
             await asyncio.sleep(seconds)
             own = (time.process_time() - own_s) / seconds
             lead = (cpu_s(leader) - leader_s) / seconds
-            rate = (entry.codec.size_bytes - size) / seconds
+            kinds = ", ".join(
+                f"{kind} {(entry.codec.frames[kind] - frames[kind]) / seconds:.1f}/s "
+                f"{(entry.codec.bytes[kind] - sizes[kind]) / seconds / 1000:.2f} KB/s"
+                for kind in sorted(entry.codec.frames)
+            )
+            rate = (entry.codec.bytes.total() - sizes.total()) / seconds
             memory = leader.memory_info().rss / 1e6
             working.cancel()
             await entry.close()
@@ -246,6 +266,7 @@
         f"{own:.2%}",
         f"{lead:.1%}",
         f"{memory:.0f}",
+        kinds,
     )
     return f"| {' | '.join(cells)} |"
 
@@ -264,8 +285,11 @@
     return times.user + times.system
 
 
-async def measure_delay(entries: int) -> str:
-    """Return how long changes take until all entries have applied them."""
+async def measure_delay(entries: int, changes: int) -> str:
+    """Return how long changes take until entries have applied them and they are in force.
+
+    The first entries run here and are watched; "in force" covers all of them.
+    """
     applied_ms: list[float] = []
     in_force_ms: list[float] = []
     with tempfile.TemporaryDirectory() as name:
@@ -273,17 +297,25 @@
         settings = write_settings(folder)
         processes = Processes(folder)
         try:
-            processes.start("control")
+            leader = processes.start("control")
             headers = {"Authorization": f"Bearer {settings['operator_keys']['op']}"}
             async with ClientSession(headers=headers) as client:
                 await wait_for_control(client, settings)
-                subscribers = [Subscriber(settings, f"entry-{n}") for n in range(entries)]
+                watched = range(min(entries, WATCHED_ENTRIES))
+                subscribers = [Subscriber(settings, f"entry-{n}") for n in watched]
+                for start in range(WATCHED_ENTRIES, entries, SUBSCRIBERS_PER_PROCESS):
+                    count = min(SUBSCRIBERS_PER_PROCESS, entries - start)
+                    processes.start("subscribers", start, count)
+                await asyncio.sleep(SETTLE_S)
                 await wait_in_force(client, settings)
-                for number in range(CHANGES):
+                started_s, leader_s = time.perf_counter(), cpu_s(leader)
+                for number in range(changes):
                     times = await one_change(client, settings, subscribers, number)
                     applied_ms.append(times[0])
                     in_force_ms.append(times[1])
                     await asyncio.sleep(0.01)
+                used_s = cpu_s(leader) - leader_s
+                elapsed_s = time.perf_counter() - started_s
                 for subscriber in subscribers:
                     await subscriber.close()
         finally:
@@ -292,7 +324,8 @@
     for label, values in (("applied on all", applied_ms), ("reported in force", in_force_ms)):
         p50, p99 = percentile(values, 0.5), percentile(values, 0.99)
         parts.append(f"{label}: p50 {p50:.1f} ms, p99 {p99:.1f} ms, max {max(values):.1f} ms")
-    return f"{entries} entries, {CHANGES} changes, from sending the change: {'; '.join(parts)}"
+    parts.append(f"leader's processor time {used_s:.2f} s in {elapsed_s:.2f} s")
+    return f"{entries} entries, {changes} changes, from sending the change: {'; '.join(parts)}"
 
 
 async def one_change(
@@ -324,11 +357,12 @@
 
 async def measure(seconds: float) -> None:
     """Print all figures."""
-    print(await measure_delay(8))
+    for entries, changes in ((8, CHANGES), (50, CHANGES), (300, CHANGES // 3)):
+        print(await measure_delay(entries, changes), flush=True)
     print("| entries | backend servers | KB/s of one entry | its processor time |", end="")
-    print(" leader's processor time | leader's memory, MB |")
-    print("|---|---|---|---|---|---|")
-    for subscribers, backends in ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100)):
+    print(" leader's processor time | leader's memory, MB | frames of one entry |")
+    print("|---|---|---|---|---|---|---|")
+    for subscribers, backends in TRAFFIC_SIZES:
         print(await measure_traffic(subscribers, backends, seconds), flush=True)
 
 
