--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -37,6 +37,9 @@
 # Entries whose views the measuring process watches; more would measure that process.
 WATCHED_ENTRIES = 8
 SETTLE_S = 4.0
+RESTART_SECONDS = 10.0
+SAMPLE_S = 0.01
+RESTART_SIZES = ((8, 1000), (100, 1000), (300, 1000))
 TRAFFIC_SIZES = ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100), (300, 1000))
 
 
@@ -271,6 +274,48 @@
     return f"| {' | '.join(cells)} |"
 
 
+async def measure_new_leader(subscribers: int, backends: int) -> str:
+    """Return what a leader with an empty registry costs itself and one entry.
+
+    The only control host is killed and started again, so the time includes its start.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        settings = write_settings(folder)
+        processes = Processes(folder)
+        try:
+            leader = processes.start("control")
+            headers = {"Authorization": f"Bearer {settings['operator_keys']['op']}"}
+            async with ClientSession(headers=headers) as client:
+                await wait_for_control(client, settings)
+            processes.start("backends", backends)
+            for start in range(1, subscribers, SUBSCRIBERS_PER_PROCESS):
+                count = min(SUBSCRIBERS_PER_PROCESS, subscribers - start)
+                processes.start("subscribers", start, count)
+            entry = Subscriber(settings, "entry-0")
+            await entry.wait(lambda view: len(view.backends) >= backends)
+            await asyncio.sleep(SETTLE_S)
+            size = entry.codec.bytes.total()
+            leader.kill()
+            leader.wait()
+            leader = processes.start("control")
+            started_s, missing_s = time.perf_counter(), 0.0
+            while time.perf_counter() < started_s + RESTART_SECONDS:
+                await asyncio.sleep(SAMPLE_S)
+                if not entry.session.lease.valid(asyncio.get_running_loop().time()):
+                    missing_s += SAMPLE_S
+            used_s = cpu_s(leader)
+            size = entry.codec.bytes.total() - size
+            await entry.close()
+        finally:
+            processes.stop()
+    return (
+        f"{subscribers} entries, {backends} backend servers, leader started anew: "
+        f"{used_s:.2f} s of its processor time and {size / 1000:.0f} KB of one entry in the first "
+        f"{RESTART_SECONDS:.0f} s, entry without lease for {missing_s:.2f} s"
+    )
+
+
 async def record_results(entry: Subscriber) -> None:
     """Record evidence on all versions, as an entry with 30 versions in use does."""
     while True:
@@ -355,8 +400,14 @@
     return (applied_s - started_s) * 1000, (time.perf_counter() - started_s) * 1000
 
 
+async def measure_restarts() -> None:
+    """Print the figures of a leader that starts."""
+    for subscribers, backends in RESTART_SIZES:
+        print(await measure_new_leader(subscribers, backends), flush=True)
+
+
 async def measure(seconds: float) -> None:
-    """Print all figures."""
+    """Print the figures of a leader that runs."""
     for entries, changes in ((8, CHANGES), (50, CHANGES), (300, CHANGES // 3)):
         print(await measure_delay(entries, changes), flush=True)
     print("| entries | backend servers | KB/s of one entry | its processor time |", end="")
@@ -370,13 +421,14 @@
     """Run the measurement or one of its processes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--role", default="")
     parser.add_argument("--folder", type=Path)
     parser.add_argument("numbers", type=int, nargs="*")
     options = parser.parse_args()
     limit_nng_threads()
     if not options.role:
-        uvloop.run(measure(options.seconds))
+        uvloop.run(measure_restarts() if options.restarts else measure(options.seconds))
         return
     settings = json.loads((options.folder / "settings.json").read_text())
     roles = {"control": run_control, "subscribers": run_subscribers, "backends": run_backends}
--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -344,11 +344,14 @@
         print(json.dumps({"part": "direct"} | measure(engine_ports, *load)), flush=True)
         usage = psutil.Process(entry.pid)
         before = usage.cpu_times()
+        idle_mb = usage.memory_info().rss / 1e6
         relayed = measure([entry_port], *load)
         after = usage.cpu_times()
         cpu_s = after.user + after.system - before.user - before.system
         relayed["entry_cpu_s"] = cpu_s
         relayed["entry_system_s"] = after.system - before.system
+        relayed["entry_idle_mb"] = idle_mb
+        relayed["entry_mb"] = usage.memory_info().rss / 1e6
         relayed["cpu_us_per_token"] = 1e6 * cpu_s / max(1, relayed["tokens"])
         print(json.dumps({"part": "relayed"} | relayed), flush=True)
     finally:
