--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -133,10 +133,11 @@
     await asyncio.Event().wait()
 
 
-async def run_subscribers(settings: dict, start: int, count: int) -> None:
-    """Run entries until the process is ended."""
+async def run_subscribers(settings: dict, start: int, count: int, evidence: int = 0) -> None:
+    """Run entries until the process is ended, with evidence on all versions if wanted."""
     subscribers = [Subscriber(settings, f"entry-{start + n}") for n in range(count)]
-    assert subscribers
+    if evidence:
+        await asyncio.gather(*(record_results(subscriber) for subscriber in subscribers))
     await asyncio.Event().wait()
 
 
@@ -227,7 +228,9 @@
             await asyncio.sleep(0.1)
 
 
-async def measure_traffic(subscribers: int, backends: int, seconds: float) -> str:
+async def measure_traffic(
+    subscribers: int, backends: int, seconds: float, evidence: bool = False
+) -> str:
     """Return a table row with the cost of one entry and of the leader."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -241,7 +244,7 @@
             processes.start("backends", backends)
             for start in range(1, subscribers, SUBSCRIBERS_PER_PROCESS):
                 count = min(SUBSCRIBERS_PER_PROCESS, subscribers - start)
-                processes.start("subscribers", start, count)
+                processes.start("subscribers", start, count, int(evidence))
             entry = Subscriber(settings, "entry-0")
             await entry.wait(lambda view: len(view.backends) >= backends)
             await asyncio.sleep(SETTLE_S)
@@ -406,6 +409,12 @@
         print(await measure_new_leader(subscribers, backends), flush=True)
 
 
+async def measure_evidence(seconds: float) -> None:
+    """Print the figures with evidence of every entry in every poll."""
+    for subscribers in (8, 50, 300):
+        print(await measure_traffic(subscribers, 1000, seconds, evidence=True), flush=True)
+
+
 async def measure(seconds: float) -> None:
     """Print the figures of a leader that runs."""
     for entries, changes in ((8, CHANGES), (50, CHANGES), (300, CHANGES // 3)):
@@ -422,13 +431,19 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--evidence", action="store_true")
     parser.add_argument("--role", default="")
     parser.add_argument("--folder", type=Path)
     parser.add_argument("numbers", type=int, nargs="*")
     options = parser.parse_args()
     limit_nng_threads()
     if not options.role:
-        uvloop.run(measure_restarts() if options.restarts else measure(options.seconds))
+        if options.restarts:
+            uvloop.run(measure_restarts())
+        elif options.evidence:
+            uvloop.run(measure_evidence(options.seconds))
+        else:
+            uvloop.run(measure(options.seconds))
         return
     settings = json.loads((options.folder / "settings.json").read_text())
     roles = {"control": run_control, "subscribers": run_subscribers, "backends": run_backends}
