--- a/scripts/measure_ledger.py
+++ b/scripts/measure_ledger.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -15,6 +16,7 @@
 from measure_consensus import HOSTS, Group
 from measure_control import CountingCodec
 
+from baobabstream.billing.ledger import Ledger
 from baobabstream.billing.sender import BillSender
 from baobabstream.settings.load import load_settings
 from baobabstream.settings.models import ControlSettings
@@ -29,6 +31,8 @@
 SETTLE_S = 3.0
 STORE_TIMEOUT_S = 30.0
 BURSTS = (2000, 6000, 18000)
+STORED = (20_000, 60_000, 180_000)
+PUT_BILLS = 1000
 
 
 class Entry:
@@ -138,8 +142,37 @@
         entry.close()
 
 
+async def measure_load(path: Path, count: int) -> None:
+    """Print how long one ledger takes to store bills in one process and to load them."""
+    ledger = Ledger(path)
+    started_s = time.perf_counter()
+    for start in range(0, count, PUT_BILLS):
+        await ledger.put(
+            tuple(
+                Bill("account-1", f"{n:032x}", "class-1", "model-1", "1", 100, 282, 0.04, "e", 1)
+                for n in range(start, start + PUT_BILLS)
+            )
+        )
+    put_s = time.perf_counter() - started_s
+    await ledger.close()
+    started_s = time.perf_counter()
+    ledger = Ledger(path)
+    load_s = time.perf_counter() - started_s
+    print(
+        f"{count} bills: put in {put_s:.2f} s, {count / put_s:.0f}/s; loaded in {load_s:.2f} s, "
+        f"{load_s / count * 1e6:.1f} us each; index {ledger.index_bytes / count:.1f} bytes each",
+        flush=True,
+    )
+    await ledger.close()
+
+
 async def main() -> None:
-    """Run all measurements."""
+    """Run all measurements, or those of one ledger alone."""
+    if "--load" in sys.argv:
+        with tempfile.TemporaryDirectory() as name:
+            for count in STORED:
+                await measure_load(Path(name) / f"ledger-{count}.log", count)
+        return
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         group = Group(folder)
--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -42,6 +42,8 @@
 SECRET = "0123456789abcdef"
 KEY = "relay-key"
 TICK_S = 0.026
+# Batch slots of a stand-in engine; the entry's admission refuses requests beyond them.
+ENGINE_SLOTS = 512
 LOAD_PROCESSES = 2
 
 
@@ -138,6 +140,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Count tokens until the final marker."""
+        if data.startswith(b"HTTP/1.1 ") and not data.startswith(b"HTTP/1.1 200"):
+            self._transport.close()
+            return
         count = data.count(b'"content"')
         if count and not self.tokens:
             self.first_s = time.monotonic()
@@ -188,8 +193,9 @@
     started_s = time.monotonic()
     callers = uvloop.run(run_load(ports, streams, tokens, ramp_s))
     first = [item.first_s - item.sent_s for item in callers if item.tokens]
+    refused = sum(not item.tokens for item in callers)
     total = sum(item.tokens for item in callers)
-    results.put((first, total, started_s, time.monotonic()))
+    results.put((first, total, started_s, time.monotonic(), refused))
 
 
 def measure(ports: list[int], streams: int, tokens: int, ramp_s: float) -> dict[str, float]:
@@ -212,6 +218,7 @@
     return {
         "expected_tokens": share * LOAD_PROCESSES * tokens,
         "tokens": total,
+        "without_tokens": sum(row[4] for row in rows),
         "seconds": seconds,
         "tokens_per_s": total / seconds,
         "first_token_p50_ms": 1000 * first[len(first) // 2],
@@ -271,7 +278,7 @@
     ]
     backends = tuple(
         BackendRecord(f"engine-{item}", 1, BackendKind.ENGINE, f"http://127.0.0.1:{item}",
-                      "zone-1", "", (LoadedVersion("small", "1"),))
+                      "zone-1", "", (LoadedVersion("small", "1"),), ENGINE_SLOTS)
         for item in engine_ports
     )  # fmt: skip
     entries = tuple(RowEntry(row_key(row), 1, row) for row in rows)
