--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -31,15 +31,15 @@
 from baobabstream.wire.threads import limit_nng_threads
 
 VERSIONS = 30
-SUBSCRIBERS_PER_PROCESS = 100
+SUBSCRIBERS_PER_PROCESS = 50
 READY_TIMEOUT_S = 30.0
 CHANGES = 300
 # Entries whose views the measuring process watches; more would measure that process.
 WATCHED_ENTRIES = 8
 SETTLE_S = 4.0
-RESTART_SECONDS = 10.0
+RESTART_SECONDS = 20.0
 SAMPLE_S = 0.01
-RESTART_SIZES = ((8, 1000), (100, 1000), (300, 1000))
+RESTART_SIZES = ((8, 1000), (100, 1000), (200, 1000), (300, 1000))
 TRAFFIC_SIZES = ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100), (300, 1000))
 
 
@@ -302,20 +302,25 @@
             leader.kill()
             leader.wait()
             leader = processes.start("control")
-            started_s, missing_s = time.perf_counter(), 0.0
+            started_s, missing_s, answered_s = time.perf_counter(), 0.0, 0.0
+            replies = entry.codec.frames["PollReply"]
             while time.perf_counter() < started_s + RESTART_SECONDS:
                 await asyncio.sleep(SAMPLE_S)
+                if not answered_s and entry.codec.frames["PollReply"] > replies:
+                    answered_s = time.perf_counter() - started_s
                 if not entry.session.lease.valid(asyncio.get_running_loop().time()):
                     missing_s += SAMPLE_S
             used_s = cpu_s(leader)
             size = entry.codec.bytes.total() - size
+            replies = entry.codec.frames["PollReply"] - replies
             await entry.close()
         finally:
             processes.stop()
     return (
         f"{subscribers} entries, {backends} backend servers, leader started anew: "
         f"{used_s:.2f} s of its processor time and {size / 1000:.0f} KB of one entry in the first "
-        f"{RESTART_SECONDS:.0f} s, entry without lease for {missing_s:.2f} s"
+        f"{RESTART_SECONDS:.0f} s, first reply after {answered_s:.2f} s, {replies} replies, "
+        f"entry without lease for {missing_s:.2f} s"
     )
 
 
