--- a/scripts/measure_state.py
+++ b/scripts/measure_state.py
@@ -163,6 +163,10 @@
         "entry-001", 1, "zone-1", 1, 1, 1, 500, 1,
         tuple(VersionEvidence(f"model-{i}", "1", 40, 1, 2, 1) for i in range(n)),
     ),
+    "claim that finishes, per byte of answer": lambda n: ClaimRequest(
+        ClaimAction.FINISH, "account-1", "key-00000001", "0" * 64, "0" * 32, "entry-001",
+        answer=bytes(n),
+    ),
     "bill request, per bill": lambda n: BillRequest(tuple(bill(i) for i in range(n))),
 }  # fmt: skip
 
