--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -30,26 +31,42 @@
 from baobabstream.wire.threads import limit_nng_threads
 
 VERSIONS = 30
-SUBSCRIBERS_PER_PROCESS = 100
+SUBSCRIBERS_PER_PROCESS = 50
 READY_TIMEOUT_S = 30.0
 CHANGES = 300
+# Entries whose views the measuring process watches; more would measure that process.
+WATCHED_ENTRIES = 8
+SETTLE_S = 4.0
+RESTART_SECONDS = 20.0
+SAMPLE_S = 0.01
+RESTART_SIZES = ((8, 1000), (100, 1000), (200, 1000), (300, 1000))
+TRAFFIC_SIZES = ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100), (300, 1000))
 
 
 class CountingCodec(WireCodec):
-    """Counts the bytes of the frames in both directions."""
+    """Counts frames and their bytes by kind in both directions."""
 
-    size_bytes = 0
+    def __init__(self, cluster: str, host: str, secret: str) -> None:
+        super().__init__(cluster, host, secret)
+        self.frames: Counter[str] = Counter()
+        self.bytes: Counter[str] = Counter()
 
     def encode(self, message):
         """Return the frame of a message."""
         frame = super().encode(message)
-        self.size_bytes += len(frame)
+        self._count(message, frame)
         return frame
 
     def decode(self, frame):
         """Return sender and message of a frame."""
-        self.size_bytes += len(frame)
-        return super().decode(frame)
+        decoded = super().decode(frame)
+        self._count(decoded[1], frame)
+        return decoded
+
+    def _count(self, message, frame: bytes) -> None:
+        kind = type(message).__name__
+        self.frames[kind] += 1
+        self.bytes[kind] += len(frame)
 
 
 class Subscriber:
@@ -116,10 +133,11 @@
     await asyncio.Event().wait()
 
 
-async def run_subscribers(settings: dict, start: int, count: int) -> None:
-    """Run entries until the process is ended."""
+async def run_subscribers(settings: dict, start: int, count: int, evidence: int = 0) -> None:
+    """Run entries until the process is ended, with evidence on all versions if wanted."""
     subscribers = [Subscriber(settings, f"entry-{start + n}") for n in range(count)]
-    assert subscribers
+    if evidence:
+        await asyncio.gather(*(record_results(subscriber) for subscriber in subscribers))
     await asyncio.Event().wait()
 
 
@@ -210,7 +228,9 @@
             await asyncio.sleep(0.1)
 
 
-async def measure_traffic(subscribers: int, backends: int, seconds: float) -> str:
+async def measure_traffic(
+    subscribers: int, backends: int, seconds: float, evidence: bool = False
+) -> str:
     """Return a table row with the cost of one entry and of the leader."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -224,16 +244,22 @@
             processes.start("backends", backends)
             for start in range(1, subscribers, SUBSCRIBERS_PER_PROCESS):
                 count = min(SUBSCRIBERS_PER_PROCESS, subscribers - start)
-                processes.start("subscribers", start, count)
+                processes.start("subscribers", start, count, int(evidence))
             entry = Subscriber(settings, "entry-0")
             await entry.wait(lambda view: len(view.backends) >= backends)
-            await asyncio.sleep(4.0)
+            await asyncio.sleep(SETTLE_S)
             working = asyncio.create_task(record_results(entry))
-            leader_s, own_s, size = cpu_s(leader), time.process_time(), entry.codec.size_bytes
+            leader_s, own_s = cpu_s(leader), time.process_time()
+            frames, sizes = entry.codec.frames.copy(), entry.codec.bytes.copy()
             await asyncio.sleep(seconds)
             own = (time.process_time() - own_s) / seconds
             lead = (cpu_s(leader) - leader_s) / seconds
-            rate = (entry.codec.size_bytes - size) / seconds
+            kinds = ", ".join(
+                f"{kind} {(entry.codec.frames[kind] - frames[kind]) / seconds:.1f}/s "
+                f"{(entry.codec.bytes[kind] - sizes[kind]) / seconds / 1000:.2f} KB/s"
+                for kind in sorted(entry.codec.frames)
+            )
+            rate = (entry.codec.bytes.total() - sizes.total()) / seconds
             memory = leader.memory_info().rss / 1e6
             working.cancel()
             await entry.close()
@@ -246,10 +272,58 @@
         f"{own:.2%}",
         f"{lead:.1%}",
         f"{memory:.0f}",
+        kinds,
     )
     return f"| {' | '.join(cells)} |"
 
 
+async def measure_new_leader(subscribers: int, backends: int) -> str:
+    """Return what a leader with an empty registry costs itself and one entry.
+
+    The only control host is killed and started again, so the time includes its start.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        settings = write_settings(folder)
+        processes = Processes(folder)
+        try:
+            leader = processes.start("control")
+            headers = {"Authorization": f"Bearer {settings['operator_keys']['op']}"}
+            async with ClientSession(headers=headers) as client:
+                await wait_for_control(client, settings)
+            processes.start("backends", backends)
+            for start in range(1, subscribers, SUBSCRIBERS_PER_PROCESS):
+                count = min(SUBSCRIBERS_PER_PROCESS, subscribers - start)
+                processes.start("subscribers", start, count)
+            entry = Subscriber(settings, "entry-0")
+            await entry.wait(lambda view: len(view.backends) >= backends)
+            await asyncio.sleep(SETTLE_S)
+            size = entry.codec.bytes.total()
+            leader.kill()
+            leader.wait()
+            leader = processes.start("control")
+            started_s, missing_s, answered_s = time.perf_counter(), 0.0, 0.0
+            replies = entry.codec.frames["PollReply"]
+            while time.perf_counter() < started_s + RESTART_SECONDS:
+                await asyncio.sleep(SAMPLE_S)
+                if not answered_s and entry.codec.frames["PollReply"] > replies:
+                    answered_s = time.perf_counter() - started_s
+                if not entry.session.lease.valid(asyncio.get_running_loop().time()):
+                    missing_s += SAMPLE_S
+            used_s = cpu_s(leader)
+            size = entry.codec.bytes.total() - size
+            replies = entry.codec.frames["PollReply"] - replies
+            await entry.close()
+        finally:
+            processes.stop()
+    return (
+        f"{subscribers} entries, {backends} backend servers, leader started anew: "
+        f"{used_s:.2f} s of its processor time and {size / 1000:.0f} KB of one entry in the first "
+        f"{RESTART_SECONDS:.0f} s, first reply after {answered_s:.2f} s, {replies} replies, "
+        f"entry without lease for {missing_s:.2f} s"
+    )
+
+
 async def record_results(entry: Subscriber) -> None:
     """Record evidence on all versions, as an entry with 30 versions in use does."""
     while True:
@@ -264,8 +338,11 @@
     return times.user + times.system
 
 
-async def measure_delay(entries: int) -> str:
-    """Return how long changes take until all entries have applied them."""
+async def measure_delay(entries: int, changes: int) -> str:
+    """Return how long changes take until entries have applied them and they are in force.
+
+    The first entries run here and are watched; "in force" covers all of them.
+    """
     applied_ms: list[float] = []
     in_force_ms: list[float] = []
     with tempfile.TemporaryDirectory() as name:
@@ -273,17 +350,25 @@
         settings = write_settings(folder)
         processes = Processes(folder)
         try:
-            processes.start("control")
+            leader = processes.start("control")
             headers = {"Authorization": f"Bearer {settings['operator_keys']['op']}"}
             async with ClientSession(headers=headers) as client:
                 await wait_for_control(client, settings)
-                subscribers = [Subscriber(settings, f"entry-{n}") for n in range(entries)]
+                watched = range(min(entries, WATCHED_ENTRIES))
+                subscribers = [Subscriber(settings, f"entry-{n}") for n in watched]
+                for start in range(WATCHED_ENTRIES, entries, SUBSCRIBERS_PER_PROCESS):
+                    count = min(SUBSCRIBERS_PER_PROCESS, entries - start)
+                    processes.start("subscribers", start, count)
+                await asyncio.sleep(SETTLE_S)
                 await wait_in_force(client, settings)
-                for number in range(CHANGES):
+                started_s, leader_s = time.perf_counter(), cpu_s(leader)
+                for number in range(changes):
                     times = await one_change(client, settings, subscribers, number)
                     applied_ms.append(times[0])
                     in_force_ms.append(times[1])
                     await asyncio.sleep(0.01)
+                used_s = cpu_s(leader) - leader_s
+                elapsed_s = time.perf_counter() - started_s
                 for subscriber in subscribers:
                     await subscriber.close()
         finally:
@@ -292,7 +377,8 @@
     for label, values in (("applied on all", applied_ms), ("reported in force", in_force_ms)):
         p50, p99 = percentile(values, 0.5), percentile(values, 0.99)
         parts.append(f"{label}: p50 {p50:.1f} ms, p99 {p99:.1f} ms, max {max(values):.1f} ms")
-    return f"{entries} entries, {CHANGES} changes, from sending the change: {'; '.join(parts)}"
+    parts.append(f"leader's processor time {used_s:.2f} s in {elapsed_s:.2f} s")
+    return f"{entries} entries, {changes} changes, from sending the change: {'; '.join(parts)}"
 
 
 async def one_change(
@@ -322,13 +408,26 @@
     return (applied_s - started_s) * 1000, (time.perf_counter() - started_s) * 1000
 
 
+async def measure_restarts() -> None:
+    """Print the figures of a leader that starts."""
+    for subscribers, backends in RESTART_SIZES:
+        print(await measure_new_leader(subscribers, backends), flush=True)
+
+
+async def measure_evidence(seconds: float) -> None:
+    """Print the figures with evidence of every entry in every poll."""
+    for subscribers in (8, 50, 300):
+        print(await measure_traffic(subscribers, 1000, seconds, evidence=True), flush=True)
+
+
 async def measure(seconds: float) -> None:
-    """Print all figures."""
-    print(await measure_delay(8))
+    """Print the figures of a leader that runs."""
+    for entries, changes in ((8, CHANGES), (50, CHANGES), (300, CHANGES // 3)):
+        print(await measure_delay(entries, changes), flush=True)
     print("| entries | backend servers | KB/s of one entry | its processor time |", end="")
-    print(" leader's processor time | leader's memory, MB |")
-    print("|---|---|---|---|---|---|")
-    for subscribers, backends in ((8, 6), (8, 100), (8, 1000), (50, 100), (300, 100)):
+    print(" leader's processor time | leader's memory, MB | frames of one entry |")
+    print("|---|---|---|---|---|---|---|")
+    for subscribers, backends in TRAFFIC_SIZES:
         print(await measure_traffic(subscribers, backends, seconds), flush=True)
 
 
@@ -336,13 +435,20 @@
     """Run the measurement or one of its processes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--evidence", action="store_true")
     parser.add_argument("--role", default="")
     parser.add_argument("--folder", type=Path)
     parser.add_argument("numbers", type=int, nargs="*")
     options = parser.parse_args()
     limit_nng_threads()
     if not options.role:
-        uvloop.run(measure(options.seconds))
+        if options.restarts:
+            uvloop.run(measure_restarts())
+        elif options.evidence:
+            uvloop.run(measure_evidence(options.seconds))
+        else:
+            uvloop.run(measure(options.seconds))
         return
     settings = json.loads((options.folder / "settings.json").read_text())
     roles = {"control": run_control, "subscribers": run_subscribers, "backends": run_backends}
--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -42,6 +42,10 @@
 SECRET = "0123456789abcdef"
 KEY = "relay-key"
 TICK_S = 0.026
+# Under the entry's limit of 1 s on a poll; a held poll that reaches it costs the lease.
+POLL_HOLD_S = 0.5
+# Batch slots of a stand-in engine; the entry's admission refuses requests beyond them.
+ENGINE_SLOTS = 512
 LOAD_PROCESSES = 2
 
 
@@ -138,6 +142,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Count tokens until the final marker."""
+        if data.startswith(b"HTTP/1.1 ") and not data.startswith(b"HTTP/1.1 200"):
+            self._transport.close()
+            return
         count = data.count(b'"content"')
         if count and not self.tokens:
             self.first_s = time.monotonic()
@@ -188,8 +195,9 @@
     started_s = time.monotonic()
     callers = uvloop.run(run_load(ports, streams, tokens, ramp_s))
     first = [item.first_s - item.sent_s for item in callers if item.tokens]
+    refused = sum(not item.tokens for item in callers)
     total = sum(item.tokens for item in callers)
-    results.put((first, total, started_s, time.monotonic()))
+    results.put((first, total, started_s, time.monotonic(), refused))
 
 
 def measure(ports: list[int], streams: int, tokens: int, ramp_s: float) -> dict[str, float]:
@@ -212,6 +220,7 @@
     return {
         "expected_tokens": share * LOAD_PROCESSES * tokens,
         "tokens": total,
+        "without_tokens": sum(row[4] for row in rows),
         "seconds": seconds,
         "tokens_per_s": total / seconds,
         "first_token_p50_ms": 1000 * first[len(first) // 2],
@@ -271,7 +280,7 @@
     ]
     backends = tuple(
         BackendRecord(f"engine-{item}", 1, BackendKind.ENGINE, f"http://127.0.0.1:{item}",
-                      "zone-1", "", (LoadedVersion("small", "1"),))
+                      "zone-1", "", (LoadedVersion("small", "1"),), ENGINE_SLOTS)
         for item in engine_ports
     )  # fmt: skip
     entries = tuple(RowEntry(row_key(row), 1, row) for row in rows)
@@ -280,7 +289,7 @@
         if isinstance(message, messages.BillRequest):
             return messages.BillReply("control-1", "zone-1", len(message.bills))
         if message.applied_revision:
-            await asyncio.sleep(1)
+            await asyncio.sleep(POLL_HOLD_S)
             return messages.PollReply(1, 1, 4000, (), 1, 1)
         return messages.PollReply(1, 1, 4000, entries, 1, 1, True, backends)
 
@@ -344,11 +353,14 @@
         print(json.dumps({"part": "direct"} | measure(engine_ports, *load)), flush=True)
         usage = psutil.Process(entry.pid)
         before = usage.cpu_times()
+        idle_mb = usage.memory_info().rss / 1e6
         relayed = measure([entry_port], *load)
         after = usage.cpu_times()
         cpu_s = after.user + after.system - before.user - before.system
         relayed["entry_cpu_s"] = cpu_s
         relayed["entry_system_s"] = after.system - before.system
+        relayed["entry_idle_mb"] = idle_mb
+        relayed["entry_mb"] = usage.memory_info().rss / 1e6
         relayed["cpu_us_per_token"] = 1e6 * cpu_s / max(1, relayed["tokens"])
         print(json.dumps({"part": "relayed"} | relayed), flush=True)
     finally:
