--- a/scripts/explore_faults.py
+++ b/scripts/explore_faults.py
@@ -24,16 +24,21 @@
     ] = [],  # noqa: B006
     seeds: Annotated[int, typer.Option()] = 1,
     first_seed: Annotated[int, typer.Option()] = 1,
+    without: Annotated[
+        str, typer.Option(help="Mechanism that is switched off, as role=name.")
+    ] = "",
     keep: Annotated[Path | None, typer.Option(help="Keep the files in this folder.")] = None,
 ) -> None:
     """Run each fault with each seed; ends with exit code 1 if a requirement was broken."""
     broken = 0
+    role, _, mechanism = without.partition("=")
+    off = {role: mechanism} if mechanism else None
     for name in fault or FAULTS:
         for seed in range(first_seed, first_seed + seeds):
             folder = Path(tempfile.mkdtemp(dir=keep))
             started_s = time.monotonic()
             try:
-                result = asyncio.run(run_scenario(folder, FAULTS[name], seed))
+                result = asyncio.run(run_scenario(folder, FAULTS[name], seed, without=off))
             except (TimeoutError, AssertionError) as error:
                 broken += 1
                 print(f"{name} seed {seed}: did not finish: {error!r} {folder}", flush=True)
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -21,6 +21,7 @@
 OPERATOR_KEY = "operator-key-of-the-tests"
 BACKEND_KEY = "backend-key-of-the-tests"
 START_TIMEOUT_S = 20.0
+ROOT = Path(__file__).resolve().parent.parent.parent
 
 
 @dataclass(frozen=True)
@@ -40,6 +41,13 @@
     ----------
     folder
         Folder for settings, data, logs and timelines.
+    without
+        Mechanism of ``mechanisms_off`` that is switched off, by role ("entry" or "control").
+
+    Attributes
+    ----------
+    left_ms
+        Wall time at which each backend server left.
     """
 
     folder: Path
@@ -48,6 +56,8 @@
     engines: tuple[EngineSpec, ...] = ()
     services: tuple[str, ...] = ()
     entry_settings: str = "drain_notice_s = 0.5\n"
+    without: dict[str, str] = field(default_factory=dict)
+    left_ms: dict[str, int] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     relays: dict[tuple[str, str], Relay] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
@@ -92,8 +102,12 @@
     async def launch(self, name: str) -> None:
         """Start or restart a process."""
         log = (self.folder / f"{name}.log").open("ab")
+        off = self.without.get(name.rpartition("-")[0])
+        program = ["system.mechanisms_off", off] if off else ["baobabstream.cli.app"]
         self.processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "baobabstream.cli.app", *self._arguments(name), stderr=log
+            *(sys.executable, "-m", *program, *self._arguments(name)),
+            stderr=log,
+            env=os.environ | {"PYTHONPATH": f"{ROOT}/src:{ROOT}/tests"},
         )
         log.close()
 
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -3,8 +3,10 @@
 import asyncio
 import signal
 from random import Random
+from typing import Any
 
-from system.cluster import Cluster
+from system.callers import wall_ms
+from system.cluster import BACKEND_KEY, Cluster
 from system.scenario import Fault
 
 __all__ = ["FAULTS"]
@@ -12,6 +14,9 @@
 # Longer than the entry lease and every election timeout.
 FREEZE_S = 5.0
 ISOLATION_S = 6.0
+# Longer than the limit on new work for a backend server that left.
+LEFT_WATCH_S = 3.0
+ENGINE_FAULT_S = 2.0
 
 
 async def _leader(cluster: Cluster) -> str:
@@ -121,6 +126,63 @@
     await asyncio.sleep(5.0)
 
 
+async def isolate_entry(cluster: Cluster, random: Random) -> None:
+    """Cut an entry host from all control hosts, silently; its callers still reach it."""
+    await _isolate(cluster, random.choice(cluster.entries))
+
+
+async def leave_engine(cluster: Cluster, random: Random) -> None:
+    """Let an engine leave although it goes on serving, so that late work to it is recorded."""
+    identity = random.choice(cluster.engines[:2]).identity
+    status = await cluster.status()
+    assert status is not None
+    record = next(item for item in status["backends"] if item["identity"] == identity)
+    body = {"identity": identity, "incarnation": record["incarnation"]}
+    headers = {"Authorization": f"Bearer {BACKEND_KEY}"}
+    url = f"{cluster.admin_url(status['leader'])}/backend/v1/leave"
+    cluster.left_ms[identity] = wall_ms()
+    async with cluster.session.post(url, json=body, headers=headers) as response:
+        assert response.status == 200, await response.text()
+    await asyncio.sleep(LEFT_WATCH_S)
+
+
+async def stop_engine(cluster: Cluster, random: Random) -> None:
+    """Stop an engine gracefully; it leaves and finishes its open requests."""
+    identity = random.choice(cluster.engines[:2]).identity
+    cluster.left_ms[identity] = wall_ms()
+    await cluster.terminate(identity)
+    await asyncio.sleep(LEFT_WATCH_S)
+
+
+async def cross_answers(cluster: Cluster, _: Random) -> None:
+    """Let engines answer with the identity and text of the request before."""
+    await _engine_faults(cluster, {"crossed": True})
+
+
+async def double_answers(cluster: Cluster, _: Random) -> None:
+    """Let engines send each answer twice."""
+    await _engine_faults(cluster, {"doubled": True})
+
+
+async def delay_answers(cluster: Cluster, _: Random) -> None:
+    """Let engines answer late."""
+    await _engine_faults(cluster, {"late_s": 1.5})
+
+
+async def cut_answers(cluster: Cluster, _: Random) -> None:
+    """Let engines cut each stream after a few tokens."""
+    await _engine_faults(cluster, {"cut_after_tokens": 3})
+
+
+async def _engine_faults(cluster: Cluster, faults: dict[str, Any]) -> None:
+    for body in (faults, {}):
+        for engine in cluster.engines:
+            url = f"http://127.0.0.1:{cluster.ports[engine.identity]}/emulate/v1/faults"
+            async with cluster.session.post(url, json=body) as response:
+                assert response.status == 200, await response.text()
+        await asyncio.sleep(ENGINE_FAULT_S if body else 0.0)
+
+
 FAULTS: dict[str, Fault] = {
     "none": _no_fault,
     **{
@@ -137,6 +199,13 @@
             isolate_follower,
             isolate_leader_one_way,
             silence_connections,
+            isolate_entry,
+            leave_engine,
+            stop_engine,
+            cross_answers,
+            double_answers,
+            delay_answers,
+            cut_answers,
         )
     },
 }
--- a/tests/system/history.py
+++ b/tests/system/history.py
@@ -10,6 +10,7 @@
     "Violation",
     "check_allowed",
     "check_billed_once",
+    "check_left",
     "check_not_run",
     "check_run_at_most_once",
     "check_sessions",
@@ -78,6 +79,17 @@
     ]
 
 
+def check_left(
+    attempts: Iterable[EngineRun], left_ms: dict[str, int], limit_ms: int
+) -> list[Violation]:
+    """Check that no backend server got new work later than a time after it left."""
+    return [
+        Violation("left", f"{run.backend_server} got {run.request_id} {late_ms} ms after it left")
+        for run in attempts
+        if (late_ms := run.started_ms - left_ms.get(run.backend_server, run.started_ms)) > limit_ms
+    ]
+
+
 def check_sessions(records: Iterable[CallerRecord]) -> list[Violation]:
     """Check that all finished requests of a session used one version."""
     versions: dict[str, str] = {}
--- a/tests/system/operators.py
+++ b/tests/system/operators.py
@@ -91,6 +91,9 @@
         revisions = {revision for status, revision in record.answers if status == ACCEPTED}
         if len(revisions) > 1:
             violations.append(Violation("resend", f"{record.change_id}: revisions {revisions}"))
+        statuses = {status for status, _ in record.answers}
+        if record.accepted and CONFLICT in statuses:
+            violations.append(Violation("resend", f"{record.change_id}: accepted and refused"))
         if record.accepted:
             winners.setdefault(record.base_revision, []).append(record)
     violations += [
--- a/tests/system/scenario.py
+++ b/tests/system/scenario.py
@@ -14,6 +14,7 @@
     Violation,
     check_allowed,
     check_billed_once,
+    check_left,
     check_not_run,
     check_run_at_most_once,
     check_sessions,
@@ -36,6 +37,8 @@
     EngineSpec("engine-3", ("large@1",)),
 )
 SERVICES = ("waiver-1", "waiver-2")
+# Aim of the design for a backend server that is leaving.
+LEFT_LIMIT_MS = 2000
 # Within every fault but the empty one, before the control group has recovered from most.
 WITHDRAWAL_LATEST_S = 2.0
 ALLOWED = {"desk": {"small@1", "small@2"}, "crew": {"large@1"}}
@@ -56,7 +59,12 @@
 
 
 async def run_scenario(
-    folder: Path, fault: Fault, seed: int, before_s: float = 1.0, after_s: float = 2.0
+    folder: Path,
+    fault: Fault,
+    seed: int,
+    before_s: float = 1.0,
+    after_s: float = 2.0,
+    without: dict[str, str] | None = None,
 ) -> ScenarioResult:
     """Start a cluster, run load, withdraw a version while a fault happens and heals, check.
 
@@ -70,9 +78,11 @@
         Seed of callers, operators, fault and the time of the withdrawal.
     before_s, after_s
         Seconds of load before and after the fault.
+    without
+        Mechanism that is switched off, by role.
     """
     random = Random(seed)
-    cluster = Cluster(folder, engines=ENGINES, services=SERVICES)
+    cluster = Cluster(folder, engines=ENGINES, services=SERVICES, without=without or {})
     result = ScenarioResult()
     try:
         await cluster.start()
@@ -101,6 +111,7 @@
     attempts = attempts_of(folder)
     result.violations += check_withdrawn(attempts, "small@1", withdrawal.in_force_ms)
     result.violations += check_in_force(withdrawal)
+    result.violations += check_left(attempts, cluster.left_ms, LEFT_LIMIT_MS)
     result.violations += check_allowed(records, attempts, ALLOWED)
     result.violations += check_not_run(records, runs_of(folder))
     result.violations += check_sessions(records)
--- a/tests/system/test_history.py
+++ b/tests/system/test_history.py
@@ -8,6 +8,7 @@
     EngineRun,
     check_allowed,
     check_billed_once,
+    check_left,
     check_not_run,
     check_run_at_most_once,
     check_sessions,
@@ -30,6 +31,10 @@
         self.assertThat(check_withdrawn([RUN], "small@1", 100), Equals([]))
         self.assertThat(check_withdrawn([RUN], "small@1", 99), HasLength(1))
 
+    def test_left(self) -> None:
+        self.assertThat(check_left([RUN], {"engine-1": 50, "engine-2": 0}, 50), Equals([]))
+        self.assertThat(check_left([RUN], {"engine-1": 50}, 49), HasLength(1))
+
     def test_sessions(self) -> None:
         other = CallerRecord("n", "desk", "r2", version="2", finished=True, session="s")
         self.assertThat(check_sessions([RECORD, RECORD]), Equals([]))
--- a/tests/system/test_operators.py
+++ b/tests/system/test_operators.py
@@ -23,6 +23,10 @@
         resent = ChangeRecord("a", 0, "class/raced", 1.0, ((200, 5), (200, 6)))
         self.assertThat(check_changes([resent], 1.0), HasLength(1))
 
+    def test_resend_of_an_accepted_change_is_refused(self) -> None:
+        resent = ChangeRecord("a", 0, "class/raced", 1.0, ((200, 5), (409, 0)))
+        self.assertThat(check_changes([resent], 1.0), HasLength(1))
+
     def test_reverted_change(self) -> None:
         later = ChangeRecord("c", 5, "class/raced", 3.0, ((200, 9),))
         self.assertThat(check_changes([FIRST, LOSER, later], 1.0), HasLength(1))
