System tests: more faults and pairs of faults

Cause: crash requests, a lost control majority, a lost disk followed by a second loss, pairs of faults and planned stops had no history. Change: faults crash_request, lose_majority, lose_disk_then_host, stop_leader, stop_follower, stop_entry and stop_service; names joined by '+' happen together; callers with long answers on request. New checks: at most two crashed backend servers and no innocent request in quarantine, no attempt after the lease without a majority, planned stops cut nothing, service after the fault.

--- a/scripts/explore_faults.py
+++ b/scripts/explore_faults.py
@@ -14,19 +14,20 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
 os.environ["PYTHONPATH"] = str(ROOT / "src")
 
-from system.faults import FAULTS  # noqa: E402
+from system.faults import FAULTS, fault_of  # noqa: E402
 from system.scenario import run_scenario  # noqa: E402
 
 
 def main(
     fault: Annotated[
-        list[str], typer.Option(help="Name of a fault, repeatable.")
+        list[str], typer.Option(help="Name of a fault, or names joined by +, repeatable.")
     ] = [],  # noqa: B006
     seeds: Annotated[int, typer.Option()] = 1,
     first_seed: Annotated[int, typer.Option()] = 1,
     without: Annotated[
         str, typer.Option(help="Mechanism that is switched off, as role=name.")
     ] = "",
+    long_tokens: Annotated[int, typer.Option(help="Length of some callers' answers.")] = 0,
     keep: Annotated[Path | None, typer.Option(help="Keep the files in this folder.")] = None,
 ) -> None:
     """Run each fault with each seed; ends with exit code 1 if a requirement was broken."""
@@ -38,7 +39,9 @@
             folder = Path(tempfile.mkdtemp(dir=keep))
             started_s = time.monotonic()
             try:
-                result = asyncio.run(run_scenario(folder, FAULTS[name], seed, without=off))
+                result = asyncio.run(
+                    run_scenario(folder, fault_of(name), seed, without=off, long_tokens=long_tokens)
+                )
             except (TimeoutError, AssertionError) as error:
                 broken += 1
                 print(f"{name} seed {seed}: did not finish: {error!r} {folder}", flush=True)
--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -39,7 +39,9 @@
     A connection that breaks gives a record with code ``CUT`` whose run state is unknown, one that
     was refused the code ``NOT_CONNECTED``.
     """
-    record = CallerRecord(marker, account, started_ms=wall_ms(), ran="unknown", code=CUT)
+    record = CallerRecord(
+        marker, account, started_ms=wall_ms(), ran="unknown", code=CUT, tokens=tokens
+    )
     body = {
         "model": "auto",
         "stream": True,
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -48,6 +48,14 @@
     ----------
     left_ms
         Wall time at which each backend server left.
+    crashes
+        Backend servers that a request has crashed.
+    majority_lost
+        Whether the fault takes the control majority, so that nothing can come into force.
+    no_work_ms
+        Wall times between which no entry may send work.
+    planned
+        Whether the fault is a planned stop, which cuts no request.
     """
 
     folder: Path
@@ -58,6 +66,10 @@
     entry_settings: str = "drain_notice_s = 0.5\n"
     without: dict[str, str] = field(default_factory=dict)
     left_ms: dict[str, int] = field(default_factory=dict)
+    crashes: int = 0
+    majority_lost: bool = False
+    no_work_ms: tuple[int, int] = (0, 0)
+    planned: bool = False
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     relays: dict[tuple[str, str], Relay] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -1,15 +1,18 @@
 """Faults that the scenarios cause and heal, by name."""
 
 import asyncio
+import shutil
 import signal
+from itertools import cycle
 from random import Random
 from typing import Any
 
-from system.callers import wall_ms
-from system.cluster import BACKEND_KEY, Cluster
-from system.scenario import Fault
+from baobabstream.emulator.engine_options import CRASH_MARKER
+from system.callers import ask, wall_ms
+from system.cluster import BACKEND_KEY, Cluster, wait_for
+from system.scenario import DESK_KEY, ENTRY_LEASE_MS, Fault
 
-__all__ = ["FAULTS"]
+__all__ = ["FAULTS", "fault_of"]
 
 # Longer than the entry lease and every election timeout.
 FREEZE_S = 5.0
@@ -17,11 +20,18 @@
 # Longer than the limit on new work for a backend server that left.
 LEFT_WATCH_S = 3.0
 ENGINE_FAULT_S = 2.0
+LEADER_WAIT_S = 20.0
+CRASH_RESENDS_S = 6.0
+# Longer than the entry lease, so that there is a time in which no entry may take new work.
+MAJORITY_LOST_S = 5.0
+REPAIR_WAIT_S = 20.0
 
 
 async def _leader(cluster: Cluster) -> str:
-    status = await cluster.status()
-    assert status is not None
+    # Another fault of a pair may have taken the leader.
+    async with asyncio.timeout(LEADER_WAIT_S):
+        while (status := await cluster.status()) is None:
+            await asyncio.sleep(0.05)
     return status["leader"]
 
 
@@ -149,6 +159,7 @@
 async def stop_engine(cluster: Cluster, random: Random) -> None:
     """Stop an engine gracefully; it leaves and finishes its open requests."""
     identity = random.choice(cluster.engines[:2]).identity
+    cluster.planned = True
     cluster.left_ms[identity] = wall_ms()
     await cluster.terminate(identity)
     await asyncio.sleep(LEFT_WATCH_S)
@@ -183,6 +194,94 @@
         await asyncio.sleep(ENGINE_FAULT_S if body else 0.0)
 
 
+async def crash_request(cluster: Cluster, _: Random) -> None:
+    """Resend a request that crashes its engine through all entries; engines are restarted."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + CRASH_RESENDS_S
+    engines = [engine.identity for engine in cluster.engines]
+    for entry in cycle(cluster.entries):
+        await ask(cluster, entry, DESK_KEY, "desk", CRASH_MARKER)
+        for name in engines:
+            if cluster.processes[name].returncode is not None:
+                cluster.crashes += 1
+                await cluster.launch(name)
+        await asyncio.sleep(0.1)
+        if loop.time() > until_s:
+            return
+
+
+async def lose_majority(cluster: Cluster, random: Random) -> None:
+    """Kill the leader and a follower; restart them after the entries' leases have ended."""
+    leader, follower = await _leader(cluster), await _follower(cluster, random)
+    cluster.majority_lost = True
+    await asyncio.gather(cluster.kill(leader), cluster.kill(follower))
+    lost_ms = wall_ms()
+    await asyncio.sleep(MAJORITY_LOST_S)
+    cluster.no_work_ms = (lost_ms + ENTRY_LEASE_MS, wall_ms())
+    await cluster.launch(leader)
+    await cluster.launch(follower)
+    await _leader(cluster)
+    await asyncio.sleep(2.0)
+
+
+async def lose_disk_then_host(cluster: Cluster, random: Random) -> None:
+    """Restart a follower without its data and kill the leader once the group reports ready."""
+    host = await _follower(cluster, random)
+    await cluster.kill(host)
+    shutil.rmtree(cluster.folder / host)
+    await cluster.launch(host)
+    await asyncio.sleep(1.0)
+
+    async def repaired() -> bool:
+        code, answer = await cluster.admin("GET", "/ready")
+        return code == 200 and answer["ready"]
+
+    await wait_for(repaired, REPAIR_WAIT_S)
+    leader = await _leader(cluster)
+    await cluster.kill(leader)
+    await asyncio.sleep(4.0)
+    await cluster.launch(leader)
+    await asyncio.sleep(2.0)
+
+
+async def stop_leader(cluster: Cluster, _: Random) -> None:
+    """Stop the control leader gracefully and start it again."""
+    await _planned_stop(cluster, await _leader(cluster))
+
+
+async def stop_follower(cluster: Cluster, random: Random) -> None:
+    """Stop a control follower gracefully and start it again."""
+    await _planned_stop(cluster, await _follower(cluster, random))
+
+
+async def stop_entry(cluster: Cluster, random: Random) -> None:
+    """Stop an entry host gracefully and start it again."""
+    await _planned_stop(cluster, random.choice(cluster.entries))
+
+
+async def stop_service(cluster: Cluster, random: Random) -> None:
+    """Stop a plain service gracefully and start it again."""
+    await _planned_stop(cluster, random.choice(cluster.services))
+
+
+async def _planned_stop(cluster: Cluster, name: str) -> None:
+    cluster.planned = True
+    await cluster.terminate(name)
+    await asyncio.sleep(1.0)
+    await cluster.launch(name)
+    await asyncio.sleep(2.0)
+
+
+def fault_of(name: str) -> Fault:
+    """Return a fault by name; names joined by "+" happen together."""
+    faults = [FAULTS[part] for part in name.split("+")]
+
+    async def together(cluster: Cluster, random: Random) -> None:
+        await asyncio.gather(*[fault(cluster, random) for fault in faults])
+
+    return faults[0] if len(faults) == 1 else together
+
+
 FAULTS: dict[str, Fault] = {
     "none": _no_fault,
     **{
@@ -206,6 +305,13 @@
             double_answers,
             delay_answers,
             cut_answers,
+            crash_request,
+            lose_majority,
+            lose_disk_then_host,
+            stop_leader,
+            stop_follower,
+            stop_entry,
+            stop_service,
         )
     },
 }
--- a/tests/system/history.py
+++ b/tests/system/history.py
@@ -34,6 +34,7 @@
     text: str = ""
     finished: bool = False
     session: str = ""
+    tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/system/mechanisms_off.py
+++ b/tests/system/mechanisms_off.py
@@ -19,6 +19,7 @@
 from baobabstream.entry.daemon import EntryDaemon
 from baobabstream.entry.refusals import Refused
 from baobabstream.entry.sessions import SessionTokens
+from baobabstream.entry.suspects import SuspectReporter
 from baobabstream.errors.codes import RunState
 from baobabstream.membership.lease import Lease
 from baobabstream.policy import eligibility
@@ -119,6 +120,10 @@
     AcceptedChanges.find = _always(None)
 
 
+def _loss_reports() -> None:
+    SuspectReporter.report = _always_async(None)
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     "allowance": _allowance,
     "in_force": _in_force,
@@ -133,6 +138,7 @@
     "drain": _drain,
     "base_revision": _base_revision,
     "change_identity": _change_identity,
+    "loss_reports": _loss_reports,
 }
 
 if __name__ == "__main__":
--- a/tests/system/scenario.py
+++ b/tests/system/scenario.py
@@ -7,10 +7,12 @@
 from random import Random
 
 from baobabstream.emulator.answers import answer_text
-from system.callers import Callers
+from baobabstream.errors.codes import ResultCode
+from system.callers import Callers, wall_ms
 from system.cluster import Cluster, EngineSpec, wait_for
 from system.history import (
     CallerRecord,
+    EngineRun,
     Violation,
     check_allowed,
     check_billed_once,
@@ -26,7 +28,7 @@
 from system.rows import account_row, class_row, route_row, version_row
 from system.withdrawal import Withdrawal, check_in_force, wait_in_force, withdraw
 
-__all__ = ["Fault", "ScenarioResult", "run_scenario"]
+__all__ = ["DESK_KEY", "ENTRY_LEASE_MS", "Fault", "ScenarioResult", "run_scenario"]
 
 DESK_KEY = "api-key-of-the-desk"
 CREW_KEY = "api-key-of-the-crew"
@@ -39,6 +41,8 @@
 SERVICES = ("waiver-1", "waiver-2")
 # Aim of the design for a backend server that is leaving.
 LEFT_LIMIT_MS = 2000
+ENTRY_LEASE_MS = 3000
+MAX_CRASHES = 2
 # Within every fault but the empty one, before the control group has recovered from most.
 WITHDRAWAL_LATEST_S = 2.0
 ALLOWED = {"desk": {"small@1", "small@2"}, "crew": {"large@1"}}
@@ -65,6 +69,7 @@
     before_s: float = 1.0,
     after_s: float = 2.0,
     without: dict[str, str] | None = None,
+    long_tokens: int = 0,
 ) -> ScenarioResult:
     """Start a cluster, run load, withdraw a version while a fault happens and heals, check.
 
@@ -80,6 +85,8 @@
         Seconds of load before and after the fault.
     without
         Mechanism that is switched off, by role.
+    long_tokens
+        Length of the answers of two further callers, or 0 for none.
     """
     random = Random(seed)
     cluster = Cluster(folder, engines=ENGINES, services=SERVICES, without=without or {})
@@ -92,12 +99,15 @@
         callers.start(2, CREW_KEY, "crew", TOKENS)
         callers.start_sessions(2, DESK_KEY, "desk", TOKENS)
         callers.start_signatures(2, DESK_KEY, "desk")
+        if long_tokens:
+            callers.start(2, DESK_KEY, "desk", long_tokens)
         operators = Operators(cluster, random)
         operators.start()
         await asyncio.sleep(before_s)
         delay_s = Random(f"withdrawal {seed}").uniform(0.0, WITHDRAWAL_LATEST_S)
         withdrawing = asyncio.create_task(withdraw(cluster, "small", "1", delay_s))
         await fault(cluster, random)
+        healed_ms = wall_ms()
         await asyncio.sleep(after_s)
         withdrawal = result.withdrawal = await withdrawing
         changes = await operators.stop()
@@ -110,7 +120,9 @@
         await cluster.stop()
     attempts = attempts_of(folder)
     result.violations += check_withdrawn(attempts, "small@1", withdrawal.in_force_ms)
-    result.violations += check_in_force(withdrawal)
+    if not cluster.majority_lost:
+        result.violations += check_in_force(withdrawal)
+    result.violations += _check_fault(cluster, result, records, attempts, healed_ms)
     result.violations += check_left(attempts, cluster.left_ms, LEFT_LIMIT_MS)
     result.violations += check_allowed(records, attempts, ALLOWED)
     result.violations += check_not_run(records, runs_of(folder))
@@ -120,9 +132,35 @@
     return result
 
 
+def _check_fault(
+    cluster: Cluster,
+    result: ScenarioResult,
+    records: list[CallerRecord],
+    attempts: list[EngineRun],
+    healed_ms: int,
+) -> list[Violation]:
+    violations = []
+    first_ms, last_ms = cluster.no_work_ms
+    late = [run.request_id for run in attempts if first_ms < run.started_ms < last_ms]
+    if late:
+        violations.append(Violation("lease", f"{len(late)} attempts without a control majority"))
+    if cluster.crashes > MAX_CRASHES:
+        violations.append(Violation("crash", f"{cluster.crashes} backend servers crashed"))
+    violations += [
+        Violation("crash", f"{record.marker} is quarantined but crashes nothing")
+        for record in records
+        if record.code == int(ResultCode.QUARANTINED)
+    ]
+    if cluster.planned and result.cut:
+        violations.append(Violation("planned stop", f"{result.cut} requests were cut"))
+    if not any(record.finished and record.started_ms > healed_ms for record in records):
+        violations.append(Violation("service", "no request is served after the fault"))
+    return violations
+
+
 def expected_text(record: CallerRecord) -> str:
     """Return the text that a stand-in engine generates for a caller's prompt."""
-    return answer_text([{"role": "user", "content": record.marker}], TOKENS)
+    return answer_text([{"role": "user", "content": record.marker}], record.tokens)
 
 
 async def _configure(cluster: Cluster) -> None:
