System tests: second loss after a repair, by log line and by ready

Change: one fault waits for the leader's 'Members are now' line, which docs/consensus.md names, one for 'ready'; both check that a leader serves 4 s after the second loss.

--- a/scripts/explore_faults.py
+++ b/scripts/explore_faults.py
@@ -51,7 +51,7 @@
             print(
                 f"{name} seed {seed}: {verdict}, finished {result.finished}, refused "
                 f"{result.refused}, cut {result.cut}, changes {result.changes_accepted}, "
-                f"signatures {result.signatures}, {result.withdrawal}, "
+                f"signatures {result.signatures}, crashes {result.crashes}, {result.withdrawal}, "
                 f"{time.monotonic() - started_s:.0f} s {folder}",
                 flush=True,
             )
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -56,6 +56,8 @@
         Wall times between which no entry may send work.
     planned
         Whether the fault is a planned stop, which cuts no request.
+    problems
+        What the fault saw that must not happen.
     """
 
     folder: Path
@@ -70,6 +72,7 @@
     majority_lost: bool = False
     no_work_ms: tuple[int, int] = (0, 0)
     planned: bool = False
+    problems: list[str] = field(default_factory=list)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     relays: dict[tuple[str, str], Relay] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -1,6 +1,7 @@
 """Faults that the scenarios cause and heal, by name."""
 
 import asyncio
+import re
 import shutil
 import signal
 from itertools import cycle
@@ -25,6 +26,8 @@
 # Longer than the entry lease, so that there is a time in which no entry may take new work.
 MAJORITY_LOST_S = 5.0
 REPAIR_WAIT_S = 20.0
+# Twice the time that an election takes.
+SECOND_LOSS_S = 4.0
 
 
 async def _leader(cluster: Cluster) -> str:
@@ -225,21 +228,54 @@
 
 
 async def lose_disk_then_host(cluster: Cluster, random: Random) -> None:
-    """Restart a follower without its data and kill the leader once the group reports ready."""
+    """Restart a follower without its data and kill the leader once it has logged the repair."""
     host = await _follower(cluster, random)
-    await cluster.kill(host)
-    shutil.rmtree(cluster.folder / host)
-    await cluster.launch(host)
-    await asyncio.sleep(1.0)
+    old = _member(cluster, await _leader(cluster), host)
+    await _lose_disk(cluster, host)
 
     async def repaired() -> bool:
+        member = _member(cluster, await _leader(cluster), host)
+        return bool(member) and member != old
+
+    await wait_for(repaired, REPAIR_WAIT_S)
+    await _lose_leader_after_repair(cluster)
+
+
+async def lose_disk_then_host_at_ready(cluster: Cluster, random: Random) -> None:
+    """Restart a follower without its data and kill the leader once it answers that it is ready."""
+    await _lose_disk(cluster, await _follower(cluster, random))
+    await asyncio.sleep(1.0)
+
+    async def ready() -> bool:
         code, answer = await cluster.admin("GET", "/ready")
         return code == 200 and answer["ready"]
 
-    await wait_for(repaired, REPAIR_WAIT_S)
+    await wait_for(ready, REPAIR_WAIT_S)
+    await _lose_leader_after_repair(cluster)
+
+
+async def _lose_disk(cluster: Cluster, host: str) -> None:
+    await cluster.kill(host)
+    shutil.rmtree(cluster.folder / host)
+    await cluster.launch(host)
+
+
+def _member(cluster: Cluster, leader: str, host: str) -> str:
+    """Return the identity of a host's voter in the leader's log, empty while there are learners."""
+    log = (cluster.folder / f"{leader}.log").read_text()
+    lines = [line for line in log.splitlines() if "Members are now" in line]
+    if not lines or not lines[-1].endswith("learners: none."):
+        return ""
+    found = re.search(rf"{host}#\w+", lines[-1])
+    return found.group() if found else ""
+
+
+async def _lose_leader_after_repair(cluster: Cluster) -> None:
     leader = await _leader(cluster)
     await cluster.kill(leader)
-    await asyncio.sleep(4.0)
+    await asyncio.sleep(SECOND_LOSS_S)
+    if await cluster.status() is None:
+        cluster.problems.append(f"no leader {SECOND_LOSS_S:g} s after a loss after the repair")
     await cluster.launch(leader)
     await asyncio.sleep(2.0)
 
@@ -308,6 +344,7 @@
             crash_request,
             lose_majority,
             lose_disk_then_host,
+            lose_disk_then_host_at_ready,
             stop_leader,
             stop_follower,
             stop_entry,
--- a/tests/system/scenario.py
+++ b/tests/system/scenario.py
@@ -60,6 +60,7 @@
     changes_accepted: int = 0
     withdrawal: Withdrawal | None = None
     signatures: int = 0
+    crashes: int = 0
 
 
 async def run_scenario(
@@ -113,6 +114,7 @@
         changes = await operators.stop()
         await asyncio.sleep(0.5)
         records = await callers.stop()
+        result.crashes = cluster.crashes
         result.signatures = callers.signature_codes[200]
         await asyncio.sleep(1.0)
         await _collect(cluster, result, records, changes)
@@ -139,7 +141,7 @@
     attempts: list[EngineRun],
     healed_ms: int,
 ) -> list[Violation]:
-    violations = []
+    violations = [Violation("repair", problem) for problem in cluster.problems]
     first_ms, last_ms = cluster.no_work_ms
     late = [run.request_id for run in attempts if first_ms < run.started_ms < last_ms]
     if late:
