System tests: resend the crashing request for 12 s

Cause: with loss reports switched off, 6 s of resends crashed 2 engines only, since a restarted engine needs some seconds before it gets work again, so the check could not fail. Change: the request is resent for 12 s.

--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -22,7 +22,8 @@
 LEFT_WATCH_S = 3.0
 ENGINE_FAULT_S = 2.0
 LEADER_WAIT_S = 20.0
-CRASH_RESENDS_S = 6.0
+# Restarted engines need some seconds before they get work again.
+CRASH_RESENDS_S = 12.0
 # Longer than the entry lease, so that there is a time in which no entry may take new work.
 MAJORITY_LOST_S = 5.0
 REPAIR_WAIT_S = 20.0
