--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -21,6 +21,7 @@
 OPERATOR_KEY = "operator-key-of-the-tests"
 BACKEND_KEY = "backend-key-of-the-tests"
 START_TIMEOUT_S = 20.0
+ROOT = Path(__file__).resolve().parent.parent.parent
 
 
 @dataclass(frozen=True)
@@ -40,6 +41,23 @@
     ----------
     folder
         Folder for settings, data, logs and timelines.
+    without
+        Mechanism of ``mechanisms_off`` that is switched off, by role ("entry" or "control").
+
+    Attributes
+    ----------
+    left_ms
+        Wall time at which each backend server left.
+    crashes
+        Backend servers that a request has crashed.
+    majority_lost
+        Whether the fault takes the control majority, so that nothing can come into force.
+    no_work_ms
+        Wall times between which no entry may send work.
+    planned
+        Whether the fault is a planned stop, which cuts no request.
+    problems
+        What the fault saw that must not happen.
     """
 
     folder: Path
@@ -48,6 +66,13 @@
     engines: tuple[EngineSpec, ...] = ()
     services: tuple[str, ...] = ()
     entry_settings: str = "drain_notice_s = 0.5\n"
+    without: dict[str, str] = field(default_factory=dict)
+    left_ms: dict[str, int] = field(default_factory=dict)
+    crashes: int = 0
+    majority_lost: bool = False
+    no_work_ms: tuple[int, int] = (0, 0)
+    planned: bool = False
+    problems: list[str] = field(default_factory=list)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     relays: dict[tuple[str, str], Relay] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
@@ -92,8 +117,12 @@
     async def launch(self, name: str) -> None:
         """Start or restart a process."""
         log = (self.folder / f"{name}.log").open("ab")
+        off = self.without.get(name.rpartition("-")[0])
+        program = ["system.mechanisms_off", off] if off else ["baobabstream.cli.app"]
         self.processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "baobabstream.cli.app", *self._arguments(name), stderr=log
+            *(sys.executable, "-m", *program, *self._arguments(name)),
+            stderr=log,
+            env=os.environ | {"PYTHONPATH": f"{ROOT}/src:{ROOT}/tests"},
         )
         log.close()
 
@@ -132,7 +161,7 @@
         return f"http://127.0.0.1:{self.ports[host]}"
 
     async def admin(
-        self, method: str, path: str, body: Any = None, host: str = ""
+        self, method: str, path: str, body: Any = None, host: str = "", timeout_s: float = 4.0
     ) -> tuple[int, Any]:
         """Call the admin interface of one control host, or of the first that answers."""
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
@@ -141,7 +170,7 @@
             url = self.admin_url(name) + "/admin/v1" + path
             try:
                 async with self.session.request(
-                    method, url, json=body, headers=headers, timeout=ClientTimeout(total=4)
+                    method, url, json=body, headers=headers, timeout=ClientTimeout(total=timeout_s)
                 ) as response:
                     answer = (response.status, await response.json())
             except (ClientError, TimeoutError, OSError):
