scripts: measurements work again with secret settings and timed polls

measure_consensus.py passed a SecretStr to the codec and ended with an AttributeError. The control stand-in of measure_relay.py held each poll for 1 s, which equals the time limit of a poll since polls became shorter, so the entry lost its lease during the run. The stand-in now waits as long as the poll asks.

--- a/scripts/measure_consensus.py
+++ b/scripts/measure_consensus.py
@@ -34,7 +34,7 @@
         self.folder = folder
         demo_settings.main(folder)
         settings = load_settings(folder / "control-1.toml", ControlSettings)
-        codec = WireCodec(settings.cluster, "control-1", settings.peer_secret)
+        codec = WireCodec(settings.cluster, "control-1", settings.peer_secret.get_secret_value())
         self.clients = {
             peer.host: RpcClient(f"tcp://{peer.ip}:{peer.port}", codec) for peer in settings.control
         }
--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -280,7 +280,8 @@
         if isinstance(message, messages.BillRequest):
             return messages.BillReply("control-1", "zone-1", len(message.bills))
         if message.applied_revision:
-            await asyncio.sleep(1)
+            # Longer than the poll asks for would count as a silent connection.
+            await asyncio.sleep(message.wait_ms / 1000)
             return messages.PollReply(1, 1, 4000, (), 1, 1)
         return messages.PollReply(1, 1, 4000, entries, 1, 1, True, backends)
 
