--- a/tests/entry/test_chat_attempts.py
+++ b/tests/entry/test_chat_attempts.py
@@ -101,7 +101,7 @@
 
 
 async def test_answer_without_tokens_is_whole() -> None:
-    """Guards against a last block that overtakes the head when no block came before it."""
+    """Guards against a lost head or end marker when no block comes before the last one."""
     empty = FakeServer("a", tokens=0)
     async with (
         harness(empty, policy=ScriptedPolicy("a")) as entry,
