--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -42,7 +42,6 @@
 SECRET = "0123456789abcdef"
 KEY = "relay-key"
 TICK_S = 0.026
-# Under the entry's limit of 1 s on a poll; a held poll that reaches it costs the lease.
 # Batch slots of a stand-in engine; the entry's admission refuses requests beyond them.
 ENGINE_SLOTS = 512
 LOAD_PROCESSES = 2
