Bench: workload many-entries with its aims

40 entries in front of 24 engines at 0.7 of their capacity, compared with power of two choices on the same requests.

--- a/src/baobabstream/bench/aims.py
+++ b/src/baobabstream/bench/aims.py
@@ -57,6 +57,10 @@
     return lambda figures, _references: figures[name] / whole
 
 
+def _without(name: str) -> Callable[[Figures, References], float]:
+    return lambda figures, _references: 1.0 - figures[name]
+
+
 def _above(name: str, target: float) -> Callable[[Figures, References], float]:
     return lambda figures, _references: figures[name] - target
 
@@ -96,6 +100,19 @@
         Aim("seconds to normal after the peak", _figure("normal_after_s"), 5.0),
         Aim("small accounts' requests met in the peak", _figure("small_met_share"), 0.95, False),
     ),
+    "many-entries": (
+        Aim("share of requests refused", _without("admitted_share"), 0.01),
+        Aim(
+            "p99 time to first token to that of power of two choices",
+            _ratio("answer_first_p99_ms", "power-of-two"),
+            1.0,
+        ),
+        Aim(
+            "p99 total time to that of power of two choices",
+            _ratio("answer_total_p99_ms", "power-of-two"),
+            1.0,
+        ),
+    ),
     "crews-start": (_MET, _HEDGES),
     "gate-histories": (
         Aim(
--- a/src/baobabstream/bench/runner.py
+++ b/src/baobabstream/bench/runner.py
@@ -22,6 +22,8 @@
     "gate-histories": ("gate-checks-only", "gate-histories-only"),
     "slowed-servers": ("unslowed-servers",),
 }
+# Policies whose figures on the same workload an aim refers to.
+PEERS = {"many-entries": ("power-of-two",)}
 
 
 def policy_maker(name: str) -> PolicyMaker | None:
@@ -58,10 +60,7 @@
         if make is None:
             raise ValueError(f"no policy {name}")
         runs = [_run(workload, make, seed) for seed in seeds]
-        references = [
-            {other: _run(_known(other), make, seed) for other in REFERENCES.get(workload.name, ())}
-            for seed in seeds
-        ]
+        references = [_references(workload, make, seed) for seed in seeds]
         results["policies"][name] = {
             "figures": {key: _spread([run[key] for run in runs]) for key in runs[0]},
             "aims": [asdict(item) for item in check_aims(workload, runs, references)],
@@ -69,6 +68,15 @@
     return results
 
 
+def _references(workload: Workload, make: PolicyMaker, seed: int) -> dict[str, dict[str, float]]:
+    others = {other: _run(_known(other), make, seed) for other in REFERENCES.get(workload.name, ())}
+    for name in PEERS.get(workload.name, ()):
+        peer = policy_maker(name)
+        assert peer is not None
+        others[name] = _run(workload, peer, seed)
+    return others
+
+
 def _known(name: str) -> Workload:
     workload = workload_named(name)
     assert workload is not None
--- a/src/baobabstream/bench/workloads.py
+++ b/src/baobabstream/bench/workloads.py
@@ -247,8 +247,26 @@
     )
 
 
+def _many_entries() -> Workload:
+    rate = 0.7 * CAPACITY * 24 / 6
+    parts = (("resort", 0.5), ("tours", 0.3), ("school", 0.2))
+    return Workload(
+        "many-entries",
+        "40 entries in front of 24 engines at 0.7 of their capacity.",
+        tuple(Stream(name, "answer", always(rate * part)) for name, part in parts),
+        (replace_class(ANSWER, quality=0.8),),
+        _accounts("resort", "tours", "school"),
+        ONE_VERSION,
+        lambda *_: 0.9,
+        duration_s=50.0,
+        engines=24,
+        entries=40,
+    )
+
+
 WORKLOADS: tuple[Workload, ...] = (
     _cost_mix(),
+    _many_entries(),
     _bus_peak(),
     _crews_start(),
     _conversations(),
