policy: idle servers refuse no caller

Cause: before load reports have taught an entry its share it assumes a quarter of each server, so two idle servers of 8 slots took 4 or 5 callers. The others were refused, since the default 20 ms per token made 256 expected tokens longer than total_ms and left no time to wait.

Change: when the windows of a version's servers are full, a request goes to a server with a free slot, by its last report and the entry's own attempts since, while the other entries use less than 5% of the slots. Servers that are slower than their peers or had a late first token in the last 3 s are left out. Hedges and moves keep to the windows.

--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from baobabstream.errors.codes import ResultCode
-from baobabstream.policy.backend_choice import BackendChoice, Choice
+from baobabstream.policy.backend_choice import BackendChoice, Choice, Room
 from baobabstream.policy.budgets import Budget
 from baobabstream.policy.decisions import Cancel, Decision, Dispatch, GiveUp, Refuse, Release
 from baobabstream.policy.eligibility import Eligibility
@@ -109,7 +109,7 @@
         """Dispatch the first attempt, to a server that was chosen or to any."""
         key = running.plan.key
         if choice is None:
-            choice = self.backends.choose(running.request, key, now_s, (), False)
+            choice = self.backends.choose(running.request, key, now_s, (), Room.ANY)
         if choice is None:
             return [self._end(running, ResultCode.NO_BACKEND_SERVER, "the last server is gone")]
         self._hedges.earn()
@@ -184,7 +184,7 @@
         key = (running.plan.then.model, running.plan.then.version)
         choice = None
         if self._eligibility.may_run(request, key):
-            choice = self.backends.choose(request, key, now_s, (), False)
+            choice = self.backends.choose(request, key, now_s, (), Room.ANY)
         if choice is None:
             reason = f"rated bad, but {key[0]}@{key[1]} has no server"
             return [Release(request.request_id, running.held_attempt, reason)]
@@ -229,7 +229,7 @@
             return [self._end(running, ResultCode.BACKEND_FAILED, refusal, event.retry_after_s)]
         if suspect:
             return []
-        choice = self.backends.choose(running.request, attempt.key, now_s, running.tried, False)
+        choice = self.backends.choose(running.request, attempt.key, now_s, running.tried, Room.ANY)
         if choice is None:
             reason = f"{event.kind} on {attempt.backend_server}, no other server has the version"
             return [self._end(running, ResultCode.BACKEND_FAILED, reason, event.retry_after_s)]
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -2,18 +2,20 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from enum import Enum
 from math import ceil
 from random import Random
 
 import xxhash
 
 from baobabstream.policy.events import RequestInfo
+from baobabstream.policy.pool_room import has_free_slots
 from baobabstream.policy.server_index import ServerIndex
 from baobabstream.policy.server_state import ServerState, ServerStates
 from baobabstream.policy.switches import PolicySwitches
 from baobabstream.policy.work_size import WorkSizes
 
-__all__ = ["BackendChoice", "Choice"]
+__all__ = ["BackendChoice", "Choice", "Room"]
 
 SAMPLE = 3
 # Part of the prompt that the home server of a conversation is expected to have cached; other
@@ -24,10 +26,20 @@
 # Engines read prompts one after another. A server gets no more prompts while those under way at
 # all entries are expected to take longer than this part of a second.
 PREFILL_WAIT_S = 0.25
+# A server this many times slower than its peers gets no work beyond its window.
+SLOW_GAP = 1.3
 RECENT_FAILURE_S = 2.0
 RECENT_FAILURE_COST_S = 1.0
 
 
+class Room(Enum):
+    """Servers that count as having room for one more attempt."""
+
+    ANY = "any"
+    WINDOW = "window"
+    FREE_SLOT = "free slot"
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A backend server with the time expected there, in seconds."""
@@ -87,7 +99,7 @@
         key: tuple[str, str],
         now_s: float,
         exclude: Collection[str] = (),
-        respect_window: bool = True,
+        room: Room = Room.WINDOW,
     ) -> Choice | None:
         """Return the best sampled server with room, or None.
 
@@ -95,26 +107,19 @@
         ----------
         exclude
             Servers that must not be used, such as those already tried.
-        respect_window
-            Whether a server on which this entry has a full window is left out.
+        room
+            Servers that have room for the request.
         """
-        pool = self._pool(request, key)
-        sample = self._sample(pool, key, request, exclude, respect_window)
-        spill = not self._switches.long_separation or not self._sizes.is_long(request)
-        if not sample and spill and pool is not self._index.engines(key):
-            sample = self._sample(self._index.engines(key), key, request, exclude, respect_window)
+        sample = self._sample_pools(request, key, now_s, exclude, room)
         home = self._home(key, request) if self._switches.prefix_credit else None
         choices = [self._estimate(item, request, now_s, item == home) for item in sample]
         return min(choices, key=self._cost, default=None)
 
-    def has_room(self, key: tuple[str, str], request: RequestInfo) -> bool:
+    def has_room(
+        self, key: tuple[str, str], request: RequestInfo, now_s: float, room: Room
+    ) -> bool:
         """Return whether a sampled server of a version would take a request now."""
-        pool = self._pool(request, key)
-        if self._sample(pool, key, request, (), True):
-            return True
-        if pool is self._index.engines(key) or self._sizes.is_long(request):
-            return False
-        return bool(self._sample(self._index.engines(key), key, request, (), True))
+        return bool(self._sample_pools(request, key, now_s, (), room))
 
     def window(self, key: tuple[str, str]) -> float:
         """Return the attempts that this entry may have in flight on a version's servers."""
@@ -148,6 +153,41 @@
             self._orders[key] = known
         return known[1]
 
+    def _sample_pools(
+        self,
+        request: RequestInfo,
+        key: tuple[str, str],
+        now_s: float,
+        exclude: Collection[str],
+        room: Room,
+    ) -> list[str]:
+        """Sample the servers for a request; when their windows are full, those with free slots."""
+        engines = self._index.engines(key)
+        pools = [self._pool(request, key)]
+        respect_window = room is not Room.ANY
+        spill = not self._switches.long_separation or not self._sizes.is_long(request)
+        if spill and pools[0] is not engines:
+            pools.append(engines)
+        for pool in pools:
+            found = self._sample(pool, key, request, exclude, respect_window)
+            if found:
+                return found
+        if room is not Room.FREE_SLOT:
+            return []
+        return next(filter(None, (self._free(pool, exclude, now_s) for pool in pools)), [])
+
+    def _free(self, pool: list[str], exclude: Collection[str], now_s: float) -> list[str]:
+        """Sample servers with free slots when the pool has some for this entry."""
+        if not has_free_slots([self._states[item] for item in pool]):
+            return []
+        free = [item for item in self._draw(pool) if self._is_free(item, now_s)]
+        return [item for item in dict.fromkeys(free) if item not in exclude][:SAMPLE]
+
+    def _is_free(self, identity: str, now_s: float) -> bool:
+        state = self._states[identity]
+        slow = self._states.expected_gap_s(state, now_s) > SLOW_GAP * self._states.mean_gap_s
+        return not slow and state.has_free_slot(now_s) and state.pending_prefill_s <= PREFILL_WAIT_S
+
     def _sample(
         self,
         pool: list[str],
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -7,7 +7,7 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.admission import Admission
 from baobabstream.policy.attempt_control import AttemptControl
-from baobabstream.policy.backend_choice import Choice
+from baobabstream.policy.backend_choice import Choice, Room
 from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.decisions import AskTrial, Decision, GiveUp, Refuse, StopVersion
 from baobabstream.policy.eligibility import Eligibility, Ineligible
@@ -221,11 +221,12 @@
     ) -> Choice | None:
         """Choose a server for the chosen plan, or for another that meets the targets."""
         backends = self._attempts.backends
-        choice = backends.choose(running.request, running.plan.key, now_s)
+        room = Room.FREE_SLOT
+        choice = backends.choose(running.request, running.plan.key, now_s, (), room)
         if choice is not None or len(rows) == 1:
             return choice
         for plan in self._attempts.plans.alternatives(running.target, rows):
-            choice = backends.choose(running.request, plan.key, now_s)
+            choice = backends.choose(running.request, plan.key, now_s, (), room)
             if choice is not None:
                 running.plan = plan
                 return choice
@@ -250,20 +251,22 @@
         for long in (False, True):
             queue = self._admission.queue(long)
             while len(queue):
-                ready = next((r for r in queue.next_first() if self._has_room(r)), None)
+                ready = next((r for r in queue.next_first() if self._has_room(r, now_s)), None)
                 if ready is None:
                     break
                 queue.pop(ready)
                 if self._runnable(ready):
-                    choice = self._attempts.backends.choose(ready.request, ready.plan.key, now_s)
+                    choice = self._attempts.backends.choose(
+                        ready.request, ready.plan.key, now_s, (), Room.FREE_SLOT
+                    )
                     decisions += self._attempts.start(ready, now_s, choice)
                 else:
                     decisions += self._replan(ready, now_s)
         return decisions
 
-    def _has_room(self, running: Running) -> bool:
+    def _has_room(self, running: Running, now_s: float) -> bool:
         return not self._runnable(running) or self._attempts.backends.has_room(
-            running.plan.key, running.request
+            running.plan.key, running.request, now_s, Room.FREE_SLOT
         )
 
     def _runnable(self, running: Running) -> bool:
--- a/src/baobabstream/policy/server_state.py
+++ b/src/baobabstream/policy/server_state.py
@@ -25,6 +25,11 @@
 WINDOW_FACTOR = 1.1
 # Share of all requests in flight that this entry assumes before reports have come.
 FIRST_SHARE = 0.25
+# Part of a new count of own attempts in their mean over reports. A count that grows must not enter
+# the mean before the reports show the growth of the other entries.
+USUAL_GAIN = 0.15
+# A server with a late first token gets no work beyond its window for this time.
+LATE_S = 3.0
 SHARE_KEEP = 0.995
 
 
@@ -47,6 +52,10 @@
     dither
         Fraction, drawn anew with each report, that is added to the window before it is rounded
         down. Over all entries the whole attempts then add up to the windows' sum.
+    reported
+        Requests of all entries on the server in its last load report.
+    usual
+        Recent mean of this entry's attempts at the arrivals of reports.
     """
 
     slots: int
@@ -62,6 +71,8 @@
     failed_at_s: float = -1e9
     pending_prefill_s: float = 0.0
     dither: float = 0.5
+    reported: int = 0
+    usual: float = 0.0
     prefixes: LRUCache[str, None] = field(default_factory=lambda: LRUCache(MAX_PREFIXES))
 
     def measure_gap(self, gap_s: float, now_s: float) -> None:
@@ -100,6 +111,18 @@
         """Return whether this entry's window has room for one more attempt."""
         return self.in_flight + 1 <= self.window + self.dither
 
+    def take_report(self, in_flight: int) -> None:
+        """Take the load of all entries, as the server reported it some time ago."""
+        self.reported = in_flight
+        self.usual += USUAL_GAIN * (self.in_flight - self.usual)
+
+    def has_free_slot(self, now_s: float) -> bool:
+        """Return whether the report and the own attempts since leave a batch slot free."""
+        if now_s - self.cut_at_s < LATE_S:
+            return False
+        load = max(self.in_flight, self.reported + self.in_flight - self.usual)
+        return load + 1 <= self.slots
+
     def cached_tokens_share(self, digests: tuple[str, ...]) -> float:
         """Return the share of the prompt whose prefix this entry has sent to the server."""
         for index in range(len(digests) - 1, -1, -1):
@@ -161,6 +184,7 @@
                 state = ServerState(record.slots, window=self.window_limit(record.slots))
                 self._states[record.identity] = state
             self._learn_share(state.in_flight, record.in_flight)
+            state.take_report(record.in_flight)
             state.window = min(state.window, self.window_limit(record.slots))
             state.dither = self._random.random()
 
--- a/tests/policy/test_outcome_policy.py
+++ b/tests/policy/test_outcome_policy.py
@@ -52,6 +52,18 @@
         self.assertThat(dispatches(arrive(policy, 1)), HasLength(1))
         assert self.code(arrive(policy, 2)) == ResultCode.ACCOUNT_LIMIT
 
+    def test_idle_servers_take_all_callers_from_the_start(self) -> None:
+        """A default estimate must neither refuse nor queue a request while slots are free."""
+        target = ClassRow("answer", 0.8, 800.0, 5000.0)
+        policy = make_policy(make_view(DESK, target, SMALL, engines=2, slots=8))
+        for burst in range(10):
+            numbers = range(10 * burst, 10 * burst + 8)
+            made = [arrive(policy, n, 6.0 * burst, expected_output_tokens=256)[0] for n in numbers]
+            self.assertThat(dispatches(made), HasLength(8))
+            for item in made:
+                finished = AttemptFinished(item.request_id, item.attempt, 60)
+                policy.handle(finished, 6.0 * burst + 1.5)
+
     def test_overload_is_refused_at_once_with_a_retry_time(self) -> None:
         """Requests that cannot be served in time must not wait in a queue first."""
         policy = make_policy(make_view(DESK, ANSWER, SMALL, engines=1, slots=2))
