The leader records each change in force; members show the log's membership

Cause: change_in_force was emitted by the handler of GET in-force, so only when an operator asked, and again at each further question. GET members listed the hosts of the settings and not the members of the log. Change: InForceWatch, a task of the leader, waits for each applied revision and writes one event. The question writes none. CommandLog has a membership property; members shows voter, learner or none, the member identity, and members that the settings lack. The earlier assertion on two members is replaced by one on three named rows. Conclusion: the time in force of each change can be read from timelines.

--- a/src/baobabstream/consensus/command_log.py
+++ b/src/baobabstream/consensus/command_log.py
@@ -5,6 +5,7 @@
 
 from baobabstream.control.commands import Command
 from baobabstream.control.outcome import Outcome
+from baobabstream.wire.consensus_messages import Member, Membership
 
 __all__ = ["ApplyFunction", "CommandLog", "LocalLog"]
 
@@ -39,6 +40,11 @@
     def term(self) -> int:
         """Current term."""
 
+    @property
+    @abstractmethod
+    def membership(self) -> Membership:
+        """Voters and learners of the log."""
+
 
 class LocalLog(CommandLog):
     """Log of a single member without storage, for tests and development."""
@@ -64,3 +70,8 @@
     def term(self) -> int:
         """Return 1: the only term."""
         return 1
+
+    @property
+    def membership(self) -> Membership:
+        """The only member."""
+        return Membership((Member(self._host, self._host),))
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -148,6 +148,11 @@
         """Current term."""
         return self.core.term
 
+    @property
+    def membership(self) -> Membership:
+        """Voters and learners of the log."""
+        return self.core.membership
+
     def holds_leader_lease(self) -> bool:
         """Return whether this member leads and a quorum has confirmed it recently."""
         return self._open and self.core.holds_lease(self._loop.time())
--- a/src/baobabstream/control/admin_operations.py
+++ b/src/baobabstream/control/admin_operations.py
@@ -199,8 +199,6 @@
         # An answer is only valid if this host still leads.
         if self._daemon.require_leadership() is not leadership:
             raise RequestRefused(ResultCode.NO_LEADER)
-        if in_force:
-            self._daemon.timeline.emit(EventKind.CHANGE_IN_FORCE, revision=revision)
         lagging = leadership.leases.lagging(revision, time.monotonic())
         return {"revision": revision, "in_force": in_force, "lagging": lagging}
 
--- a/src/baobabstream/control/admin_views.py
+++ b/src/baobabstream/control/admin_views.py
@@ -62,17 +62,30 @@
         }
 
     def members(self) -> list[dict[str, Any]]:
-        """Return the control hosts."""
+        """Return the control hosts of the settings, and the members of the log that they lack.
+
+        A host has several rows if the log still names the data folder that it lost.
+        """
         daemon = self._daemon
+        zones = {peer.host: peer.availability_zone for peer in daemon.settings.control}
+        members: dict[str, list[tuple[str, str]]] = {host: [] for host in zones}
+        membership = daemon.log.membership
+        for kind, group in (("voter", membership.voters), ("learner", membership.learners)):
+            for member in group:
+                members.setdefault(member.host, []).append((kind, member.member_id))
         return [
             {
-                "host": peer.host,
-                "availability_zone": peer.availability_zone,
-                "leader": peer.host == daemon.log.leader,
-                "ledger_equal": peer.host == daemon.settings.host
-                or daemon.ledger_exchange.equal_to(peer.host),
+                "host": host,
+                "availability_zone": zones.get(host, ""),
+                "membership": kind,
+                "member_id": member_id,
+                "in_settings": host in zones,
+                "leader": host == daemon.log.leader,
+                "ledger_equal": host == daemon.settings.host
+                or (host in daemon.peers and daemon.ledger_exchange.equal_to(host)),
             }
-            for peer in daemon.settings.control
+            for host, found in members.items()
+            for kind, member_id in found or [("none", "")]
         ]
 
     def ready(self) -> dict[str, Any]:
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -159,6 +159,7 @@
         if self._leadership is not None and self.state.revision != self._notified_revision:
             self._notified_revision = self.state.revision
             self._leadership.polls.notify()
+            self._leadership.in_force_watch.note(self.state.revision)
 
     async def forward(self, request: ForwardRequest, timeout_s: float) -> ForwardReply:
         """Send an HTTP call to the leader and return its answer."""
--- a/src/baobabstream/control/leadership.py
+++ b/src/baobabstream/control/leadership.py
@@ -10,6 +10,7 @@
 from baobabstream.control.engine_orders import EngineOrders
 from baobabstream.control.entry_leases import EntryLeases
 from baobabstream.control.evidence_pool import EvidencePool
+from baobabstream.control.in_force_watch import InForceWatch
 from baobabstream.control.outcome import Outcome
 from baobabstream.control.poll_service import PollService
 from baobabstream.control.registry import BackendRegistry
@@ -74,6 +75,7 @@
         self.polls = PollService(
             state, self.registry, self.leases, time.monotonic, self._take_evidence
         )
+        self.in_force_watch = InForceWatch(self.polls, state.revision, leads, timeline)
         self.guard = VersionGuard(state, VersionHealth(FALSE_ALARM_RATE), propose)
         self._http = ClientSession()
         orders = EngineOrders(self._http, term, lambda: state.revision, leads, timeline)
@@ -91,7 +93,12 @@
         self._evidence_came = asyncio.Event()
         self._tasks = [
             asyncio.create_task(_keep_running(work))
-            for work in (self._tick, self._guard_versions, self._driver.run)
+            for work in (
+                self._tick,
+                self._guard_versions,
+                self._driver.run,
+                self.in_force_watch.run,
+            )
         ]
 
     async def close(self) -> None:
--- a/tests/control/local_group.py
+++ b/tests/control/local_group.py
@@ -13,6 +13,7 @@
 from baobabstream.control.daemon import ControlDaemon
 from baobabstream.control.state import ConfigState
 from baobabstream.settings.models import ControlSettings
+from baobabstream.wire.consensus_messages import Member, Membership
 
 __all__ = ["BACKEND", "LEASE_S", "OPERATOR", "Client", "Group", "group"]
 
@@ -61,7 +62,14 @@
 
 
 class OneLeaderLog(LocalLog):
-    """Log in which the first host always leads, so that the tests need no election."""
+    """Log in which the first host always leads, so that the tests need no election.
+
+    Its membership names a learner that is missing in the settings.
+    """
+
+    @property
+    def membership(self) -> Membership:
+        return Membership((Member("m0", "control-0"),), (Member("m9", "control-9"),))
 
     async def start(self) -> None:
         pass
--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -53,7 +53,11 @@
     assert_that((await client.get("quarantine"))[0]["losses"], Equals(2))
     assert_that((await client.act("quarantine/release", "q", fingerprint="f"))[0], Equals(200))
     assert_that(await client.get("quarantine"), Equals([]))
-    assert_that([x["host"] for x in await client.get("members")], HasLength(2))
+    members = await client.get("members")
+    assert_that(
+        [(x["host"], x["membership"]) for x in members],
+        Equals([("control-0", "voter"), ("control-1", "none"), ("control-9", "learner")]),
+    )
     assert_that(await client.get("status"), ContainsAll(["leader", "entries", "backends"]))
     stale = await client.act("versions/stop", "s", model="m", version="1", base_revision=1)
     assert_that(stale[0], Equals(409))
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -14,6 +14,7 @@
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.membership.control_session import ControlSession
 from baobabstream.policy.view import ClusterView
+from baobabstream.telemetry.timeline import EventKind
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.messages import ClaimAction, ClaimRequest, ClaimState, PollRequest
 from baobabstream.wire.rows import RolloutRow, RolloutState, VersionRow, VersionState
@@ -122,3 +123,32 @@
         assert_that(time.monotonic() - started_s, LessThan(2.0))
         rollout = entry.view.rollouts["r"]
     assert_that((rollout.state, rollout.share), Equals((RolloutState.STOPPED, 0.0)))
+
+
+async def test_each_accepted_change_is_recorded_once_it_is_in_force(
+    group: Group, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against changes whose time in force is recorded only if somebody asks for it."""
+    leader = group.daemons[0]
+    events: list[tuple[EventKind, int]] = []
+
+    def record(kind: EventKind, request_id: str = "", revision: int = 0, detail: str = "") -> None:
+        events.append((kind, revision))
+
+    monkeypatch.setattr(leader.timeline, "emit", record)
+    async with Entry(group, 1) as entry:
+        row = {"type": "version", "model": "m", "version": "1", "cost_per_1k_tokens": 1.0}
+        revisions = [
+            await group.leader.put(f"c{number}", row | {"cost_per_1k_tokens": float(number)})
+            for number in range(3)
+        ]
+        await group.leader.act("versions/stop", "s", model="m", version="1")
+        await group.leader.act("versions/stop", "s", model="m", version="1")
+        revisions.append(revisions[-1] + 1)
+        await entry.wait(lambda: entry.view.revision == revisions[-1], 5)
+        async with asyncio.timeout(5):
+            while (EventKind.CHANGE_IN_FORCE, revisions[-1]) not in events:
+                await asyncio.sleep(0.01)
+        await group.leader.get(f"in-force?revision={revisions[-1]}")
+    seen = [revision for kind, revision in events if kind is EventKind.CHANGE_IN_FORCE]
+    assert_that(seen, Equals(revisions))
