Engines that restart during a rollout load the new version

Cause: only a rollout in the state loading ordered loads. An engine that was killed while it loaded left the count of replicas, the rollout went on without it, and after its restart it never got the new version. Its only version would have been unloaded at the end. Orders were also held back for 10 s although the restarted engine had lost them. Change: running and completed rollouts order the missing loads, under the same limits; a completed rollout retires the old version only when no load is open. Moves keep the open loads, so that they stay counted. The time of the next order is kept for an incarnation. Conclusion: a rollout ends with the new version on every replica.

--- a/src/baobabstream/control/rollout_driver.py
+++ b/src/baobabstream/control/rollout_driver.py
@@ -23,6 +23,8 @@
 # An order that was accepted is repeated in case the engine lost it with a restart.
 REPEAT_ORDER_S = 10.0
 RETRY_ORDER_S = 1.0
+# An engine that restarts after the first loads loads the new version while the rollout goes on.
+_LOADING_STATES = (RolloutState.LOADING, RolloutState.RUNNING, RolloutState.COMPLETED)
 
 _log = get_logger("control")
 
@@ -73,7 +75,7 @@
         self._timeline = timeline
         self._clock = clock
         self._clocks: dict[str, RolloutClock] = {}
-        self._next_order_s: dict[tuple[str, str, OrderAction], float] = {}
+        self._next_order_s: dict[tuple[str, int, str, OrderAction], float] = {}
         self._last_work_s: dict[tuple[str, str], float] = {}
 
     def note_work(self, model: str, version: str) -> None:
@@ -124,7 +126,7 @@
         row = self._state.row(f"rollout/{name}")
         if not isinstance(row, RolloutRow):
             return
-        if row.state is RolloutState.LOADING:
+        if row.state in _LOADING_STATES:
             await asyncio.gather(
                 *(self._order(x, OrderAction.LOAD, row.model, row.to_version) for x in row.loading)
             )
@@ -134,8 +136,11 @@
 
     async def _order(self, identity: str, action: OrderAction, model: str, version: str) -> None:
         engine = self._registry.record(identity)
-        key = identity, f"{model}@{version}", action
-        if engine is None or self._clock() < self._next_order_s.get(key, 0.0):
+        if engine is None:
+            return
+        # A restarted engine has forgotten its orders.
+        key = identity, engine.incarnation, f"{model}@{version}", action
+        if self._clock() < self._next_order_s.get(key, 0.0):
             return
         result = await self._orders.send(engine, action, model, version)
         accepted = result is OrderResult.ACCEPTED
@@ -143,10 +148,5 @@
         self._next_order_s[key] = self._clock() + pause_s
 
     def _engines(self) -> Engines:
-        acting = (
-            name
-            for row in self._state.rollouts()
-            if row.state in (RolloutState.LOADING, RolloutState.PAUSED)
-            for name in row.loading
-        )
+        acting = (name for row in self._state.rollouts() for name in row.loading)
         return Engines.of(self._registry.records(), acting)
--- a/src/baobabstream/control/rollout_plan.py
+++ b/src/baobabstream/control/rollout_plan.py
@@ -103,12 +103,15 @@
             return _load(row, engines, clock, free_loads, now_s)
         case RolloutState.RUNNING:
             baked = clock.time_in_step(row, in_force, now_s) >= row.step_s and in_force
-            return _share(row, engines) if baked else None
+            move = _share(row, engines) if baked else None
+            return move or _load_missing(row, engines, clock, free_loads, now_s)
         case RolloutState.COMPLETED if not row.retired:
             since_s = clock.time_in_step(row, in_force, now_s)
             quiet_s = min(since_s, now_s - last_work_s)
-            if quiet_s >= SESSION_QUIET_S or since_s >= RETENTION_S:
+            quiet = quiet_s >= SESSION_QUIET_S and not row.loading
+            if quiet or since_s >= RETENTION_S:
                 return _move(row, row.state, row.step, row.share, retired=True)
+            return _load_missing(row, engines, clock, free_loads, now_s)
     return None
 
 
@@ -122,11 +125,39 @@
 def _load(
     row: RolloutRow, engines: Engines, clock: RolloutClock, free_loads: int, now_s: float
 ) -> AdvanceRollout | None:
+    new, wanted = _replicas(row, engines)
+    loading = _choose_loads(row, engines, clock, free_loads, now_s)
+    if len(new) >= wanted:
+        return _move(row, RolloutState.RUNNING, 0, row.steps[0], loading)
+    reason = "" if loading else "no engine can load it without taking all replicas of a version"
+    if (loading, reason) == (row.loading, row.reason):
+        return None
+    return _move(row, row.state, row.step, row.share, loading, reason)
+
+
+def _load_missing(
+    row: RolloutRow, engines: Engines, clock: RolloutClock, free_loads: int, now_s: float
+) -> AdvanceRollout | None:
+    """Return the loads on engines that lost the new version, or joined, after the first loads."""
+    loading = _choose_loads(row, engines, clock, free_loads, now_s)
+    if loading == row.loading:
+        return None
+    return _move(row, row.state, row.step, row.share, loading, row.reason)
+
+
+def _replicas(row: RolloutRow, engines: Engines) -> tuple[list[BackendRecord], int]:
+    """Return the engines with the new version, and how many there should be."""
     old = engines.having(LoadedVersion(row.model, row.from_version))
     new = engines.having(LoadedVersion(row.model, row.to_version))
-    wanted = max(1, len(old))
-    if len(new) >= wanted:
-        return _move(row, RolloutState.RUNNING, 0, row.steps[0])
+    return new, max(1, len(old))
+
+
+def _choose_loads(
+    row: RolloutRow, engines: Engines, clock: RolloutClock, free_loads: int, now_s: float
+) -> tuple[str, ...]:
+    """Return the engines that should load the new version now."""
+    old = engines.having(LoadedVersion(row.model, row.from_version))
+    new, wanted = _replicas(row, engines)
     _note_failures(row, clock, now_s)
     waiting = {record.identity for record in engines.records} - {x.identity for x in new}
     loading = [x for x in row.loading if x in waiting and x not in clock.failed_until_s]
@@ -144,10 +175,7 @@
             loading.append(name)
             acting |= {name}
             room -= 1
-    reason = "" if loading else "no engine can load it without taking all replicas of a version"
-    if (tuple(loading), reason) == (row.loading, row.reason):
-        return None
-    return _move(row, row.state, row.step, row.share, tuple(loading), reason)
+    return tuple(loading)
 
 
 def _note_failures(row: RolloutRow, clock: RolloutClock, now_s: float) -> None:
@@ -164,8 +192,9 @@
         return None
     following = row.step + 1
     if following < len(row.steps):
-        return _move(row, RolloutState.RUNNING, following, row.steps[following])
-    return _move(row, RolloutState.COMPLETED, row.step, 1.0)
+        share = row.steps[following]
+        return _move(row, RolloutState.RUNNING, following, share, row.loading)
+    return _move(row, RolloutState.COMPLETED, row.step, 1.0, row.loading)
 
 
 def _move(
