Rollouts with a killed leader and versions that turn bad on real daemons

Cause: rollouts, orders and stops of bad versions were only tested in one process, on a virtual clock.

--- a/scripts/explore_rollouts.py
+++ b/scripts/explore_rollouts.py
@@ -13,6 +13,7 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
 os.environ["PYTHONPATH"] = str(ROOT / "src")
 
+from system.bad_version import run_bad_version  # noqa: E402
 from system.rollout_interruptions import FINAL_STATES, INTERRUPTIONS  # noqa: E402
 from system.rollouts import faults_of, run_rollout  # noqa: E402
 
@@ -23,12 +24,26 @@
     ] = [],  # noqa: B006
     seeds: Annotated[int, typer.Option()] = 1,
     first_seed: Annotated[int, typer.Option()] = 1,
+    bad: Annotated[
+        list[str], typer.Option(help="Fault of a bad version, bad_share or error_share.")
+    ] = [],  # noqa: B006
+    baseline: Annotated[int, typer.Option(help="Answers before a bad version starts.")] = 150,
     fencing: Annotated[bool, typer.Option(help="Engines refuse old fencing numbers.")] = True,
 ) -> None:
     """Run each interruption with each seed; ends with exit code 1 if a rollout went wrong."""
     broken = 0
     options = () if fencing else ("--no-fencing",)
-    for name in interruption or INTERRUPTIONS:
+    for fault in bad:
+        for seed in range(first_seed, first_seed + seeds):
+            folder = Path(tempfile.mkdtemp())
+            stop = asyncio.run(run_bad_version(folder, fault, seed, baseline))
+            print(
+                f"{fault} seed {seed} after {baseline} answers: {stop.row['state']} after "
+                f"{stop.stop_ms} ms, last attempt {stop.last_attempt_ms} ms after the stop, bad "
+                f"answers {stop.bad_before_stop} before and {stop.bad_after_stop} after",
+                flush=True,
+            )
+    for name in interruption or ([] if bad else INTERRUPTIONS):
         for seed in range(first_seed, first_seed + seeds):
             folder = Path(tempfile.mkdtemp())
             state = FINAL_STATES[name]
--- a/tests/system/rollout_interruptions.py
+++ b/tests/system/rollout_interruptions.py
@@ -97,7 +97,8 @@
     before = await rollout_row(cluster)
     await asyncio.sleep(PAUSE_S)
     after = await rollout_row(cluster)
-    assert before is not None and after is not None
+    assert before is not None
+    assert after is not None
     moved = [key for key in ("state", "step", "share") if before[key] != after[key]]
     assert before["state"] == "paused", before
     assert not moved, (before, after)
--- a/tests/system/rollouts.py
+++ b/tests/system/rollouts.py
@@ -27,14 +27,17 @@
 from system.rows import account_row, class_row, version_row
 
 __all__ = [
+    "API_KEY",
     "Interruption",
     "RolloutCluster",
     "RolloutRun",
+    "TOKENS",
     "WEIGHT_STORE_LOADS",
     "faults_of",
     "reached",
     "rollout_row",
     "run_rollout",
+    "start_rollout",
 ]
 
 API_KEY = "api-key-of-the-desk"
@@ -79,6 +82,14 @@
                 return await answer.json()
         return None
 
+    async def unload_new(self, engine: str, number: tuple[int, int]) -> int:
+        """Order an engine under a fencing number to unload the new version; return the status."""
+        url = f"http://127.0.0.1:{self.ports[engine]}/v1/orders"
+        order = {"term": number[0], "revision": number[1], "action": "unload"}
+        order |= {"model": NEW[0], "version": NEW[1]}
+        async with self.session.post(url, json=order) as answer:
+            return answer.status
+
     async def operate(self, *arguments: str) -> None:
         """Run an operator command of the command line."""
         environment = os.environ | {
@@ -123,6 +134,10 @@
         the wall time in milliseconds.
     most_loading
         Most engines that loaded the new version at one time.
+    old_orders
+        Engines that took an order with a lower fencing number after a higher one.
+    deposed_statuses
+        HTTP statuses that engines gave to an order under the first leader's term at the end.
     least_spared
         Fewest engines with the old version that loaded nothing at one time.
     """
@@ -134,6 +149,8 @@
     violations: list[Violation] = field(default_factory=list)
     row: dict[str, Any] = field(default_factory=dict)
     loaded: dict[str, bool] = field(default_factory=dict)
+    old_orders: list[str] = field(default_factory=list)
+    deposed_statuses: set[int] = field(default_factory=set)
     lasted_s: float = 0.0
 
     @property
@@ -243,9 +260,18 @@
         await asyncio.sleep(1.0)
         run.records = await callers.stop()
         run.row = await rollout_row(cluster) or {}
+        taken: dict[str, list[tuple[int, int]]] = {}
         for name in names:
             orders = await cluster.orders_of(name)
             run.loaded[name] = orders is not None and NEW in orders["loaded"]
+            numbers = [(x["term"], x["revision"]) for x in (orders or {}).get("accepted", ())]
+            taken[name] = numbers
+            if numbers != sorted(numbers):
+                run.old_orders.append(f"{name} took {numbers}")
+        first = min(number for numbers in taken.values() for number in numbers)
+        for name, numbers in taken.items():
+            if numbers and numbers[-1][0] > first[0]:
+                run.deposed_statuses.add(await cluster.unload_new(name, first))
         for watcher in watchers:
             watcher.cancel()
         await asyncio.gather(*watchers, return_exceptions=True)
@@ -271,6 +297,7 @@
         f"{run.most_loading} engines load at once": run.most_loading <= WEIGHT_STORE_LOADS,
         "all replicas of the old version load": run.least_spared > 0,
         f"loaded {run.loaded}": not completed or all(run.loaded.values()),
+        f"old orders {run.old_orders}": not run.old_orders,
         "no session began on the old version": any(
             record.session and record.version == OLD[1] for record in run.records
         ),
@@ -280,12 +307,12 @@
     return [fault for fault, good in checks.items() if not good]
 
 
-async def start_rollout(cluster: RolloutCluster) -> None:
+async def start_rollout(cluster: RolloutCluster, step_s: float = STEP_S) -> None:
     """Start the rollout of the new version by the command line."""
     steps = [part for step in STEPS for part in ("--step", str(step))]
     await cluster.operate(
         *("rollout", "start", "summer", "--model", "small", "--from-version", OLD[1]),
-        *("--to-version", NEW[1], "--step-s", str(STEP_S), *steps),
+        *("--to-version", NEW[1], "--step-s", str(step_s), *steps),
     )
 
 
