System tests: ports below the ephemeral range; bills over all pages

Cause: ports from the ephemeral range were taken by outgoing connections before a daemon listened (two runs failed with ADDRESS_IN_USE); one page of the ledger holds 1,000 bills, so longer runs would report missing ones.

--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -21,6 +22,7 @@
 OPERATOR_KEY = "operator-key-of-the-tests"
 BACKEND_KEY = "backend-key-of-the-tests"
 START_TIMEOUT_S = 20.0
+PORTS = range(10_000, 21_000)
 ROOT = Path(__file__).resolve().parent.parent.parent
 
 
@@ -250,15 +252,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return distinct ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return distinct ports that are free now.
+
+    They lie below the system's ephemeral range: a port from that range can be taken by an outgoing
+    connection before the daemon listens on it, which made two runs fail with ``ADDRESS_IN_USE``.
+    """
+    found: list[int] = []
+    for port in SystemRandom().sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise AssertionError("too few free ports")
 
 
 async def wait_for(condition, timeout_s: float) -> None:
--- a/tests/system/records.py
+++ b/tests/system/records.py
@@ -7,7 +7,7 @@
 from system.cluster import Cluster
 from system.history import EngineRun
 
-__all__ = ["attempts_of", "entries_serve", "events_of", "runs_of", "service_runs_of"]
+__all__ = ["attempts_of", "billed_ids", "entries_serve", "events_of", "runs_of", "service_runs_of"]
 
 
 def events_of(folder: Path, *kinds: EventKind) -> list[TimelineEvent]:
@@ -51,3 +51,16 @@
         and len(status["entries"]) >= entries
         and len(status["backends"]) >= backends
     )
+
+
+async def billed_ids(cluster: Cluster) -> list[str]:
+    """Return the request identity of each bill, over all pages of the ledger."""
+    found: list[str] = []
+    after = 0
+    while True:
+        code, page = await cluster.admin("GET", f"/bills/pages?after={after}")
+        assert code == 200, page
+        found += [bill["request_id"] for bill in page["bills"]]
+        if page["complete"]:
+            return found
+        after = page["next_after"]
--- a/tests/system/rollouts.py
+++ b/tests/system/rollouts.py
@@ -23,7 +23,7 @@
     check_sessions,
     check_whole,
 )
-from system.records import entries_serve, runs_of
+from system.records import billed_ids, entries_serve, runs_of
 from system.rows import account_row, class_row, version_row
 
 __all__ = [
@@ -278,11 +278,11 @@
         await asyncio.gather(*watchers, return_exceptions=True)
         # A control host that was down gets the bills of that time by exchange.
         await wait_for(lambda: _ledgers_equal(cluster), LEDGER_LIMIT_S)
-        billed_ids = await _billed_ids(cluster)
+        billed = await billed_ids(cluster)
     finally:
         await cluster.stop()
     run.violations += check_sessions(run.records)
-    run.violations += check_billed_once(run.records, billed_ids)
+    run.violations += check_billed_once(run.records, billed)
     run.violations += check_not_run(run.records, runs_of(folder))
     run.violations += check_whole(run.records, _expected_text)
     return run
@@ -330,19 +330,6 @@
     return code == 200 and document["checks"]["ledgers_equal"]
 
 
-async def _billed_ids(cluster: Cluster) -> list[str]:
-    """Return the request identities of all bills; an answer holds one page of them."""
-    found: list[str] = []
-    after = 0
-    while True:
-        code, page = await cluster.admin("GET", f"/bills/pages?after={after}")
-        assert code == 200, page
-        found += [bill["request_id"] for bill in page["bills"]]
-        if page["complete"]:
-            return found
-        after = page["next_after"]
-
-
 async def _all_loaded(cluster: RolloutCluster) -> bool:
     orders = [await cluster.orders_of(engine.identity) for engine in cluster.engines]
     return all(order is not None and NEW in order["loaded"] for order in orders)
--- a/tests/system/scenario.py
+++ b/tests/system/scenario.py
@@ -24,7 +24,7 @@
     check_withdrawn,
 )
 from system.operators import ChangeRecord, Operators, check_changes
-from system.records import attempts_of, entries_serve, runs_of, service_runs_of
+from system.records import attempts_of, billed_ids, entries_serve, runs_of, service_runs_of
 from system.rows import account_row, class_row, route_row, version_row
 from system.withdrawal import Withdrawal, check_in_force, wait_in_force, withdraw
 
@@ -188,14 +188,12 @@
     records: list[CallerRecord],
     changes: list[ChangeRecord],
 ) -> None:
-    _, bills = await cluster.admin("GET", "/bills")
-    billed_ids = [bill["request_id"] for bill in bills]
     _, config = await cluster.admin("GET", "/config")
     rows = {entry["key"]: entry["row"] for entry in config["rows"]}
     raced = rows["class/raced"]
     if rows["version/small@1"]["state"] != "withdrawn":
         result.violations.append(Violation("reverted", "the withdrawn version is not withdrawn"))
-    result.violations += check_billed_once(records, billed_ids)
+    result.violations += check_billed_once(records, await billed_ids(cluster))
     result.violations += check_changes(changes, raced["total_ms"])
     result.finished = sum(record.finished for record in records)
     result.refused = sum(record.ran == "no" for record in records)
