Ready means that every control host votes

Cause: ready looked at the ledgers only, which count as equal from the last exchange before a loss, so a second host could be taken down before the first was a voter again (KNOWN-RED, seed 21). Change: ready also needs each host of the settings to be a voter, no learner, and an answer of each voter within 5 heartbeats.

--- a/src/baobabstream/consensus/command_log.py
+++ b/src/baobabstream/consensus/command_log.py
@@ -40,6 +40,10 @@
     def term(self) -> int:
         """Current term."""
 
+    @abstractmethod
+    def voters_answer(self) -> bool:
+        """Return whether this member leads and each voter has answered lately."""
+
     @property
     @abstractmethod
     def membership(self) -> Membership:
@@ -71,6 +75,10 @@
         """Return 1: the only term."""
         return 1
 
+    def voters_answer(self) -> bool:
+        """Return True: there are no other voters."""
+        return True
+
     @property
     def membership(self) -> Membership:
         """The only member."""
--- a/src/baobabstream/consensus/core.py
+++ b/src/baobabstream/consensus/core.py
@@ -46,6 +46,8 @@
 KEPT_ENTRIES = 1000
 # The entries after a snapshot under transfer are dropped once its receiver is silent this long.
 TRANSFER_EXPIRY_S = 10.0
+# A voter that has not acknowledged an append within this many heartbeats counts as lost.
+ANSWER_HEARTBEATS = 5
 # A host that asked to join and is silent for this time is not repaired.
 JOIN_EXPIRY_S = 5.0
 
@@ -248,6 +250,15 @@
         ]
         return sorted(times, reverse=True)[self._quorum() - 1] + self._timing.lease_s
 
+    def voters_answer(self, now_s: float) -> bool:
+        """Return whether this member leads and each voter has acknowledged an append lately."""
+        since_s = now_s - ANSWER_HEARTBEATS * self._timing.heartbeat_s
+        return self.role is Role.LEADER and all(
+            self._progress[item.member_id].acknowledged_s >= since_s
+            for item in self.membership.voters
+            if item != self.member
+        )
+
     def holds_lease(self, now_s: float) -> bool:
         """Return whether this member may answer for the group."""
         return (
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -159,6 +159,10 @@
         """Current term."""
         return self.core.term
 
+    def voters_answer(self) -> bool:
+        """Return whether this member leads and each voter has answered lately."""
+        return self.core.voters_answer(self._loop.time())
+
     @property
     def membership(self) -> Membership:
         """Voters and learners of the log."""
--- a/src/baobabstream/control/admin_views.py
+++ b/src/baobabstream/control/admin_views.py
@@ -89,13 +89,17 @@
         ]
 
     def ready(self) -> dict[str, Any]:
-        """Return whether the group serves: a leader, entries, backend servers, equal ledgers."""
+        """Return whether the group serves and bears the loss of another control host.
+
+        A control host that lost its disk must vote again before a second loss is survived.
+        """
         daemon = self._daemon
         leadership = daemon.require_leadership()
         now_s = time.monotonic()
         records = leadership.registry.records()
         checks = {
             "leader": True,
+            "all_hosts_vote": self._all_hosts_vote(),
             "registry_warm": leadership.registry.warm(now_s),
             "entries": any(not lease.draining for lease in leadership.leases.live(now_s)),
             "engines": any(record.kind is BackendKind.ENGINE for record in records),
@@ -104,6 +108,12 @@
         }
         return {"ready": all(checks.values()), "checks": checks}
 
+    def _all_hosts_vote(self) -> bool:
+        log = self._daemon.log
+        hosts = sorted(peer.host for peer in self._daemon.settings.control)
+        voters = sorted(member.host for member in log.membership.voters)
+        return voters == hosts and not log.membership.learners and log.voters_answer()
+
     def billing(self) -> list[dict[str, Any]]:
         """Return the sums of the bills by client account."""
         totals = self._daemon.ledger.totals()
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -73,6 +73,18 @@
     assert core.role is Role.FOLLOWER
 
 
+def test_a_voter_that_has_gone_silent_counts_as_lost():
+    """Guards against a group that reports ready while the loss of another host would stop it."""
+    core = make_leader()
+    for peer in (B, C):
+        request = core.request_for(peer.member_id, 3.0)
+        core.handle_reply(request, AppendReply(4, True, 2), 3.0, 3.1)
+    assert core.voters_answer(3.4)
+    request = core.request_for(B.member_id, 3.8)
+    core.handle_reply(request, AppendReply(4, True, 2), 3.8, 3.9)
+    assert not core.voters_answer(3.9)
+
+
 def test_vote_is_given_once_per_term_and_after_it_is_saved():
     """Guards against two leaders in one term."""
     core = make_core()
