--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -1,5 +1,6 @@
 """Admission by deadline: queues, predicted waits and retry times."""
 
+from math import exp, sqrt
 from random import Random
 
 from baobabstream.policy.fair_queue import FairQueue
@@ -16,6 +17,14 @@
 # The head of an account below its share is served next, so its wait is well known.
 BELOW_SHARE_WAIT_PART = 0.9
 DEFAULT_SERVICE_S = 1.0
+# Above this share of refusals demand counts as above capacity.
+OVERLOADED_SHARE = 0.35
+# Demand is rising when the arrivals of the short time exceed those expected from the long time by
+# this factor and this many standard deviations.
+RECENT_S = 1.0
+LASTING_S = 10.0
+RISE_FACTOR = 1.3
+RISE_DEVIATIONS = 1.0
 SERVICE_GAIN = 0.05
 # A rise is followed faster, since a rate taken too high lets requests expire in the queue.
 RISING_GAIN = 0.1
@@ -39,6 +48,21 @@
         self.refused_s = -1e9
         self.retry_slot_s = 0.0
         self.refused_share = 0.0
+        self.recent = 0.0
+        self.lasting = 0.0
+        self.arrived_s = 0.0
+
+    def arrived(self, now_s: float) -> None:
+        """Count an arrival into the decaying counts."""
+        passed_s = max(0.0, now_s - self.arrived_s)
+        self.arrived_s = now_s
+        self.recent = self.recent * exp(-passed_s / RECENT_S) + 1.0
+        self.lasting = self.lasting * exp(-passed_s / LASTING_S) + 1.0
+
+    def rising(self) -> bool:
+        """Return whether recent arrivals exceed the expected number beyond chance."""
+        expected = self.lasting * RECENT_S / LASTING_S
+        return self.recent > RISE_FACTOR * expected + RISE_DEVIATIONS * sqrt(expected + 1.0)
 
     def rate(self, window: float) -> float:
         """Return requests per second that a full window serves, by Little's law."""
@@ -92,6 +116,15 @@
         part = WAIT_PART - (WAIT_PART - WAIT_PART_OVERLOADED) * min(1.0, 4 * refused)
         return wait_s <= part * (running.deadline_s - now_s)
 
+    def arrived(self, long: bool, now_s: float) -> None:
+        """Take an arrival into the measure of demand."""
+        self._lanes[long].arrived(now_s)
+
+    def steady(self, long: bool) -> bool:
+        """Return whether demand is neither rising nor above capacity."""
+        lane = self._lanes[long]
+        return lane.refused_share <= OVERLOADED_SHARE and not lane.rising()
+
     def decided(self, long: bool, refused: bool) -> None:
         """Take whether an arrived request was refused into the share of refusals."""
         lane = self._lanes[long]
--- a/src/baobabstream/policy/backend_choice.py
+++ b/src/baobabstream/policy/backend_choice.py
@@ -38,6 +38,7 @@
     ANY = "any"
     WINDOW = "window"
     FREE_SLOT = "free slot"
+    FREE_SLOT_IF_IDLE = "free slot of a pool that no other entry uses"
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,13 +173,18 @@
             found = self._sample(pool, key, request, exclude, respect_window)
             if found:
                 return found
-        if room is not Room.FREE_SLOT:
+        if room in (Room.ANY, Room.WINDOW):
             return []
-        return next(filter(None, (self._free(pool, exclude, now_s) for pool in pools)), [])
+        found = self._free(pools[0], exclude, room is Room.FREE_SLOT, now_s)
+        # Servers of long work take short work beyond the windows only when no other entry does.
+        return found or self._free(pools[-1], exclude, False, now_s)
 
-    def _free(self, pool: list[str], exclude: Collection[str], now_s: float) -> list[str]:
+    def _free(
+        self, pool: list[str], exclude: Collection[str], steady: bool, now_s: float
+    ) -> list[str]:
         """Sample servers with free slots when the pool has some for this entry."""
-        if not has_free_slots([self._states[item] for item in pool]):
+        states = [self._states[item] for item in pool]
+        if not has_free_slots(states, self._states.share, steady):
             return []
         free = [item for item in self._draw(pool) if self._is_free(item, now_s)]
         return [item for item in dict.fromkeys(free) if item not in exclude][:SAMPLE]
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -193,6 +193,7 @@
     def _admit(self, running: Running, rows: list[VersionRow], now_s: float) -> list[Decision]:
         """Dispatch a request at once, queue it, or refuse it."""
         queue = self._admission.queue(running.long)
+        self._admission.arrived(running.long, now_s)
         share = self._share(running)
         if not self._switches.admission:
             self._keep(running)
@@ -221,7 +222,7 @@
     ) -> Choice | None:
         """Choose a server for the chosen plan, or for another that meets the targets."""
         backends = self._attempts.backends
-        room = Room.FREE_SLOT
+        room = self._room(running)
         choice = backends.choose(running.request, running.plan.key, now_s, (), room)
         if choice is not None or len(rows) == 1:
             return choice
@@ -257,7 +258,7 @@
                 queue.pop(ready)
                 if self._runnable(ready):
                     choice = self._attempts.backends.choose(
-                        ready.request, ready.plan.key, now_s, (), Room.FREE_SLOT
+                        ready.request, ready.plan.key, now_s, (), self._room(ready)
                     )
                     decisions += self._attempts.start(ready, now_s, choice)
                 else:
@@ -266,9 +267,13 @@
 
     def _has_room(self, running: Running, now_s: float) -> bool:
         return not self._runnable(running) or self._attempts.backends.has_room(
-            running.plan.key, running.request, now_s, Room.FREE_SLOT
+            running.plan.key, running.request, now_s, self._room(running)
         )
 
+    def _room(self, running: Running) -> Room:
+        steady = not running.long and self._admission.steady(running.long)
+        return Room.FREE_SLOT if steady else Room.FREE_SLOT_IF_IDLE
+
     def _runnable(self, running: Running) -> bool:
         return self._eligibility.may_run(running.request, running.plan.key)
 
