policy: short work takes free slots of a shared pool beyond its windows

Cause: an entry's windows cover only its share of each server, so after a peak and with many entries requests were refused while slots were free.

--- a/src/baobabstream/policy/admission.py
+++ b/src/baobabstream/policy/admission.py
@@ -120,6 +120,11 @@
         """Take an arrival into the measure of demand."""
         self._lanes[long].arrived(now_s)
 
+    def recent(self, long: bool, now_s: float) -> bool:
+        """Return whether requests of a kind have arrived lately."""
+        lane = self._lanes[long]
+        return lane.lasting * exp(-max(0.0, now_s - lane.arrived_s) / LASTING_S) >= 0.5
+
     def steady(self, long: bool) -> bool:
         """Return whether demand is neither rising nor above capacity."""
         lane = self._lanes[long]
--- a/src/baobabstream/policy/outcome_policy.py
+++ b/src/baobabstream/policy/outcome_policy.py
@@ -222,7 +222,7 @@
     ) -> Choice | None:
         """Choose a server for the chosen plan, or for another that meets the targets."""
         backends = self._attempts.backends
-        room = self._room(running)
+        room = self._room(running, now_s)
         choice = backends.choose(running.request, running.plan.key, now_s, (), room)
         if choice is not None or len(rows) == 1:
             return choice
@@ -258,7 +258,7 @@
                 queue.pop(ready)
                 if self._runnable(ready):
                     choice = self._attempts.backends.choose(
-                        ready.request, ready.plan.key, now_s, (), self._room(ready)
+                        ready.request, ready.plan.key, now_s, (), self._room(ready, now_s)
                     )
                     decisions += self._attempts.start(ready, now_s, choice)
                 else:
@@ -267,12 +267,19 @@
 
     def _has_room(self, running: Running, now_s: float) -> bool:
         return not self._runnable(running) or self._attempts.backends.has_room(
-            running.plan.key, running.request, now_s, self._room(running)
+            running.plan.key, running.request, now_s, self._room(running, now_s)
         )
 
-    def _room(self, running: Running) -> Room:
-        steady = not running.long and self._admission.steady(running.long)
-        return Room.FREE_SLOT if steady else Room.FREE_SLOT_IF_IDLE
+    def _room(self, running: Running, now_s: float) -> Room:
+        """Return the room that a request may use.
+
+        Beside long work a slot that is free now is soon taken by the long work of other entries,
+        so short work keeps to the windows: with it, checks beside gate histories missed their aim.
+        """
+        beside_long = running.long or self._admission.recent(True, now_s)
+        if beside_long or not self._admission.steady(running.long):
+            return Room.FREE_SLOT_IF_IDLE
+        return Room.FREE_SLOT
 
     def _runnable(self, running: Running) -> bool:
         return self._eligibility.may_run(running.request, running.plan.key)
--- a/src/baobabstream/policy/pool_room.py
+++ b/src/baobabstream/policy/pool_room.py
@@ -11,7 +11,6 @@
 # account that floods all entries at once finds the pool idle at each of them.
 IDLE_PART = 0.05
 
-
 # Part of the slots up to which a pool that other entries use as well is filled beyond the windows.
 FULL_PART = 0.9
 
