--- a/src/baobabstream/entry/plain_handler.py
+++ b/src/baobabstream/entry/plain_handler.py
@@ -13,7 +13,7 @@
 from baobabstream.entry.idempotency import bill_identity, body_digest, read_key
 from baobabstream.entry.refusals import Refused
 from baobabstream.entry.retry_budget import RetryBudget
-from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.codes import ResultCode, RunState
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.policy.events import FailureKind
 from baobabstream.policy.view import ClusterView
@@ -92,7 +92,7 @@
         )
         bill = self._bill(account, route, bill_identity(key, digest, request_id))
         if route.idempotent:
-            answer = await self._retried(route, call)
+            answer = await self._retried(route, call, account.name)
             await daemon.bills.store(bill, daemon.settings.bill_sync_timeout_s)
         else:
             claim = ClaimKey(account.name, key, digest, request_id)
@@ -103,7 +103,7 @@
         daemon.timeline.emit(EventKind.ANSWER_FINISHED, request_id, daemon.view.revision)
         return _response(answer, request_id)
 
-    async def _retried(self, route: RouteRow, call: ServiceCall) -> ServiceAnswer:
+    async def _retried(self, route: RouteRow, call: ServiceCall, account: str) -> ServiceAnswer:
         tried: set[str] = set()
         sent = False
         answer: ServiceAnswer | None = None
@@ -113,6 +113,7 @@
             if server is None or (tried and not self._budget.take()):
                 break
             tried.add(server.identity)
+            self._check_permission(route, account, sent=sent)
             try:
                 answer = await self._send(server, call, once=False)
             except AttemptError as error:
@@ -135,9 +136,9 @@
         if stored is not None:
             return stored
         try:
-            answer = await self._first_reached(route, call)
+            answer = await self._first_reached(route, call, claim.client_account)
         except Refused as refused:
-            unsent = refused.code is ResultCode.NO_BACKEND_SERVER
+            unsent = refused.run_state is RunState.NO
             await claims.settle(ClaimAction.NOT_RUN if unsent else ClaimAction.UNKNOWN, claim)
             raise
         settled = self._daemon.background.start(claims.settle(ClaimAction.FINISH, claim, answer))
@@ -145,11 +146,14 @@
         await self._daemon.background.wait(settled, self._daemon.settings.bill_sync_timeout_s)
         return answer
 
-    async def _first_reached(self, route: RouteRow, call: ServiceCall) -> ServiceAnswer:
+    async def _first_reached(
+        self, route: RouteRow, call: ServiceCall, account: str
+    ) -> ServiceAnswer:
         """Send a call to the first server to which a connection can be made."""
         tried: set[str] = set()
         while (server := self._choose(route, tried)) is not None:
             tried.add(server.identity)
+            self._check_permission(route, account, sent=False)
             try:
                 return await self._send(server, call, once=True)
             except AttemptError as error:
@@ -157,6 +161,14 @@
                     raise Refused(ResultCode.OUTCOME_UNKNOWN, sent=True) from error
         raise Refused(ResultCode.NO_BACKEND_SERVER, "", RETRY_AFTER_S, sent=False)
 
+    def _check_permission(self, route: RouteRow, account: str, *, sent: bool) -> None:
+        """Check lease and allowance again: both may have changed while the call waited."""
+        if not self._daemon.holds_lease():
+            raise Refused(ResultCode.LEASE_EXPIRED, "", RETRY_AFTER_S, sent=sent)
+        row = self._daemon.view.accounts.get(account)
+        if row is None or route.service not in row.services:
+            raise Refused(ResultCode.SERVICE_NOT_ALLOWED, sent=sent)
+
     def _choose(self, route: RouteRow, tried: set[str]) -> BackendRecord | None:
         servers = [
             server
--- a/tests/entry/test_plain_services.py
+++ b/tests/entry/test_plain_services.py
@@ -5,7 +5,7 @@
 from baobabstream.entry.plain_handler import find_route
 from baobabstream.errors.codes import ResultCode
 from baobabstream.wire.messages import ClaimState
-from baobabstream.wire.rows import BackendKind
+from baobabstream.wire.rows import AccountRow, BackendKind
 from entry_harness import FakeServer, free_port, harness, until
 
 KEYED = {"Idempotency-Key": "k1"}
@@ -111,3 +111,37 @@
         assert document["error"]["code"] == ResultCode.CLAIM_UNAVAILABLE
         assert not server.seen
         entry.control.leader = True
+
+
+async def test_lease_that_lapses_while_the_claim_is_taken_stops_the_call() -> None:
+    """Guards against calls that an entry sends on permissions that may have been revoked."""
+    server = service("a", "waivers")
+    async with harness(server) as entry:
+
+        async def lapse() -> None:
+            entry.daemon.holds_lease = lambda: False
+
+        entry.control.on_claim = lapse
+        _, document = await call(entry, "/waivers", headers=KEYED)
+        error = document["error"]
+        assert (error["code"], error["ran"]) == (ResultCode.LEASE_EXPIRED, "no")
+        await until(lambda: claim(entry).state is ClaimState.NOT_RUN)
+        assert not server.seen
+
+
+async def test_allowance_that_is_revoked_while_the_claim_is_taken_stops_the_call() -> None:
+    """Guards against calls on a service that the account may no longer use."""
+    server = service("a", "waivers")
+    async with harness(server) as entry:
+
+        async def revoke() -> None:
+            account = entry.daemon.view.accounts["desk"]
+            entry.control.put(AccountRow("desk", account.key_digest, services=("notes",)))
+            await until(lambda: entry.daemon.view.revision == entry.control.revision)
+
+        entry.control.on_claim = revoke
+        _, document = await call(entry, "/waivers", headers=KEYED)
+        error = document["error"]
+        assert (error["code"], error["ran"]) == (ResultCode.SERVICE_NOT_ALLOWED, "no")
+        assert claim(entry).state is ClaimState.NOT_RUN
+        assert not server.seen
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from hashlib import sha256
@@ -87,6 +87,7 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.leader = True
+        self.on_claim: Callable[[], Awaitable[None]] | None = None
 
     def put(self, row: ConfigRow) -> None:
         self.revision += 1
@@ -113,6 +114,8 @@
                 backends = tuple(self.backends.values())
                 return m.PollReply(1, self.revision, 4000, rows, 1, 1, True, backends)
             case m.ClaimRequest():
+                if self.on_claim is not None:
+                    await self.on_claim()
                 return self.claims.apply(message, 1)
             case m.SuspectRequest():
                 self.suspects.append(message)
