policy: retries, hedges and moves check that the version may still run

Change: each of them asks the same check as queued requests; a retry without delivered tokens takes another allowed version, a begun answer ends with an error. Before: four new tests fail. Conclusion: every path to a new attempt now passes the check.

--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -6,7 +6,7 @@
 from baobabstream.policy.backend_choice import BackendChoice, Choice, Room
 from baobabstream.policy.budgets import Budget
 from baobabstream.policy.decisions import Cancel, Decision, Dispatch, GiveUp, Refuse, Release
-from baobabstream.policy.eligibility import Eligibility
+from baobabstream.policy.eligibility import Eligibility, Ineligible
 from baobabstream.policy.events import (
     AttemptFailed,
     AttemptFinished,
@@ -229,13 +229,35 @@
             return [self._end(running, ResultCode.BACKEND_FAILED, refusal, event.retry_after_s)]
         if suspect:
             return []
-        choice = self.backends.choose(running.request, attempt.key, now_s, running.tried, Room.ANY)
+        key = self._key_after_failure(running, attempt, now_s)
+        if key is None:
+            reason = f"{event.kind} on {attempt.backend_server}, the version may no longer run"
+            return [self._end(running, ResultCode.BACKEND_FAILED, reason, event.retry_after_s)]
+        choice = self.backends.choose(running.request, key, now_s, running.tried, Room.ANY)
         if choice is None:
             reason = f"{event.kind} on {attempt.backend_server}, no other server has the version"
             return [self._end(running, ResultCode.BACKEND_FAILED, reason, event.retry_after_s)]
         what = "resume" if running.delivered_tokens else "retry"
         reason = f"{what} after {event.kind} on {attempt.backend_server}; {_choice_reason(choice)}"
-        return [self._dispatch(running, choice, attempt.key, now_s, reason)]
+        return [self._dispatch(running, choice, key, now_s, reason)]
+
+    def _key_after_failure(
+        self, running: Running, attempt: Attempt, now_s: float
+    ) -> tuple[str, str] | None:
+        """Return the version for another attempt: the same, or another if it may no longer run.
+
+        A begun answer cannot go on with another version.
+        """
+        request = running.request
+        if self._eligibility.may_run(request, attempt.key):
+            return attempt.key
+        rows = self._eligibility.find(request)
+        if running.delivered_tokens or isinstance(rows, Ineligible):
+            return None
+        running.plan = self.plans.choose(
+            running.target, rows, request.expected_output_tokens, now_s
+        )
+        return running.plan.key
 
     def _why_not_again(self, running: Running, event: AttemptFailed, now_s: float) -> str:
         if not running.request.idempotent and event.kind not in NOT_RUN:
@@ -257,6 +279,8 @@
         attempt = running.attempts.get(number)
         if attempt is None or attempt.first_token_s is not None or running.hedged:
             return []
+        if not self._eligibility.may_run(running.request, attempt.key):
+            return []
         self._measure.overdue(attempt, now_s)
         choice = self.backends.choose(running.request, attempt.key, now_s, running.tried)
         if choice is None or not self._hedges.take():
@@ -275,6 +299,8 @@
             return []
         if attempt.rate_first or state is None:
             return []
+        if not self._eligibility.may_run(request, attempt.key):
+            return []
         remaining = request.expected_output_tokens - running.delivered_tokens
         saves_s = remaining * (state.gap_s - self.states.mean_gap_s)
         if state.gap_s < MOVE_SLOWDOWN * self.states.mean_gap_s or saves_s < MOVE_SAVES_S:
--- a/tests/policy/test_outcome_policy.py
+++ b/tests/policy/test_outcome_policy.py
@@ -249,3 +249,51 @@
         made = self.policy.handle(TimerFired(), self.now_s + 5.0)
         releases = [item for item in made if isinstance(item, Release)]
         assert self.sent.request_id in [item.request_id for item in releases]
+
+
+class WithdrawnVersionTest(TestCase):
+    """Guards against attempts on a version that was withdrawn while a request ran on it."""
+
+    def withdrawn(self, fields):
+        """Return policy and first attempt of a request whose version is withdrawn meanwhile."""
+        loaded = (("small", "1"), ("large", "1"))
+        large = VersionRow("large", "1", 2.0, 0.95)
+        view = make_view(DESK, ANSWER, SMALL, large, loaded=loaded)
+        policy = make_policy(view)
+        first = dispatches(arrive(policy, 1, **fields))[0]
+        self.assertThat(first.model, Equals("small"))
+        apply(view, VersionRow("small", "1", 0.1, 0.95, VersionState.WITHDRAWN))
+        policy.handle(ViewChanged(view), 0.1)
+        return policy, first
+
+    def test_a_retry_runs_on_another_version(self) -> None:
+        policy, first = self.withdrawn({})
+        failed = AttemptFailed("r1", first.attempt, FailureKind.CONNECT)
+        second = dispatches(policy.handle(failed, 0.2))[0]
+        self.assertThat((second.model, second.attempt), Equals(("large", 2)))
+
+    def test_a_begun_answer_is_not_resumed_on_it(self) -> None:
+        policy, first = self.withdrawn({})
+        policy.handle(FirstToken("r1", first.attempt), 0.1)
+        policy.handle(TokensReceived("r1", first.attempt, 5), 0.2)
+        failed = AttemptFailed("r1", first.attempt, FailureKind.STALLED, 5)
+        self.assertThat(policy.handle(failed, 0.3)[0], IsInstance(GiveUp))
+
+    def test_a_pinned_request_ends(self) -> None:
+        policy, first = self.withdrawn({"model": "small", "pinned_version": "1"})
+        failed = AttemptFailed("r1", first.attempt, FailureKind.CONNECT)
+        self.assertThat(policy.handle(failed, 0.2)[0], IsInstance(GiveUp))
+
+    def test_no_hedge_runs_on_it(self) -> None:
+        for state, hedges in ((VersionState.ACTIVE, 1), (VersionState.WITHDRAWN, 0)):
+            view = make_view(DESK, ANSWER, SMALL)
+            policy = make_policy(view)
+            for number in range(120):
+                arrive(policy, number, number * 0.5)
+                policy.handle(FirstToken(f"r{number}", 1), number * 0.5 + 0.05)
+                policy.handle(AttemptFinished(f"r{number}", 1, 10), number * 0.5 + 0.4)
+            arrive(policy, 120, 60.0)
+            apply(view, VersionRow("small", "1", 0.1, 0.95, state))
+            policy.handle(ViewChanged(view), 60.1)
+            made = dispatches(policy.handle(TimerFired(), 60.4))
+            self.assertThat(made, HasLength(hedges))
