--- a/src/baobabstream/policy/attempt_control.py
+++ b/src/baobabstream/policy/attempt_control.py
@@ -19,6 +19,7 @@
 from baobabstream.policy.measurements import Measurements
 from baobabstream.policy.plan_choice import PlanChoice
 from baobabstream.policy.quality import QualityEstimates
+from baobabstream.policy.reasons import choice_reason, plan_reason
 from baobabstream.policy.running import Attempt, Running, Stage
 from baobabstream.policy.server_index import ServerIndex
 from baobabstream.policy.server_state import ServerStates
@@ -113,7 +114,7 @@
         if choice is None:
             return [self._end(running, ResultCode.NO_BACKEND_SERVER, "the last server is gone")]
         self._hedges.earn()
-        reason = self._plan_reason(running) + _choice_reason(choice)
+        reason = plan_reason(running) + choice_reason(choice)
         return [self._dispatch(running, choice, key, now_s, reason)]
 
     def start_trial(self, running: Running, identity: str, now_s: float) -> list[Decision]:
@@ -189,7 +190,7 @@
             reason = f"rated bad, but {key[0]}@{key[1]} has no server"
             return [Release(request.request_id, running.held_attempt, reason)]
         running.escalated = True
-        reason = f"first answer rated bad, second step of the cascade; {_choice_reason(choice)}"
+        reason = f"first answer rated bad, second step of the cascade; {choice_reason(choice)}"
         return [self._dispatch(running, choice, key, now_s, reason)]
 
     def release_unrated(self, running: Running) -> list[Decision]:
@@ -238,7 +239,7 @@
             reason = f"{event.kind} on {attempt.backend_server}, no other server has the version"
             return [self._end(running, ResultCode.BACKEND_FAILED, reason, event.retry_after_s)]
         what = "resume" if running.delivered_tokens else "retry"
-        reason = f"{what} after {event.kind} on {attempt.backend_server}; {_choice_reason(choice)}"
+        reason = f"{what} after {event.kind} on {attempt.backend_server}; {choice_reason(choice)}"
         return [self._dispatch(running, choice, key, now_s, reason)]
 
     def _key_after_failure(
@@ -288,7 +289,7 @@
         running.hedged = True
         reason = (
             f"hedge: no first token from {attempt.backend_server} after "
-            f"{now_s - attempt.sent_s:.3f} s; {_choice_reason(choice)}"
+            f"{now_s - attempt.sent_s:.3f} s; {choice_reason(choice)}"
         )
         return [self._dispatch(running, choice, attempt.key, now_s, reason, hedge=True)]
 
@@ -314,7 +315,7 @@
         decisions = self._cancel(running, keep=0)
         reason = (
             f"stream on {attempt.backend_server} runs at {state.gap_s * 1000:.0f} ms per token, "
-            f"peers at {self.states.mean_gap_s * 1000:.0f} ms; {_choice_reason(choice)}"
+            f"peers at {self.states.mean_gap_s * 1000:.0f} ms; {choice_reason(choice)}"
         )
         return [*decisions, self._dispatch(running, choice, attempt.key, now_s, reason)]
 
@@ -399,24 +400,3 @@
             return
         due_s = now_s + max(after_s, HEDGE_FACTOR * choice.first_token_s)
         self.timers.add(due_s, running.request.request_id, TimerKind.HEDGE, attempt.number)
-
-    @staticmethod
-    def _plan_reason(running: Running) -> str:
-        plan = running.plan
-        name = f"{plan.first.model}@{plan.first.version}"
-        if plan.then is not None:
-            name += f" then {plan.then.model}@{plan.then.version}"
-        met = "meets" if plan.meets else "misses"
-        note = f" ({plan.note})" if plan.note else ""
-        return (
-            f"{name}: quality {plan.quality:.3f}, target {running.target.quality:.3f}, "
-            f"cost {plan.cost:.3g}, mix {met} targets{note}; "
-        )
-
-
-def _choice_reason(choice: Choice) -> str:
-    cached = f", {choice.cached_share:.0%} of the prompt cached" if choice.cached_share else ""
-    return (
-        f"{choice.identity}: first token in {choice.first_token_s:.3f} s, "
-        f"whole answer in {choice.total_s:.2f} s, best of {choice.compared}{cached}"
-    )
