--- a/src/baobabstream/emulator/engine.py
+++ b/src/baobabstream/emulator/engine.py
@@ -17,6 +17,7 @@
 from baobabstream.emulator.load_reports import LaggingReports, LoadReport
 from baobabstream.emulator.orders import OrderDesk
 from baobabstream.emulator.prefix_cache import CacheFeed, PrefixCache
+from baobabstream.emulator.serving import serve_announced
 from baobabstream.telemetry.clock_headers import follow_callers
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.timeline import TimeLine
@@ -103,18 +104,8 @@
 
     async def run(self, announcer: Announcer, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then leave and finish open requests."""
-        runner = web.AppRunner(self.application(), access_log=None, handler_cancellation=True)
-        await runner.setup()
-        await web.TCPSite(runner, self._options.ip, self._options.port).start()
-        announcing = asyncio.create_task(announcer.run(self.announcement))
-        await stop.wait()
-        announcing.cancel()
-        leave = {
-            "identity": self._options.identity,
-            "incarnation": self._options.incarnation,
-        }
-        await announcer.send("leave", leave)
-        await runner.cleanup()
+        options = self._options
+        await serve_announced(self, options.ip, options.port, announcer, stop)
 
     async def _start_tasks(self, _: web.Application) -> None:
         self._tasks = [
--- a/src/baobabstream/emulator/service.py
+++ b/src/baobabstream/emulator/service.py
@@ -13,6 +13,7 @@
 from baobabstream.emulator.announcer import Announcer
 from baobabstream.emulator.engine_options import CRASH_MARKER
 from baobabstream.emulator.faults import Faults, FaultSwitch
+from baobabstream.emulator.serving import serve_announced
 from baobabstream.telemetry.clock_headers import follow_callers
 from baobabstream.telemetry.hybrid_clock import HybridClock
 from baobabstream.telemetry.timeline import EventKind, TimeLine
@@ -83,18 +84,8 @@
 
     async def run(self, announcer: Announcer, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then leave and finish open calls."""
-        runner = web.AppRunner(self.application(), access_log=None, handler_cancellation=True)
-        await runner.setup()
-        await web.TCPSite(runner, self._options.ip, self._options.port).start()
-        announcing = asyncio.create_task(announcer.run(self.announcement))
-        await stop.wait()
-        announcing.cancel()
-        leave = {
-            "identity": self._options.identity,
-            "incarnation": self._options.incarnation,
-        }
-        await announcer.send("leave", leave)
-        await runner.cleanup()
+        options = self._options
+        await serve_announced(self, options.ip, options.port, announcer, stop)
         self._timeline.close()
 
     async def _health(self, _: web.Request) -> web.Response:
