--- a/tests/system/bad_version.py
+++ b/tests/system/bad_version.py
@@ -70,8 +70,8 @@
     try:
         await cluster.start()
         account = account_row("desk", API_KEY, "small")
-        # The new version costs more, so that it gets no traffic before the rollout. At one price the
-        # policy may send all requests to it, and the baseline answers never come.
+        # The new version costs more, so that it gets no traffic before the rollout. At one price
+        # the policy may send all requests to it, and the baseline answers never come.
         new = version_row("small", "2", cost_per_1k_tokens=0.4)
         versions = (version_row("small", "1"), new)
         await cluster.put(class_row(), *versions, account)
