entry: one method settles a claim; one retry time without a lease

Cause: Claims.settle only called its private twin, and LEASE_RETRY_S stood in two modules. Change: the twin is merged into settle; the constant lives beside Refused.

--- a/src/baobabstream/entry/claims.py
+++ b/src/baobabstream/entry/claims.py
@@ -67,7 +67,7 @@
         except PeerError as error:
             # The claim may have been recorded although no answer came. Nothing was sent, so it
             # is released.
-            self._background.start(self._settle(ClaimAction.NOT_RUN, key, None))
+            self._background.start(self.settle(ClaimAction.NOT_RUN, key))
             raise RequestRefused(ResultCode.CLAIM_UNAVAILABLE, retry_after_s=1.0) from error
         code = ResultCode(reply.code)
         if code is ResultCode.OK:
@@ -81,11 +81,6 @@
         self, action: ClaimAction, key: ClaimKey, answer: ServiceAnswer | None = None
     ) -> None:
         """Record the outcome of a claimed request, however long the leader is away."""
-        await self._settle(action, key, answer)
-
-    async def _settle(
-        self, action: ClaimAction, key: ClaimKey, answer: ServiceAnswer | None
-    ) -> None:
         message = self._message(action, key, answer)
         try:
             await call_leader_within(self._control, message, BACKGROUND_LIMIT_S)
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -21,6 +21,7 @@
 from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
+from baobabstream.entry.refusals import LEASE_RETRY_S
 from baobabstream.entry.sessions import SessionTokens
 from baobabstream.entry.suspects import SuspectReporter
 from baobabstream.errors.codes import ResultCode
@@ -45,7 +46,6 @@
 __all__ = ["EntryDaemon"]
 
 ACCEPT_BACKLOG = 1024
-LEASE_RETRY_S = 1.0
 CANCEL_REPEAT_S = 0.1
 
 _log = get_logger("entry")
--- a/src/baobabstream/entry/refusals.py
+++ b/src/baobabstream/entry/refusals.py
@@ -3,7 +3,10 @@
 from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
 from baobabstream.errors.exceptions import RequestRefused
 
-__all__ = ["Refused"]
+__all__ = ["LEASE_RETRY_S", "Refused"]
+
+# Time after which an entry host without a lease asks its callers to come back.
+LEASE_RETRY_S = 1.0
 
 
 class Refused(RequestRefused):
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -14,7 +14,7 @@
 from baobabstream.entry.caller_stream import CallerLost, CallerStalled
 from baobabstream.entry.chat_request import ChatRequest
 from baobabstream.entry.delivery import Delivery
-from baobabstream.entry.refusals import Refused
+from baobabstream.entry.refusals import LEASE_RETRY_S, Refused
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.decisions import (
     AskTrial,
@@ -47,7 +47,6 @@
 # The policy needs token rates over fractions of a second; a call per token would cost more than
 # the relay of the token.
 TOKENS_PER_REPORT = 16
-LEASE_RETRY_S = 1.0
 
 # Failures after which the backend server is known to be alive, since it has answered.
 _SURVIVED = (FailureKind.ERROR, FailureKind.REFUSED)
