--- a/src/baobabstream/consensus/command_log.py
+++ b/src/baobabstream/consensus/command_log.py
@@ -2,21 +2,20 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import Any
 
-from baobabstream.control.commands import Command
-from baobabstream.control.outcome import Outcome
 from baobabstream.wire.consensus_messages import Member, Membership
 
 __all__ = ["ApplyFunction", "CommandLog", "LocalLog"]
 
-ApplyFunction = Callable[[Command], Outcome]
+ApplyFunction = Callable[[Any], Any]
 
 
 class CommandLog(ABC):
     """Orders commands and applies them on every member."""
 
     @abstractmethod
-    async def propose(self, command: Command, timeout_s: float) -> Outcome:
+    async def propose(self, command: Any, timeout_s: float) -> Any:
         """Commit a command and return what applying it gave.
 
         Raises
@@ -57,7 +56,7 @@
         self._host = host
         self._apply = apply_function
 
-    async def propose(self, command: Command, timeout_s: float) -> Outcome:
+    async def propose(self, command: Any, timeout_s: float) -> Any:
         """Apply a command at once."""
         return self._apply(command)
 
--- a/src/baobabstream/consensus/core.py
+++ b/src/baobabstream/consensus/core.py
@@ -48,6 +48,9 @@
 TRANSFER_EXPIRY_S = 10.0
 # A voter that has not acknowledged an append within this many heartbeats counts as lost.
 ANSWER_HEARTBEATS = 5
+# A voter that is silent this long gives its place to a learner of another host. Longer than a
+# restart of a process, so that a short outage does not change the group.
+REPLACE_AFTER_S = 3.0
 # A host that asked to join and is silent for this time is not repaired.
 JOIN_EXPIRY_S = 5.0
 
@@ -107,6 +110,7 @@
     """
 
     kept_entries = KEPT_ENTRIES
+    wanted_voters = 0
     snapshot_part_bytes = SNAPSHOT_PART_BYTES
 
     def __init__(
@@ -187,7 +191,7 @@
         if self.role is Role.LEADER:
             if self.lease_end_s() <= now_s:
                 return self._follow(now_s, "")
-            return self._repair(now_s) if self._joiners or self.membership.learners else []
+            return self._repair(now_s) if self._may_need_repair() else []
         if now_s >= self._election_s and self.votes_itself:
             self.leader_id = ""
             return self._campaign(now_s, pre_vote=True)
@@ -250,6 +254,22 @@
         ]
         return sorted(times, reverse=True)[self._quorum() - 1] + self._timing.lease_s
 
+    def confirmed_since(self, since_s: float) -> bool:
+        """Return whether a quorum has acknowledged appends of this leader sent after a time.
+
+        True only once an entry of this leader's own term is applied, since what its predecessors
+        committed is not known before.
+        """
+        return (
+            self.role is Role.LEADER
+            and self.applied_index >= self._first_index
+            and self.lease_end_s() - self._timing.lease_s > since_s
+        )
+
+    def contact_age_s(self, now_s: float) -> float:
+        """Return the time since this member heard a leader; 0 on the leader."""
+        return 0.0 if self.role is Role.LEADER else now_s - self._contact_s
+
     def voters_answer(self, now_s: float) -> bool:
         """Return whether this member leads and each voter has acknowledged an append lately."""
         since_s = now_s - ANSWER_HEARTBEATS * self._timing.heartbeat_s
@@ -564,9 +584,24 @@
             for host, (member, asked_s) in self._joiners.items()
             if asked_s + JOIN_EXPIRY_S > now_s
         }
-        membership = next_membership(self.membership, joiners, self.learner_caught_up)
+        membership = next_membership(
+            self.membership,
+            joiners,
+            self.learner_caught_up,
+            lambda member_id: self._silent(member_id, now_s),
+            self.wanted_voters,
+        )
         return self.change_membership(membership, now_s) if membership is not None else []
 
+    def _may_need_repair(self) -> bool:
+        crowded = 0 < self.wanted_voters < len(self.membership.voters)
+        return bool(self._joiners or self.membership.learners or crowded)
+
+    def _silent(self, member_id: str, now_s: float) -> bool:
+        if member_id == self.member.member_id:
+            return False
+        return self._progress[member_id].acknowledged_s < now_s - REPLACE_AFTER_S
+
     def learner_caught_up(self, member_id: str) -> bool:
         """Return whether a learner durably holds everything that is committed now."""
         return self._progress[member_id].match_index >= self.commit_index
--- a/src/baobabstream/consensus/membership_log.py
+++ b/src/baobabstream/consensus/membership_log.py
@@ -67,6 +67,8 @@
     membership: Membership,
     joiners: Mapping[str, Member],
     caught_up: Callable[[str], bool],
+    silent: Callable[[str], bool] = lambda _: False,
+    wanted_voters: int = 0,
 ) -> Membership | None:
     """Return the next single-server change that a repair needs, or None.
 
@@ -78,24 +80,34 @@
         For each host, the member that asked to join last.
     caught_up
         Whether a learner holds everything that is committed now.
+    silent
+        Whether a voter has not answered for so long that another host may take its place.
+    wanted_voters
+        Number of voters that the group keeps, or 0 if each host of the settings has a vote.
 
     Notes
     -----
     A new member becomes a learner. Once it has caught up, the voter that its host had before is
     removed, and then the learner is promoted. Removal comes first because the lost voter cannot
-    answer: promoting first would need three answers of four.
+    answer: promoting first would need three answers of four. A group of the wanted size replaces
+    a silent voter in the same order, and a larger one only drops silent voters.
     """
     known = {member.member_id for member in membership.voters + membership.learners}
     for joiner in joiners.values():
         if joiner.member_id not in known:
             kept = tuple(item for item in membership.learners if item.host != joiner.host)
             return Membership(membership.voters, (*kept, joiner))
-    for learner in membership.learners:
-        if not caught_up(learner.member_id):
-            continue
+    ready = [item for item in membership.learners if caught_up(item.member_id)]
+    for learner in ready:
         voters = tuple(item for item in membership.voters if item.host != learner.host)
         if len(voters) < len(membership.voters):
             return Membership(voters, membership.learners)
-        others = tuple(item for item in membership.learners if item != learner)
-        return Membership((*voters, learner), others)
+        if not wanted_voters or len(membership.voters) < wanted_voters:
+            others = tuple(item for item in membership.learners if item != learner)
+            return Membership((*voters, learner), others)
+    if wanted_voters and (ready or len(membership.voters) > wanted_voters):
+        lost = next((item for item in membership.voters if silent(item.member_id)), None)
+        if lost is not None:
+            remaining = tuple(item for item in membership.voters if item != lost)
+            return Membership(remaining, membership.learners)
     return None
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -2,14 +2,15 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Coroutine, Mapping, Sequence
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 from random import Random
 from typing import Any
 
 from msgspec import Struct
-from msgspec.msgpack import Decoder, Encoder
 
+from baobabstream.consensus.address_book import AddressBook
 from baobabstream.consensus.command_log import CommandLog
 from baobabstream.consensus.core import RaftCore, Role
 from baobabstream.consensus.records import (
@@ -24,8 +25,6 @@
 from baobabstream.consensus.state_machine import StateMachine
 from baobabstream.consensus.storage import LogStorage
 from baobabstream.consensus.storage_writer import StorageWriter
-from baobabstream.control.commands import Command, LeaderStarted
-from baobabstream.control.outcome import Outcome
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.telemetry.logs import get_logger
@@ -57,8 +56,12 @@
 SNAPSHOT_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.05
 JOIN_INTERVAL_S = 0.5
+# Several election timeouts; a member that was replaced while it was away gets no leader's message.
+REJOIN_AFTER_S = 3.0
 # Covers catching up the successor and its election; a planned stop goes on without it.
 TRANSFER_TIMEOUT_S = 2.0
+# A tenth of a heartbeat, so that a read waits little longer than the quorum's answers.
+BARRIER_POLL_S = 0.01
 
 _CANDIDATES = (Role.PRE_CANDIDATE, Role.CANDIDATE)
 
@@ -67,10 +70,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LogOptions:
-    """Times, and the number of applied entries after which a snapshot is taken."""
+    """Times, the number of applied entries after which a snapshot is taken, and the group's size.
+
+    ``wanted_voters`` is the number of voters to which a group that admits unknown hosts grows, or
+    0 for no bound.
+    """
 
     timing: Timing = field(default_factory=Timing)
     snapshot_entries: int = 2000
+    wanted_voters: int = 0
 
 
 class LogListener(ABC):
@@ -99,8 +107,8 @@
     machine
         State that the commands build.
     addresses
-        nng address of each control host by name, this one included. The first named host forms
-        a new group once all of them answer that they have no log.
+        Finds the other members. The first founder forms a new group once all founders answer
+        that they have no log.
     codec
         Codec of this cluster.
     listener
@@ -115,7 +123,7 @@
         self,
         storage: LogStorage,
         machine: StateMachine,
-        addresses: Mapping[str, str],
+        addresses: AddressBook,
         codec: WireCodec,
         listener: LogListener,
         random: Random,
@@ -128,8 +136,6 @@
         self._listener = listener
         self._options = options
         self._loop = asyncio.get_running_loop()
-        self._encoder = Encoder()
-        self._commands: Decoder[Command] = Decoder(Command)
         self.core = RaftCore(
             storage.member,
             storage.load(),
@@ -138,10 +144,11 @@
             self._loop.time(),
             self._first_payload,
         )
+        self.core.wanted_voters = options.wanted_voters
         if self.core.snapshot.index > 0:
             machine.restore(self.core.snapshot.data)
         self._writer = StorageWriter(storage, self._on_saved, listener.on_storage_failed)
-        self._pending: dict[int, tuple[int, asyncio.Future[Outcome]]] = {}
+        self._pending: dict[int, tuple[int, asyncio.Future[Any]]] = {}
         self._peers: dict[str, tuple[asyncio.Event, asyncio.Task[None]]] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._open = False
@@ -196,14 +203,14 @@
         await self._loop.run_in_executor(None, self._writer.close)
         self._storage.close()
 
-    async def propose(self, command: Command, timeout_s: float) -> Outcome:
+    async def propose(self, command: Any, timeout_s: float) -> Any:
         """Commit a command and return what applying it gave."""
         if not self.holds_leader_lease():
             raise self._no_leader()
-        entry, actions = self.core.propose(self._encoder.encode(command))
+        entry, actions = self.core.propose(self._machine.encode_command(command))
         if entry is None:
             raise self._no_leader()
-        outcome: asyncio.Future[Outcome] = self._loop.create_future()
+        outcome: asyncio.Future[Any] = self._loop.create_future()
         self._pending[entry.index] = (entry.term, outcome)
         self._run(actions)
         try:
@@ -214,6 +221,32 @@
         finally:
             self._pending.pop(entry.index, None)
 
+    async def read_barrier(self, timeout_s: float) -> None:
+        """Wait until this member has applied every command that was committed before the call.
+
+        Raises
+        ------
+        BaobabstreamError
+            ``NO_LEADER`` if this member does not lead, or a quorum does not confirm it in time.
+
+        Notes
+        -----
+        The confirmation is by messages that were sent after the call, so it does not depend on
+        clock rates or on a lease that a suspended process could take for valid.
+        """
+        began_s = self._loop.time()
+        deadline_s = began_s + timeout_s
+        index = self.core.commit_index
+        while True:
+            if self.core.role is not Role.LEADER:
+                raise self._no_leader()
+            if self.core.confirmed_since(began_s) and self.core.applied_index >= index:
+                return
+            if self._loop.time() >= deadline_s:
+                raise self._no_leader()
+            self._wake_peers()
+            await asyncio.sleep(BARRIER_POLL_S)
+
     async def handle(self, sender: str, message: Any) -> Struct:
         """Answer a replication message of a peer.
 
@@ -223,7 +256,7 @@
             If the message is for another member, for example one whose disk was lost, or its
             sender is not a control host.
         """
-        if not self._open or sender not in self._addresses:
+        if not self._open or not self._addresses.admits(sender):
             raise PeerError(ResultCode.PEER_UNREACHABLE, "this member takes no part in the log")
         if isinstance(message, JoinRequest):
             return self._on_join(sender, message)
@@ -236,7 +269,8 @@
         return answer.message
 
     def _first_payload(self, term: int) -> bytes:
-        return self._encoder.encode(LeaderStarted(self.core.member.host, term))
+        command = self._machine.leader_started(self.core.member.host, term)
+        return self._machine.encode_command(command)
 
     def _no_leader(self) -> PeerError:
         error = PeerError(ResultCode.NO_LEADER)
@@ -270,7 +304,7 @@
     def _apply(self, entries: Sequence[LogEntry]) -> None:
         for entry in entries:
             if entry.kind is EntryKind.COMMAND:
-                outcome = self._machine.apply(self._commands.decode(entry.payload))
+                outcome = self._machine.apply(self._machine.decode_command(entry.payload))
                 self._settle(entry, outcome)
             else:
                 self._log_membership(self.core.memberships.at(entry.index))
@@ -280,7 +314,7 @@
             self._run(core.compact(core.applied_index, data, self._loop.time()))
         self._listener.on_applied()
 
-    def _settle(self, entry: LogEntry, outcome: Outcome) -> None:
+    def _settle(self, entry: LogEntry, outcome: Any) -> None:
         term, future = self._pending.get(entry.index, (0, None))
         if future is None or future.done():
             return
@@ -306,7 +340,7 @@
     def _on_join(self, sender: str, request: JoinRequest) -> JoinReply:
         if sender == request.member.host:
             self.core.join(request.member, self._loop.time())
-        return JoinReply(self.core.member, self.core.initialised)
+        return JoinReply(self.core.member, self.core.initialised, self._member_hosts())
 
     async def _tick(self) -> None:
         while True:
@@ -332,39 +366,58 @@
         return min(max(wait_s, MIN_WAIT_S), MAX_PEER_WAIT_S)
 
     async def _ask_to_join(self) -> None:
-        """Ask the other hosts until this member is part of a group, forming it if it is new."""
-        others = {host: url for host, url in self._addresses.items() if host != self._own_host}
-        clients = [RpcClient(url, self._codec) for url in others.values()]
+        """Ask the other hosts until this member is part of a group, forming it if it is new.
+
+        A member that hears no leader asks too: the group may have replaced it meanwhile.
+        """
+        clients: dict[str, RpcClient] = {}
+        known = set(self._member_hosts())
         try:
             while self._open:
-                members = self.core.membership.voters + self.core.membership.learners
-                if self.core.member not in members:
-                    calls = (self._ask(client) for client in clients)
-                    replies = [reply for reply in await asyncio.gather(*calls) if reply]
-                    self._form_group(replies)
+                if self._needs_admission():
+                    hosts = set(self._addresses.contacts(known)) - {self._own_host}
+                    replies = await asyncio.gather(*(self._ask(clients, host) for host in hosts))
+                    answered = [reply for reply in replies if reply is not None]
+                    known.update(chain.from_iterable(reply.hosts for reply in answered))
+                    self._form_group(answered)
                 await asyncio.sleep(JOIN_INTERVAL_S)
         finally:
-            for client in clients:
+            for client in clients.values():
                 client.close()
 
+    def _needs_admission(self) -> bool:
+        members = self.core.membership.voters + self.core.membership.learners
+        if self.core.member not in members:
+            return True
+        return self.core.contact_age_s(self._loop.time()) > REJOIN_AFTER_S
+
+    def _member_hosts(self) -> tuple[str, ...]:
+        members = self.core.membership.voters + self.core.membership.learners
+        return tuple(item.host for item in members)
+
     @property
     def _own_host(self) -> str:
         return self.core.member.host
 
-    async def _ask(self, client: RpcClient) -> JoinReply | None:
+    async def _ask(self, clients: dict[str, RpcClient], host: str) -> JoinReply | None:
+        url = self._addresses.url(host)
+        if url is None:
+            return None
+        client = clients.setdefault(host, RpcClient(url, self._codec))
         try:
             return await client.call(JoinRequest(self.core.member), CALL_TIMEOUT_S)
-        except PeerError:
+        except PeerError as error:
+            _log.debug("Host %s does not answer a request to join: %s.", host, error)
             return None
 
     def _form_group(self, replies: list[JoinReply]) -> None:
-        complete = len(replies) == len(self._addresses) - 1
-        first = next(iter(self._addresses)) == self._own_host
-        if self.core.initialised or not (complete and first):
+        founders = self._addresses.founders()
+        if self.core.initialised or not founders or founders[0] != self._own_host:
             return
-        if any(reply.initialised for reply in replies):
+        others = [reply for reply in replies if reply.member.host in founders]
+        if len(others) < len(founders) - 1 or any(reply.initialised for reply in replies):
             return
-        members = (self.core.member, *(reply.member for reply in replies))
+        members = (self.core.member, *(reply.member for reply in others))
         _log.info("Forming a new group of %d members.", len(members))
         self._run(self.core.bootstrap(Membership(voters=members)))
 
@@ -376,7 +429,7 @@
             _, task = self._peers.pop(member_id)
             task.cancel()
         for member_id in set(wanted) - set(self._peers):
-            url = self._addresses.get(wanted[member_id].host)
+            url = self._addresses.url(wanted[member_id].host)
             if url is not None:
                 wake = asyncio.Event()
                 task = self._watched(self._talk_to(wanted[member_id], url, wake))
--- a/src/baobabstream/consensus/state_machine.py
+++ b/src/baobabstream/consensus/state_machine.py
@@ -1,18 +1,31 @@
 """Interface of the state that the replicated log builds."""
 
 from abc import ABC, abstractmethod
-
-from baobabstream.control.commands import Command
-from baobabstream.control.outcome import Outcome
+from typing import Generic, TypeVar
 
 __all__ = ["StateMachine"]
 
+CommandT = TypeVar("CommandT")
+OutcomeT = TypeVar("OutcomeT")
+
 
-class StateMachine(ABC):
+class StateMachine(ABC, Generic[CommandT, OutcomeT]):
     """Deterministic state built from committed commands."""
 
     @abstractmethod
-    def apply(self, command: Command) -> Outcome:
+    def encode_command(self, command: CommandT) -> bytes:
+        """Return the log payload of a command."""
+
+    @abstractmethod
+    def decode_command(self, payload: bytes) -> CommandT:
+        """Return the command of a log payload."""
+
+    @abstractmethod
+    def leader_started(self, host: str, term: int) -> CommandT:
+        """Return the command that a new leader writes first."""
+
+    @abstractmethod
+    def apply(self, command: CommandT) -> OutcomeT:
         """Apply a committed command."""
 
     @abstractmethod
--- a/src/baobabstream/control/log_setup.py
+++ b/src/baobabstream/control/log_setup.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from random import SystemRandom
 
+from baobabstream.consensus.address_book import FixedAddresses
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged
 from baobabstream.consensus.replicated_log import LogListener, LogOptions, ReplicatedLog
@@ -79,7 +80,7 @@
     return ReplicatedLog(
         storage,
         ConfigStateMachine(state),
-        addresses,
+        FixedAddresses(addresses),
         codec,
         _DaemonListener(settings.host, timeline, notify),
         SystemRandom(),
--- a/src/baobabstream/control/state_machine.py
+++ b/src/baobabstream/control/state_machine.py
@@ -4,14 +4,14 @@
 
 from baobabstream.consensus.state_machine import StateMachine
 from baobabstream.control.claims import ClaimTable
-from baobabstream.control.commands import Command
+from baobabstream.control.commands import Command, LeaderStarted
 from baobabstream.control.outcome import Outcome
 from baobabstream.control.state import ConfigState
 
 __all__ = ["ConfigStateMachine"]
 
 
-class ConfigStateMachine(StateMachine):
+class ConfigStateMachine(StateMachine[Command, Outcome]):
     """Applies commands to a ``ConfigState``.
 
     Parameters
@@ -24,6 +24,19 @@
         self._state = state
         self._encoder = Encoder()
         self._decoder = Decoder(ConfigState)
+        self._commands: Decoder[Command] = Decoder(Command)
+
+    def encode_command(self, command: Command) -> bytes:
+        """Return the log payload of a command."""
+        return self._encoder.encode(command)
+
+    def decode_command(self, payload: bytes) -> Command:
+        """Return the command of a log payload."""
+        return self._commands.decode(payload)
+
+    def leader_started(self, host: str, term: int) -> Command:
+        """Return the command that a new leader writes first."""
+        return LeaderStarted(host, term)
 
     def apply(self, command: Command) -> Outcome:
         """Apply a committed command."""
--- /dev/null
+++ b/src/baobabstream/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Control daemon that keeps routing configurations, rollouts and announcements."""
--- /dev/null
+++ b/src/baobabstream/coordination/daemon.py
@@ -0,0 +1,206 @@
+"""Coordination daemon: wires log, announcements, exchanges and the interface for operators."""
+
+import asyncio
+import os
+from collections.abc import Callable
+from random import SystemRandom
+from typing import Any
+
+from aiohttp import web
+from msgspec import Struct
+
+from baobabstream.consensus.address_book import SeededAddresses
+from baobabstream.consensus.file_storage import FileStorage
+from baobabstream.consensus.records import LeaderChanged, Timing
+from baobabstream.consensus.replicated_log import LogListener, LogOptions, ReplicatedLog
+from baobabstream.coordination.announcement_feed import AnnouncementFeed
+from baobabstream.coordination.exchange_service import ExchangeService
+from baobabstream.coordination.rollout_driver import RolloutDriver
+from baobabstream.coordination.service import ORDER_TIMEOUT_S, CoordinationService
+from baobabstream.coordination.settings import CoordinationSettings
+from baobabstream.coordination.state import (
+    CoordinationCommand,
+    CoordinationMachine,
+    CoordinationState,
+)
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
+from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.telemetry.logs import get_logger
+from baobabstream.wire.codec import WireCodec
+from baobabstream.wire.consensus_messages import (
+    AppendRequest,
+    JoinRequest,
+    SnapshotRequest,
+    TransferRequest,
+    VoteRequest,
+)
+from baobabstream.wire.coordination_messages import (
+    DocumentOrder,
+    DocumentQuery,
+    ExchangeRequest,
+    RolloutOrder,
+    RolloutQuery,
+)
+from baobabstream.wire.rpc import RpcClient, RpcServer
+
+__all__ = ["CLUSTER", "CoordinationDaemon", "inner_codec"]
+
+CLUSTER = "baobabstream"
+# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
+DISK_FAILED_EXIT_STATUS = 74
+# Whole configurations are large; this bounds what a restart replays and a learner is sent.
+SNAPSHOT_ENTRIES = 100
+# Replication costs each follower a message per heartbeat; elections still end within 2 s.
+TIMING = Timing(heartbeat_s=0.15, election_min_s=0.6, election_max_s=1.2)
+LEADERSHIP_CHECK_S = 0.1
+
+ApplicationFactory = Callable[[CoordinationService], web.Application]
+
+_log = get_logger("coordination")
+
+
+def inner_codec(host: str) -> WireCodec:
+    """Return the codec of the inner protocol for a host.
+
+    Notes
+    -----
+    The platform hands its processes no secret, so the proof in each frame only tells a damaged or
+    foreign frame from one of ours.
+    """
+    return WireCodec(CLUSTER, host, CLUSTER)
+
+
+class _Listener(LogListener):
+    def __init__(self, daemon: "CoordinationDaemon") -> None:
+        self._daemon = daemon
+
+    def on_applied(self) -> None:
+        self._daemon.exchange.notify()
+
+    def on_leader_changed(self, change: LeaderChanged) -> None:
+        self._daemon.decisions.record(
+            DecisionEvent.LEADER_CHANGED,
+            leader=change.leader,
+            term=change.term,
+            leads=change.leads,
+        )
+
+    def on_storage_failed(self, error: StorageError) -> None:
+        _log.critical("The log cannot be stored, the daemon ends: %s", error)
+        os._exit(DISK_FAILED_EXIT_STATUS)
+
+
+class CoordinationDaemon:
+    """One coordination host.
+
+    Parameters
+    ----------
+    settings
+        Settings of this host.
+    application
+        Returns the HTTP interface for operators and backend servers.
+    """
+
+    def __init__(self, settings: CoordinationSettings, application: ApplicationFactory) -> None:
+        self.settings = settings
+        self.decisions = DecisionLog(settings.host)
+        self.state = CoordinationState()
+        self.feed = AnnouncementFeed(SystemRandom().getrandbits(48))
+        self.exchange = ExchangeService(self.state, self.feed, self._hosts)
+        self._codec = inner_codec(settings.ip)
+        storage = FileStorage(settings.data_folder / "coordination", CLUSTER, settings.ip)
+        self.log = ReplicatedLog(
+            storage,
+            CoordinationMachine(self.state),
+            SeededAddresses(settings.seeds, settings.port, settings.may_found),
+            self._codec,
+            _Listener(self),
+            SystemRandom(),
+            LogOptions(TIMING, SNAPSHOT_ENTRIES, settings.wanted_voters),
+        )
+        self._clients: dict[str, RpcClient] = {}
+        self.service = CoordinationService(
+            settings.ip,
+            self.state,
+            self.log,
+            self.feed,
+            self.exchange,
+            self._client,
+            self.decisions,
+        )
+        self._application = application
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open the listeners and take part in the group."""
+        url = f"tcp://{self.settings.ip}:{self.settings.port}"
+        self._server = RpcServer(url, self._codec, self._handle)
+        await self.log.start()
+        self._runner = web.AppRunner(self._application(self.service), access_log=None)
+        await self._runner.setup()
+        try:
+            await web.TCPSite(self._runner, self.settings.ip, self.settings.http_port).start()
+        except OSError as error:
+            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
+        self._tasks = [
+            asyncio.create_task(self.decisions.run()),
+            asyncio.create_task(self._lead()),
+        ]
+        self.decisions.record(DecisionEvent.DAEMON_STARTED, role="coordination")
+
+    async def stop(self) -> None:
+        """Hand leadership over and end."""
+        self.decisions.record(DecisionEvent.DAEMON_STOPPING, reason="signal")
+        await self.log.stop()
+        await self._runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for client in self._clients.values():
+            client.close()
+        await self._server.close()
+        self.decisions.flush()
+
+    def _hosts(self) -> tuple[str, ...]:
+        membership = self.log.membership
+        members = tuple(item.host for item in membership.voters + membership.learners)
+        return members or (self.settings.ip,)
+
+    def _client(self, host: str) -> RpcClient:
+        url = f"tcp://{host}:{self.settings.port}"
+        return self._clients.setdefault(host, RpcClient(url, self._codec))
+
+    async def _handle(self, sender: str, message: Any) -> Struct:
+        match message:
+            case ExchangeRequest():
+                return await self.exchange.answer(message)
+            case DocumentOrder() | DocumentQuery() | RolloutOrder() | RolloutQuery():
+                return await self.service.answer(message)
+            case VoteRequest() | AppendRequest() | SnapshotRequest() | TransferRequest():
+                return await self.log.handle(sender, message)
+            case JoinRequest():
+                return await self.log.handle(sender, message)
+        raise PeerError(ResultCode.MESSAGE_MALFORMED, f"unexpected {type(message).__name__}")
+
+    async def _propose(self, command: CoordinationCommand) -> None:
+        await self.log.propose(command, ORDER_TIMEOUT_S)
+
+    async def _lead(self) -> None:
+        """Drive rollouts while this host leads; each term starts with a new driver."""
+        driver: asyncio.Task[None] | None = None
+        term = 0
+        while True:
+            leads = self.log.leader == self.settings.ip and self.log.holds_leader_lease()
+            if driver is not None and (not leads or self.log.term != term or driver.done()):
+                if driver.done() and not driver.cancelled() and driver.exception() is not None:
+                    _log.error("The rollout driver failed.", exc_info=driver.exception())
+                driver.cancel()
+                driver = None
+            if leads and driver is None:
+                term = self.log.term
+                work = RolloutDriver(
+                    self.state, self.feed, self.exchange, self._propose, self.decisions
+                )
+                driver = asyncio.create_task(work.run())
+            await asyncio.sleep(LEADERSHIP_CHECK_S)
--- /dev/null
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -0,0 +1,59 @@
+"""What gateways have reported to this host lately."""
+
+from collections import Counter, defaultdict
+
+from baobabstream.wire.coordination_messages import ExchangeRequest
+
+__all__ = ["GatewayContacts"]
+
+# Two exchanges and a lost one; a gateway that is silent this long is not counted any more.
+CONTACT_EXPIRY_S = 2.0
+# Time for which the loss of a server stands against the request that ran on it.
+CRASH_MEMORY_S = 60.0
+# Servers lost while they ran the same request before it is kept away from the others. Two losses
+# still happen by chance to requests that share a server with the culprit.
+CRASHES_TO_QUARANTINE = 3
+
+
+class GatewayContacts:
+    """Last report of each gateway, and requests that have crashed servers."""
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[float, ExchangeRequest]] = {}
+        self._crashes: dict[str, dict[str, float]] = defaultdict(dict)
+
+    def note(self, request: ExchangeRequest, now_s: float) -> bool:
+        """Keep a report; returns whether it quarantines another request."""
+        self._reports[request.host] = (now_s, request)
+        before = self.quarantined(now_s)
+        for item in request.crash_suspects:
+            fingerprint, _, loss_id = item.partition(":")
+            self._crashes[fingerprint].setdefault(loss_id, now_s)
+        return self.quarantined(now_s) != before
+
+    def active(self, now_s: float) -> list[ExchangeRequest]:
+        """Return the last report of each gateway that is in contact."""
+        return [
+            request
+            for seen_s, request in self._reports.values()
+            if seen_s + CONTACT_EXPIRY_S > now_s
+        ]
+
+    def in_flight(self, now_s: float, without: str = "") -> dict[str, int]:
+        """Return the requests in flight at each server, by all gateways but one."""
+        totals: Counter[str] = Counter()
+        for request in self.active(now_s):
+            if request.host != without:
+                totals.update(request.in_flight)
+        return dict(totals)
+
+    def quarantined(self, now_s: float) -> tuple[str, ...]:
+        """Return the fingerprints of requests that have crashed several servers."""
+        for fingerprint, losses in list(self._crashes.items()):
+            if all(seen_s + CRASH_MEMORY_S < now_s for seen_s in losses.values()):
+                del self._crashes[fingerprint]
+        return tuple(
+            fingerprint
+            for fingerprint, losses in self._crashes.items()
+            if len(losses) >= CRASHES_TO_QUARANTINE
+        )
--- /dev/null
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -0,0 +1,157 @@
+"""Moves rollouts along while this host leads."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+
+from baobabstream.coordination.announcement_feed import AnnouncementFeed
+from baobabstream.coordination.exchange_service import ExchangeService
+from baobabstream.coordination.rollout_judge import RolloutJudge
+from baobabstream.coordination.rollout_plan import RolloutStep, planned_step
+from baobabstream.coordination.state import (
+    AdoptVersion,
+    CoordinationCommand,
+    CoordinationState,
+    MoveRollout,
+)
+from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.wire.coordination_messages import RolloutRow, RolloutState, ServerState
+
+__all__ = ["RolloutDriver"]
+
+TICK_S = 0.2
+# The progress is stored this often, so that a new leader goes on close to where the last one was.
+STORE_INTERVAL_S = 2.0
+# Servers announce themselves every second or two; after this time all have been heard.
+ADOPT_AFTER_S = 3.0
+
+
+class RolloutDriver:
+    """Rollouts of one term.
+
+    Parameters
+    ----------
+    state
+        Committed state.
+    feed
+        Announcements that reached this host.
+    exchange
+        Reports of the gateways.
+    propose
+        Commits a command.
+    decisions
+        Log of decisions.
+
+    Notes
+    -----
+    The time of a rollout is the stored time plus what this leader has seen pass, so it does not
+    depend on the time of day. The time without a leader is not counted.
+    """
+
+    def __init__(
+        self,
+        state: CoordinationState,
+        feed: AnnouncementFeed,
+        exchange: ExchangeService,
+        propose: Callable[[CoordinationCommand], Awaitable[None]],
+        decisions: DecisionLog,
+    ) -> None:
+        self._state = state
+        self._feed = feed
+        self._exchange = exchange
+        self._propose = propose
+        self._decisions = decisions
+        self._judges: dict[str, RolloutJudge] = {}
+        self._learned: dict[tuple[str, str], tuple[float, float]] = {}
+        self._seen_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Drive until cancelled."""
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            for command in list(self._commands(now_s)):
+                try:
+                    await self._propose(command)
+                except BaobabstreamError as error:
+                    # The next tick decides again from what is committed then.
+                    self._decisions.record(
+                        DecisionEvent.ORDER_DECIDED,
+                        order=type(command).__name__,
+                        outcome="not committed",
+                        detail=str(error),
+                    )
+            await asyncio.sleep(TICK_S)
+
+    def _commands(self, now_s: float) -> Iterator[CoordinationCommand]:
+        yield from self._adoptions(now_s)
+        for row in list(self._state.rollouts.values()):
+            if row.state is RolloutState.IN_PROGRESS and row.target:
+                command = self._advance(row, now_s)
+                if command is not None:
+                    yield command
+
+    def _adoptions(self, now_s: float) -> Iterator[AdoptVersion]:
+        versions: dict[str, Counter[str]] = {}
+        for server in self._feed.table:
+            if server.state is not ServerState.GONE:
+                versions.setdefault(server.service, Counter())[server.version] += 1
+        for service, counts in versions.items():
+            first_s = self._seen_s.setdefault(service, now_s)
+            if service not in self._state.rollouts and first_s + ADOPT_AFTER_S <= now_s:
+                yield AdoptVersion(service, counts.most_common(1)[0][0])
+
+    def _advance(self, row: RolloutRow, now_s: float) -> MoveRollout | None:
+        judge = self._judges.get(row.service)
+        if judge is None or judge.target != row.target:
+            judge = self._judges[row.service] = RolloutJudge(row.base, row.target)
+        stored_s, since_s = self._learned.setdefault(
+            (row.service, row.target), (row.elapsed_s, now_s)
+        )
+        elapsed_s = stored_s + now_s - since_s
+        if judge.judge(self._exchange.evidence.totals(row.service)):
+            return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, judge)
+        step = planned_step(row, elapsed_s, self._base_idle(row, now_s))
+        if step.complete:
+            return self._move(row, RolloutState.COMPLETED, 1.0, True, elapsed_s, judge)
+        return self._step(row, step, elapsed_s, judge)
+
+    def _step(
+        self, row: RolloutRow, step: RolloutStep, elapsed_s: float, judge: RolloutJudge
+    ) -> MoveRollout | None:
+        changed = (row.share, row.settled) != (step.share, step.settled)
+        if not changed and elapsed_s < row.elapsed_s + STORE_INTERVAL_S:
+            return None
+        return self._move(row, row.state, step.share, step.settled, elapsed_s, judge)
+
+    def _move(
+        self,
+        row: RolloutRow,
+        state: RolloutState,
+        share: float,
+        settled: bool,
+        elapsed_s: float,
+        judge: RolloutJudge,
+    ) -> MoveRollout:
+        if (row.state, row.share) != (state, share):
+            self._decisions.record(
+                DecisionEvent.ROLLOUT_CHANGED,
+                service=row.service,
+                target=row.target,
+                state=state,
+                share=share,
+                elapsed_s=round(elapsed_s, 2),
+                log_ratio=round(judge.log_ratio, 2),
+            )
+        return MoveRollout(row.service, row.target, state, share, settled, elapsed_s)
+
+    def _base_idle(self, row: RolloutRow, now_s: float) -> bool:
+        """Return whether no gateway has a request in flight on the base version."""
+        in_flight = self._exchange.contacts.in_flight(now_s)
+        servers = (
+            self._feed.table.get(server_id) for server_id, count in in_flight.items() if count
+        )
+        return not any(
+            server is not None and server.service == row.service and server.version != row.target
+            for server in servers
+        )
--- /dev/null
+++ b/src/baobabstream/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon that routes requests by host and path."""
--- /dev/null
+++ b/src/baobabstream/gateway/daemon.py
@@ -0,0 +1,227 @@
+"""Gateway daemon: wires callers, backend servers and the coordination hosts."""
+
+import asyncio
+import gc
+import time
+from collections.abc import Callable, Iterator
+from random import Random
+
+from aiohttp import web
+
+from baobabstream.backends.connection_pool import ConnectionPool
+from baobabstream.coordination.daemon import inner_codec
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.gateway.control_contact import ControlContact, ExchangeParty
+from baobabstream.gateway.crash_watch import CrashWatch
+from baobabstream.gateway.front import Front
+from baobabstream.gateway.header_names import HeaderNames
+from baobabstream.gateway.run_context import RunContext
+from baobabstream.gateway.server_directory import ServerDirectory
+from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.routing.document import RoutingDocument
+from baobabstream.routing.route_table import RouteTable
+from baobabstream.routing.session_versions import SessionVersions
+from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.wire.coordination_messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    RolloutState,
+    ServerEvidence,
+    ServerRow,
+)
+
+__all__ = ["GatewayDaemon"]
+
+# Servers announce themselves every second or two; before this a new gateway knows only a few.
+WARM_UP_S = 1.5
+# The load balancer asks once a second and stops after two answers; connections that it opened
+# meanwhile are still served.
+STOP_ACCEPTING_AFTER_S = 2.8
+# What a stop leaves between the end of the last request and the kill.
+STOP_MARGIN_S = 0.5
+CONNECTION_SHARE = 0.8
+MIN_CONNECTIONS = 4
+
+ReadDocument = Callable[[bytes], RoutingDocument]
+
+
+class GatewayDaemon(ExchangeParty):
+    """One entry host that routes by host and path.
+
+    Parameters
+    ----------
+    settings
+        Settings of this host.
+    names
+        Names of the headers.
+    ready_path
+        Path at which the load balancer asks whether this host takes requests.
+    read_document
+        Returns the routing document of a configuration text.
+    random
+        Breaks ties.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        names: HeaderNames,
+        ready_path: str,
+        read_document: ReadDocument,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._read_document = read_document
+        self._ready_path = ready_path
+        self._loop = asyncio.get_running_loop()
+        self._incarnation = time.time_ns()
+        self._first_contact_s: float | None = None
+        decisions = DecisionLog(settings.host)
+        directory = ServerDirectory(self._make_pool, settings.heartbeat_s)
+        self.context = RunContext(
+            settings,
+            names,
+            directory,
+            SessionVersions(settings.session_s),
+            CrashWatch(settings.host),
+            decisions,
+            random,
+        )
+        self._contact = ControlContact(
+            settings.seeds, settings.inner_port, inner_codec(settings.host), self, decisions
+        )
+        self._front = Front(self.context, self._contact.age_s)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether this host can serve: it has a configuration and knows the servers."""
+        warm = (
+            self._first_contact_s is not None
+            and self._loop.time() - self._first_contact_s >= WARM_UP_S
+        )
+        return warm and self.context.table is not None and not self.context.stopping
+
+    async def start(self) -> None:
+        """Open the listeners and contact the coordination hosts."""
+        settings = self._settings
+        self._contact.start()
+        ready = web.Application()
+        ready.router.add_get(self._ready_path, self._answer_ready)
+        self._ready_runner = web.AppRunner(ready, access_log=None)
+        await self._ready_runner.setup()
+        try:
+            await web.TCPSite(self._ready_runner, settings.ip, settings.ready_port).start()
+            await self._front.start(settings.ip, settings.front_port)
+        except OSError as error:
+            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
+        self._tasks = [asyncio.create_task(self.context.decisions.run())]
+        self.context.decisions.record(DecisionEvent.DAEMON_STARTED, role="gateway")
+        # Objects made so far live as long as the process.
+        gc.collect()
+        gc.freeze()
+
+    async def stop(self) -> None:
+        """Report unready, serve what still comes, finish open requests, and end."""
+        began_s = self._loop.time()
+        self.context.stopping = True
+        self.context.decisions.record(DecisionEvent.DAEMON_STOPPING, reason="signal")
+        await asyncio.sleep(STOP_ACCEPTING_AFTER_S)
+        await self._front.stop_accepting()
+        end_s = began_s + self._settings.stop_grace_s - STOP_MARGIN_S
+        await self._front.finish(end_s)
+        await self._contact.stop()
+        await self._ready_runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        self.context.decisions.flush()
+        await asyncio.sleep(0)
+
+    # Exchanges
+
+    def report(self, epoch: int, position: int, wait_s: float) -> ExchangeRequest:
+        """Return the next report to a coordination host."""
+        context = self.context
+        return ExchangeRequest(
+            host=self._settings.host,
+            incarnation=self._incarnation,
+            document_version=context.table.document.version if context.table else 0,
+            rollout_revision=context.rollout_revision,
+            epoch=epoch,
+            position=position,
+            wait_s=wait_s,
+            evidence=tuple(self._evidence()),
+            crash_suspects=context.crashes.reports(self._loop.time()),
+            in_flight={
+                server.row.server_id: server.in_flight
+                for server in context.directory
+                if server.in_flight
+            },
+        )
+
+    def take_document(self, version: int, text: bytes) -> None:
+        """Put a newer configuration in force."""
+        context = self.context
+        if context.table is not None and version <= context.table.document.version:
+            return
+        context.table = RouteTable(self._read_document(text))
+        limits = context.table.document.limits
+        self._front.set_limits(limits)
+        context.decisions.record(
+            DecisionEvent.DOCUMENT_IN_FORCE,
+            document_version=version,
+            routes=len(context.table.document.routes),
+        )
+
+    def take_reply(self, reply: ExchangeReply) -> None:
+        """Take announcements, rollouts and load."""
+        context, now_s = self.context, self._loop.time()
+        if self._first_contact_s is None:
+            self._first_contact_s = now_s
+        for row in context.directory.merge(reply.rows, now_s):
+            self._log_server(row)
+        context.directory.refresh(reply.refreshed, now_s)
+        context.directory.set_elsewhere(reply.in_flight)
+        context.crashes.set_quarantined(reply.quarantined)
+        context.gateways = max(1, reply.gateways)
+        if reply.rollout_revision > context.rollout_revision:
+            context.rollout_revision = reply.rollout_revision
+            context.rollouts = {row.service: row for row in reply.rollouts}
+
+    def contact_resumed(self) -> None:
+        """Give the servers time to announce themselves again."""
+        self.context.directory.resume_listening(self._loop.time())
+
+    def _evidence(self) -> Iterator[ServerEvidence]:
+        context = self.context
+        for server in context.directory:
+            row = context.rollouts.get(server.row.service)
+            if row is not None and row.state is RolloutState.IN_PROGRESS:
+                yield ServerEvidence(
+                    server.row.service,
+                    server.row.version,
+                    server.row.server_id,
+                    server.good,
+                    server.bad,
+                )
+
+    def _log_server(self, row: ServerRow) -> None:
+        self.context.decisions.record(
+            DecisionEvent.SERVER_CHANGED,
+            server=row.server_id,
+            service=row.service,
+            address=row.address,
+            state=row.state,
+            version=row.version,
+        )
+
+    def _make_pool(self, row: ServerRow) -> ConnectionPool:
+        context = self.context
+        spec = context.table.services.get(row.service) if context.table else None
+        total = spec.max_connections if spec is not None else 100
+        limit = max(MIN_CONNECTIONS, int(total * CONNECTION_SHARE / context.gateways))
+        return ConnectionPool(row.address, context.names.request_id.lower(), limit)
+
+    async def _answer_ready(self, _: web.Request) -> web.Response:
+        return web.Response(status=200 if self.ready else 503)
--- /dev/null
+++ b/src/baobabstream/gateway/front.py
@@ -0,0 +1,114 @@
+"""HTTP front of a gateway for callers."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.gateway.request_reader import RequestReader
+from baobabstream.gateway.request_run import RequestRun, refusal
+from baobabstream.gateway.run_context import RunContext
+from baobabstream.routing.document import RequestLimits
+from baobabstream.telemetry.decision_log import DecisionEvent
+
+__all__ = ["Front"]
+
+# Longer than callers keep an idle connection, so that they, not this side, end it.
+IDLE_MARGIN_S = 5.0
+DEFAULT_IDLE_S = 20.0
+MAX_BODY_BYTES = 16 * 1024 * 1024
+FINISH_POLL_S = 0.05
+
+
+class Front:
+    """Takes callers' requests, answers those that no server may run, and runs the others.
+
+    Parameters
+    ----------
+    context
+        What request runs share.
+    control_age_s
+        Returns the time since a coordination host has answered.
+    """
+
+    def __init__(self, context: RunContext, control_age_s: Callable[[], float]) -> None:
+        self._context = context
+        self._control_age_s = control_age_s
+        self._reader = RequestReader(context.names)
+        self._open = 0
+        self._accepting = True
+        self._max_body_bytes = MAX_BODY_BYTES
+
+    async def start(self, ip: str, port: int) -> None:
+        """Listen for callers."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.router.add_route("*", "/{path:.*}", self._handle)
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=DEFAULT_IDLE_S,
+            shutdown_timeout=0.1,
+        )
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, ip, port, backlog=512)
+        await self._site.start()
+
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Take the limits of a new configuration."""
+        self._max_body_bytes = limits.max_body_bytes
+
+    async def stop_accepting(self) -> None:
+        """Take no new connections; open ones are still served."""
+        self._accepting = False
+        await self._site.stop()
+
+    async def finish(self, end_s: float) -> None:
+        """Wait for open requests until a time, then close all connections."""
+        loop = asyncio.get_running_loop()
+        while self._open and loop.time() < end_s:
+            await asyncio.sleep(FINISH_POLL_S)
+        await self._runner.cleanup()
+
+    async def _handle(self, http: web.Request) -> web.StreamResponse:
+        arrived_s = asyncio.get_running_loop().time()
+        self._open += 1
+        try:
+            return self._finished(await self._answer(http, arrived_s))
+        finally:
+            self._open -= 1
+
+    async def _answer(self, http: web.Request, arrived_s: float) -> web.StreamResponse:
+        context = self._context
+        try:
+            route = self._reader.route_of(http, context.table)
+            assert context.table is not None
+            account = self._reader.account_of(http, route, context.table)
+            request = await self._reader.read(http, route, account, arrived_s)
+            if len(request.body) > self._max_body_bytes:
+                raise RequestRefused(ResultCode.BODY_TOO_LARGE)
+        except RequestRefused as error:
+            self._log_refusal(http, error, arrived_s)
+            return refusal(error)
+        return await RequestRun(request, http, context).run()
+
+    def _finished(self, response: web.StreamResponse) -> web.StreamResponse:
+        if self._context.stopping and not response.prepared:
+            response.force_close()
+        return response
+
+    def _log_refusal(self, http: web.Request, error: RequestRefused, arrived_s: float) -> None:
+        context = self._context
+        age_s = self._control_age_s()
+        context.decisions.record(
+            DecisionEvent.REQUEST_REFUSED,
+            request_id=http.headers.get(context.names.request_id, ""),
+            route=f"{http.headers.get('Host', '')}{http.path}",
+            code=int(error.code),
+            reason=error.detail,
+            document_version=context.table.document.version if context.table else 0,
+            control_age_ms=int(age_s * 1000) if age_s != float("inf") else None,
+            elapsed_ms=int((asyncio.get_running_loop().time() - arrived_s) * 1000),
+        )
--- /dev/null
+++ b/src/baobabstream/gateway/request_run.py
@@ -0,0 +1,389 @@
+"""Carries one request through its attempts to its answer."""
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from baobabstream.backends.http_connection import AnswerHead
+from baobabstream.entry.http_errors import error_body
+from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
+from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
+from baobabstream.gateway.attempt import MISDIRECTED, Attempt, AttemptFailed
+from baobabstream.gateway.request_reader import CONNECTION_HEADERS
+from baobabstream.gateway.routed_request import RoutedRequest
+from baobabstream.gateway.run_context import RunContext
+from baobabstream.gateway.server_directory import KnownServer
+from baobabstream.routing.document import RouteKind
+from baobabstream.routing.model_choice import choose_model
+from baobabstream.routing.server_choice import choose_server
+from baobabstream.telemetry.decision_log import DecisionEvent
+
+__all__ = ["RequestRun", "refusal"]
+
+# Sends of one request, counting those that servers refuse without running it.
+MAX_SENDS = 5
+# A caller that comes back this soon finds another server or the load gone; it waits longer by
+# itself when it is refused again.
+RETRY_AFTER_S = 0.5
+# An answer that takes this many times the expected time counts against its server's version.
+BAD_SLOWNESS = 5.0
+# An engine that is silent this long in the middle of a stream is taken for lost.
+STALL_GAPS = 2.5
+
+
+def refusal(error: BaobabstreamError, run_state: RunState | None = None) -> web.Response:
+    """Return the answer of a request that gets none from a server."""
+    row = CODE_TABLE[error.code]
+    response = web.json_response(error_body(error, run_state), status=row.http_status)
+    if row.http_status in (429, 503):
+        retry_after_s = error.retry_after_s if error.retry_after_s is not None else RETRY_AFTER_S
+        response.headers["Retry-After"] = f"{retry_after_s:.2f}"
+    return response
+
+
+@dataclass
+class _Progress:
+    """Sends of a request so far."""
+
+    sends: int = 0
+    runs: int = 0
+    maybe_run: bool = False
+    model: str = ""
+    confidence: str = ""
+    first_event_s: float | None = None
+
+
+class RequestRun:
+    """One request from its arrival to its end.
+
+    Parameters
+    ----------
+    request
+        The request as read.
+    http
+        The caller's HTTP request.
+    context
+        What runs share.
+    """
+
+    def __init__(self, request: RoutedRequest, http: web.Request, context: RunContext) -> None:
+        self._request = request
+        self._http = http
+        self._context = context
+        self._loop = asyncio.get_running_loop()
+        self._progress = _Progress(model=choose_model(request.route, request.model))
+        self._tried: set[str] = set()
+        self._server: KnownServer | None = None
+        self._response: web.StreamResponse | None = None
+        self._outcome = "caller_left"
+
+    async def run(self) -> web.StreamResponse:
+        """Return the response that was given to the caller."""
+        try:
+            async with asyncio.timeout_at(self._request.deadline_s):
+                return await self._answer()
+        except TimeoutError:
+            return self._timed_out()
+        except _Delivered as delivered:
+            self._outcome = "failed by the server"
+            return self._respond(delivered.response())
+        except AttemptFailed as failure:
+            self._outcome = f"broke off: {failure.reason}"
+            return self._broken_off()
+        except RequestRefused as error:
+            self._outcome = f"refused {int(error.code)}"
+            if self._response is not None and self._response.prepared:
+                return self._broken_off()
+            return self._respond(refusal(error))
+        finally:
+            self._log_end()
+
+    async def _answer(self) -> web.StreamResponse:
+        request, context = self._request, self._context
+        if context.crashes.quarantined(request.fingerprint):
+            raise RequestRefused(ResultCode.QUARANTINED)
+        context.budget(request.service).note_request(self._loop.time())
+        while True:
+            server = self._choose()
+            attempt = Attempt(
+                request, server, self._progress.model, self._resume_id(), context.names
+            )
+            try:
+                return await self._attempt(attempt)
+            except AttemptFailed as failure:
+                self._note_failure(attempt, failure)
+                self._check_retry(failure)
+            finally:
+                attempt.close()
+
+    async def _attempt(self, attempt: Attempt) -> web.StreamResponse:
+        self._server = attempt.server
+        self._progress.sends += 1
+        if self._request.route.kind is RouteKind.STREAM:
+            return await self._attempt_stream(attempt)
+        head = await attempt.send()
+        body = await attempt.read_whole()
+        self._note_answer(attempt, failed=False)
+        self._outcome = "served"
+        response = web.Response(body=body, status=head.status, headers=_passed_back(head))
+        return self._respond(response)
+
+    async def _attempt_stream(self, attempt: Attempt) -> web.StreamResponse:
+        head = await attempt.send()
+        if head.status >= 300:
+            body = await attempt.read_whole()
+            self._outcome = "failed by the server"
+            failed = web.Response(body=body, status=head.status, headers=_passed_back(head))
+            return self._respond(failed)
+        events = await attempt.read_events()
+        self._note_answer(attempt, failed=False)
+        self._progress.confidence = head.get(self._context.names.confidence) or ""
+        response = web.StreamResponse(status=head.status, headers=_passed_back(head))
+        response.enable_chunked_encoding()
+        self._response = response
+        await response.prepare(self._http)
+        await self._relay(attempt, response, events)
+        return response
+
+    async def _relay(self, attempt: Attempt, response: web.StreamResponse, events: bytes) -> None:
+        """Pass events on until the end; goes on at another server if the stream breaks."""
+        owned: Attempt | None = None
+        try:
+            while True:
+                try:
+                    while events:
+                        await response.write(events)
+                        events = await self._next_events(attempt)
+                    await response.write_eof()
+                    self._outcome = "served"
+                    return
+                except AttemptFailed as failure:
+                    self._note_failure(attempt, failure)
+                    last_event_id = attempt.last_event_id or self._resume_id()
+                    self._check_resume(failure)
+                if owned is not None:
+                    owned.close()
+                    owned = None
+                attempt, events = await self._resume(last_event_id)
+                owned = attempt
+        finally:
+            if owned is not None:
+                owned.close()
+
+    async def _next_events(self, attempt: Attempt) -> bytes:
+        limit_s = max(STALL_GAPS * self._request.route.event_gap_target_s, STALL_GAPS)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await attempt.read_events()
+        except TimeoutError as error:
+            raise AttemptFailed(RunState.UNKNOWN, "the stream stalled", reset=True) from error
+
+    async def _resume(self, last_event_id: str) -> tuple[Attempt, bytes]:
+        """Open the stream at another server after the last event that the caller has."""
+        while True:
+            server = self._choose()
+            attempt = Attempt(
+                self._request, server, self._progress.model, last_event_id, self._context.names
+            )
+            self._server = server
+            self._progress.sends += 1
+            try:
+                head = await attempt.send()
+                if head.status >= 300:
+                    raise AttemptFailed(RunState.YES, f"status {head.status} on a resume", head)
+                return attempt, await attempt.read_events()
+            except AttemptFailed as failure:
+                self._note_failure(attempt, failure)
+                attempt.close()
+                self._check_resume(failure)
+            except BaseException:
+                attempt.close()
+                raise
+
+    def _resume_id(self) -> str:
+        return self._request.last_event_id if self._request.route.resumable else ""
+
+    def _choose(self) -> KnownServer:
+        request, context, now_s = self._request, self._context, self._loop.time()
+        servers = context.candidates(request.service, request.session, now_s)
+        fresh = [server for server in servers if server.row.server_id not in self._tried]
+        open_to = [server for server in fresh if not server.pool.full]
+        usable = [item for item in open_to if item.held_until_s <= now_s] or open_to
+        if not usable:
+            raise RequestRefused(ResultCode.NO_BACKEND_SERVER)
+        part = request.shared_part
+        loads = {
+            server.row.server_id: server.load(
+                now_s, context.settings.availability_zone, part.part_id if part else None
+            )
+            for server in usable
+        }
+        chosen = choose_server(list(loads.values()), request.shared_tokens, context.random)
+        server = next(item for item in usable if item.row.server_id == chosen.server_id)
+        self._tried.add(chosen.server_id)
+        context.sessions.note(request.service, request.session, server.row.version, now_s)
+        return server
+
+    def _note_answer(self, attempt: Attempt, failed: bool) -> None:
+        now_s = self._loop.time()
+        server, request = attempt.server, self._request
+        elapsed_s = now_s - attempt.sent_s
+        ratio = self._context.times.ratio(request.route.name, attempt.model, elapsed_s)
+        server.note_answer(failed, ratio, now_s)
+        if failed or ratio > BAD_SLOWNESS:
+            server.bad += 1
+        else:
+            server.good += 1
+            self._context.crashes.answered(request.fingerprint)
+        if request.shared_part is not None:
+            server.note_prompt(request.shared_part.part_id)
+        if self._progress.first_event_s is None:
+            self._progress.first_event_s = now_s - request.arrived_s
+        self._progress.runs += 1
+        attempt.answered = True
+
+    def _note_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
+        now_s = self._loop.time()
+        server, context = attempt.server, self._context
+        if failure.run_state is not RunState.NO:
+            self._progress.runs += not attempt.answered
+            self._progress.maybe_run = True
+            server.note_answer(failed=True, slowness=None, now_s=now_s)
+        if failure.run_state is RunState.YES:
+            server.bad += 1
+        if failure.unreachable:
+            hold_s = server.hold(now_s)
+            context.decisions.record(
+                DecisionEvent.SERVER_SUSPECTED,
+                server=server.row.server_id,
+                reason=failure.reason,
+                hold_ms=int(hold_s * 1000),
+            )
+        if failure.head is not None and failure.head.status == MISDIRECTED:
+            server.hold(now_s)
+        if failure.reset:
+            self._check_crash(server)
+        context.decisions.record(
+            DecisionEvent.ATTEMPT_FAILED,
+            request_id=self._request.request_id,
+            server=server.row.server_id,
+            model=attempt.model,
+            attempt=self._progress.sends,
+            run_state=failure.run_state,
+            reason=failure.reason,
+            status=failure.head.status if failure.head else 0,
+            elapsed_ms=int((now_s - self._request.arrived_s) * 1000),
+            in_flight=server.in_flight,
+            announced_age_ms=int((now_s - server.heard_s) * 1000),
+        )
+
+    def _check_crash(self, server: KnownServer) -> None:
+        context, request = self._context, self._request
+
+        async def check() -> None:
+            if await context.crashes.check(
+                request.fingerprint,
+                f"{server.row.server_id}.{server.row.born_ms}",
+                server.row.address,
+                context.names.request_id.lower(),
+            ):
+                server.hold(self._loop.time())
+
+        task = asyncio.create_task(check())
+        context.background.add(task)
+        task.add_done_callback(context.background.discard)
+
+    def _check_retry(self, failure: AttemptFailed) -> None:
+        """Return if the request may be sent again; else raise its final answer."""
+        request, progress = self._request, self._progress
+        allowed = failure.run_state is RunState.NO or request.route.repeatable
+        if (
+            not allowed
+            or progress.runs >= request.route.max_attempts
+            or progress.sends >= MAX_SENDS
+            or not self._budget_left()
+        ):
+            self._give_up(failure)
+
+    def _check_resume(self, failure: AttemptFailed) -> None:
+        request, progress = self._request, self._progress
+        if (
+            not request.route.resumable
+            or progress.runs >= request.route.max_attempts
+            or progress.sends >= MAX_SENDS
+            or not self._budget_left()
+        ):
+            raise failure
+
+    def _budget_left(self) -> bool:
+        context = self._context
+        budget = context.budget(self._request.service)
+        return budget.take(self._loop.time(), context.gateways)
+
+    def _give_up(self, failure: AttemptFailed) -> None:
+        if failure.head is not None and failure.run_state is RunState.YES:
+            raise _Delivered(failure) from failure
+        if self._progress.maybe_run:
+            raise RequestRefused(ResultCode.BACKEND_FAILED, failure.reason) from failure
+        raise RequestRefused(ResultCode.NO_BACKEND_SERVER, failure.reason) from failure
+
+    def _respond(self, response: web.Response) -> web.Response:
+        self._response = response
+        return response
+
+    def _timed_out(self) -> web.StreamResponse:
+        self._outcome = "timed out"
+        if self._response is not None and self._response.prepared:
+            return self._broken_off()
+        maybe_run = self._progress.maybe_run or self._progress.sends > 0
+        code = ResultCode.TIMED_OUT if maybe_run else ResultCode.NO_BACKEND_SERVER
+        return self._respond(refusal(RequestRefused(code)))
+
+    def _broken_off(self) -> web.StreamResponse:
+        """End a stream so that the caller cannot take it for complete."""
+        assert self._response is not None
+        if self._http.transport is not None:
+            self._http.transport.close()
+        return self._response
+
+    def _log_end(self) -> None:
+        context, request, progress = self._context, self._request, self._progress
+        now_s = self._loop.time()
+        first_s = progress.first_event_s
+        context.decisions.record(
+            DecisionEvent.REQUEST_ENDED,
+            important=self._outcome != "served",
+            request_id=request.request_id,
+            route=request.route.name,
+            account=request.account.name if request.account else "",
+            outcome=self._outcome,
+            status=self._response.status if self._response is not None else 0,
+            attempts=progress.sends,
+            server=self._server.row.server_id if self._server else "",
+            server_version=self._server.row.version if self._server else "",
+            model=progress.model,
+            confidence=progress.confidence,
+            first_event_ms=int(first_s * 1000) if first_s is not None else None,
+            elapsed_ms=int((now_s - request.arrived_s) * 1000),
+            document_version=context.table.document.version if context.table else 0,
+            session=request.session,
+        )
+
+
+class _Delivered(Exception):
+    """Carries a server's own failure to the caller."""
+
+    def __init__(self, failure: AttemptFailed) -> None:
+        self.failure = failure
+        super().__init__(failure.reason)
+
+    def response(self) -> web.Response:
+        """Return the failure as the server gave it."""
+        head = self.failure.head
+        assert head is not None
+        return web.Response(body=self.failure.body, status=head.status, headers=_passed_back(head))
+
+
+def _passed_back(head: AnswerHead) -> list[tuple[str, str]]:
+    return [(name, value) for name, value in head.headers if name.lower() not in CONNECTION_HEADERS]
--- /dev/null
+++ b/src/baobabstream/gateway/run_context.py
@@ -0,0 +1,86 @@
+"""What every request run of a gateway shares."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from baobabstream.gateway.answer_times import AnswerTimes
+from baobabstream.gateway.crash_watch import CrashWatch
+from baobabstream.gateway.header_names import HeaderNames
+from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
+from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.routing.route_table import RouteTable
+from baobabstream.routing.second_send_budget import SecondSendBudget
+from baobabstream.routing.session_versions import SessionVersions
+from baobabstream.telemetry.decision_log import DecisionLog
+from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
+
+__all__ = ["RunContext"]
+
+
+@dataclass
+class RunContext:
+    """Configuration, servers, budgets and logs of one gateway.
+
+    Parameters
+    ----------
+    settings, names
+        Settings, and the names of the headers.
+    directory
+        Backend servers.
+    sessions
+        Versions that sessions run on.
+    crashes
+        Requests that crash servers.
+    decisions
+        Log of decisions.
+    random
+        Breaks ties.
+    """
+
+    settings: GatewaySettings
+    names: HeaderNames
+    directory: ServerDirectory
+    sessions: SessionVersions
+    crashes: CrashWatch
+    decisions: DecisionLog
+    random: Random
+    times: AnswerTimes = field(default_factory=AnswerTimes)
+    table: RouteTable | None = None
+    rollouts: dict[str, RolloutRow] = field(default_factory=dict)
+    rollout_revision: int = 0
+    gateways: int = 1
+    stopping: bool = False
+    budgets: dict[str, SecondSendBudget] = field(default_factory=dict)
+    background: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def budget(self, service: str) -> SecondSendBudget:
+        """Return the budget of second sends to a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            settings = self.settings
+            budget = SecondSendBudget(
+                settings.retry_share, settings.retry_slack, settings.retry_window_s
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def candidates(self, service: str, session: str, now_s: float) -> list[KnownServer]:
+        """Return the servers that may run a request of a session.
+
+        Notes
+        -----
+        Without a server of the preferred version, the other version of a rollout in progress is
+        allowed. A version that was rolled back, or that is not part of a rollout, is not.
+        """
+        servers = self.directory.ready(service, now_s)
+        row = self.rollouts.get(service)
+        version = self.sessions.preferred(row, session, now_s)
+        if not version:
+            return servers
+        preferred = [server for server in servers if server.row.version == version]
+        if preferred or row is None:
+            return preferred
+        if row.state is RolloutState.IN_PROGRESS:
+            return [item for item in servers if item.row.version in (row.base, row.target)]
+        return [] if row.target else servers
--- /dev/null
+++ b/src/baobabstream/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform."""
--- /dev/null
+++ b/src/baobabstream/platform/__main__.py
@@ -0,0 +1,68 @@
+"""Starts a daemon on the platform: ``python3 -m baobabstream.platform gateway``."""
+
+import asyncio
+import sys
+from random import SystemRandom
+
+from baobabstream.cli.run_daemon import run_until_stopped
+from baobabstream.errors.exceptions import BaobabstreamError, SettingsError
+from baobabstream.platform.settings import PlatformSettings, load_platform_settings
+from baobabstream.telemetry.logs import configure_logging
+from baobabstream.wire.threads import limit_nng_threads
+
+__all__ = ["main"]
+
+# Exit status for a wrong command line or settings file, as in sysexits.h.
+EX_USAGE, EX_CONFIG = 64, 78
+
+
+def _run_gateway(settings: PlatformSettings) -> None:
+    import uvloop
+
+    from baobabstream.gateway.daemon import GatewayDaemon
+    from baobabstream.platform.config_format import read_document
+    from baobabstream.platform.names import HEADERS, READY_PATH
+
+    run_until_stopped(
+        lambda: GatewayDaemon(
+            settings.gateway(), HEADERS, READY_PATH, read_document, SystemRandom()
+        ),
+        uvloop.run,
+    )
+
+
+def _run_coordination(settings: PlatformSettings) -> None:
+    from baobabstream.coordination.daemon import CoordinationDaemon
+    from baobabstream.platform.operator_api import operator_application
+
+    run_until_stopped(
+        lambda: CoordinationDaemon(settings.coordination(), operator_application), asyncio.run
+    )
+
+
+_ROLES = {"gateway": _run_gateway, "coordination": _run_coordination}
+
+
+def main() -> int:
+    """Run the daemon that the command line names; returns the exit status."""
+    run = _ROLES.get(sys.argv[1] if len(sys.argv) > 1 else "")
+    if run is None:
+        print(f"usage: python3 -m baobabstream.platform {'|'.join(_ROLES)}", file=sys.stderr)
+        return EX_USAGE
+    try:
+        settings = load_platform_settings()
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EX_CONFIG
+    configure_logging("INFO", json_lines=True, host=settings.node_name)
+    limit_nng_threads()
+    try:
+        run(settings)
+    except BaobabstreamError as error:
+        print(error, file=sys.stderr)
+        return EX_CONFIG if isinstance(error, SettingsError) else 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/baobabstream/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Whole routing configurations and the pure decisions on them."""
--- a/src/baobabstream/wire/consensus_messages.py
+++ b/src/baobabstream/wire/consensus_messages.py
@@ -142,7 +142,8 @@
 
 
 class JoinReply(Struct, frozen=True, tag="join_reply"):
-    """Identity of the answering member and whether it knows of an existing group."""
+    """Identity of the answering member, whether it knows of a group, and the hosts in it."""
 
     member: Member
     initialised: bool
+    hosts: tuple[str, ...] = ()
--- a/src/baobabstream/wire/registry.py
+++ b/src/baobabstream/wire/registry.py
@@ -12,6 +12,16 @@
     VoteReply,
     VoteRequest,
 )
+from baobabstream.wire.coordination_messages import (
+    DocumentOrder,
+    DocumentQuery,
+    DocumentReply,
+    ExchangeReply,
+    ExchangeRequest,
+    RolloutOrder,
+    RolloutQuery,
+    RolloutReply,
+)
 from baobabstream.wire.messages import (
     BillReply,
     BillRequest,
@@ -62,4 +72,12 @@
     | TransferReply
     | JoinRequest
     | JoinReply
+    | DocumentOrder
+    | DocumentQuery
+    | DocumentReply
+    | ExchangeReply
+    | ExchangeRequest
+    | RolloutOrder
+    | RolloutQuery
+    | RolloutReply
 )
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from baobabstream.consensus.address_book import FixedAddresses
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged
 from baobabstream.consensus.replicated_log import LogListener, LogOptions, ReplicatedLog
@@ -71,7 +72,7 @@
         log = ReplicatedLog(
             storage,
             ConfigStateMachine(state),
-            self.urls,
+            FixedAddresses(self.urls),
             codec,
             recorder,
             Random(host),
