--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -127,6 +127,10 @@
         self._head = None
         self._complete = False
         self._until_close = False
+        # An answer that was complete but not read to its end belongs to the request before.
+        self._parts.clear()
+        self._buffered_bytes = 0
+        self._transport.resume_reading()
         self._transport.write(data)
 
     async def read_head(self) -> AnswerHead:
--- a/src/baobabstream/cli/run_daemon.py
+++ b/src/baobabstream/cli/run_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 __all__ = ["Daemon", "run_until_stopped", "stop_event"]
 
@@ -18,6 +18,9 @@
         """Stop gracefully."""
 
 
+DaemonT = TypeVar("DaemonT", bound=Daemon)
+
+
 def stop_event() -> asyncio.Event:
     """Return an event that SIGTERM and SIGINT set."""
     event = asyncio.Event()
@@ -27,7 +30,11 @@
     return event
 
 
-def run_until_stopped(build: Callable[[], Daemon], run: Callable[..., None]) -> None:
+def run_until_stopped(
+    build: Callable[[], DaemonT],
+    run: Callable[..., None],
+    reload: Callable[[DaemonT], None] | None = None,
+) -> None:
     """Build a daemon inside the event loop, start it, and stop it on SIGTERM or SIGINT.
 
     Parameters
@@ -36,13 +43,19 @@
         Returns the daemon; called inside the event loop.
     run
         Runs a coroutine on a new event loop, such as ``asyncio.run``.
+    reload
+        Called with the daemon on SIGHUP; without it SIGHUP ends the process as usual.
     """
-    run(_run(build))
+    run(_run(build, reload))
 
 
-async def _run(build) -> None:
+async def _run(
+    build: Callable[[], DaemonT], reload: Callable[[DaemonT], None] | None = None
+) -> None:
     event = stop_event()
-    daemon: Daemon = build()
+    daemon = build()
+    if reload is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload, daemon)
     await daemon.start()
     await event.wait()
     await daemon.stop()
--- a/src/baobabstream/consensus/address_book.py
+++ b/src/baobabstream/consensus/address_book.py
@@ -80,17 +80,21 @@
     """
 
     def __init__(self, seeds: Iterable[str], port: int, may_found: bool) -> None:
-        self._seeds = tuple(sorted(set(seeds)))
+        self._seeds = self._founders = tuple(sorted(set(seeds)))
         self._port = port
         self._may_found = may_found
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Take the hosts that the settings name now; the founders stay those of the start."""
+        self._seeds = tuple(sorted(set(seeds)))
+
     def url(self, host: str) -> str | None:
         """Return the address that follows from the name."""
         return f"tcp://{host}:{self._port}"
 
     def founders(self) -> tuple[str, ...]:
         """Return the seeds at the first start of the system."""
-        return self._seeds if self._may_found else ()
+        return self._founders if self._may_found else ()
 
     def contacts(self, members: Iterable[str]) -> tuple[str, ...]:
         """Return the seeds and all known members."""
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -27,7 +27,6 @@
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.logs import get_logger
-from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.consensus_messages import (
     AppendRequest,
     JoinRequest,
@@ -42,11 +41,11 @@
     RolloutOrder,
     RolloutQuery,
 )
+from baobabstream.wire.inner_codec import CLUSTER, inner_codec
 from baobabstream.wire.rpc import RpcClient, RpcServer
 
-__all__ = ["CLUSTER", "CoordinationDaemon", "inner_codec"]
+__all__ = ["CoordinationDaemon"]
 
-CLUSTER = "baobabstream"
 # EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
 DISK_FAILED_EXIT_STATUS = 74
 # Whole configurations are large; this bounds what a restart replays and a learner is sent.
@@ -60,17 +59,6 @@
 _log = get_logger("coordination")
 
 
-def inner_codec(host: str) -> WireCodec:
-    """Return the codec of the inner protocol for a host.
-
-    Notes
-    -----
-    The platform hands its processes no secret, so the proof in each frame only tells a damaged or
-    foreign frame from one of ours.
-    """
-    return WireCodec(CLUSTER, host, CLUSTER)
-
-
 class _Listener(LogListener):
     def __init__(self, daemon: "CoordinationDaemon") -> None:
         self._daemon = daemon
@@ -109,11 +97,12 @@
         self.feed = AnnouncementFeed(SystemRandom().getrandbits(48))
         self.exchange = ExchangeService(self.state, self.feed, self._hosts)
         self._codec = inner_codec(settings.ip)
+        self._addresses = SeededAddresses(settings.seeds, settings.port, settings.may_found)
         storage = FileStorage(settings.data_folder / "coordination", CLUSTER, settings.ip)
         self.log = ReplicatedLog(
             storage,
             CoordinationMachine(self.state),
-            SeededAddresses(settings.seeds, settings.port, settings.may_found),
+            self._addresses,
             self._codec,
             _Listener(self),
             SystemRandom(),
@@ -162,6 +151,11 @@
         await self._server.close()
         self.decisions.flush()
 
+    def reload(self, settings: CoordinationSettings) -> None:
+        """Take what may change without a restart: the seeds."""
+        self._addresses.set_seeds(settings.seeds)
+        self.decisions.record(DecisionEvent.SETTINGS_RELOADED, outcome="taken")
+
     def _hosts(self) -> tuple[str, ...]:
         membership = self.log.membership
         members = tuple(item.host for item in membership.voters + membership.learners)
--- a/src/baobabstream/gateway/answer_times.py
+++ b/src/baobabstream/gateway/answer_times.py
@@ -2,8 +2,8 @@
 
 __all__ = ["AnswerTimes"]
 
-# Weight of the newest answer; about the last twenty answers count.
-NEWEST_WEIGHT = 0.05
+# Weight of the newest answer; about the last ten answers count.
+NEWEST_WEIGHT = 0.1
 # An answer moves the expectation by at most this factor of it, so that a few very slow answers
 # do not make slow answers expected.
 MAX_RATIO = 3.0
--- a/src/baobabstream/gateway/control_contact.py
+++ b/src/baobabstream/gateway/control_contact.py
@@ -68,7 +68,7 @@
         party: ExchangeParty,
         decisions: DecisionLog,
     ) -> None:
-        self._seeds = frozenset(seeds)
+        self._seeds = set(seeds)
         self._port = port
         self._codec = codec
         self._party = party
@@ -83,6 +83,11 @@
         for host in self._seeds:
             self._contact(host)
 
+    def add_seeds(self, seeds: Iterable[str]) -> None:
+        """Contact further hosts that the settings name now."""
+        self._seeds.update(seeds)
+        self.start()
+
     async def stop(self) -> None:
         """End all exchanges."""
         for task in self._tasks.values():
@@ -104,7 +109,7 @@
         lost = False
         try:
             while lost is False or self._wanted(host, answered_s):
-                wait_s = 0.0 if position == 0 else EXCHANGE_WAIT_S
+                wait_s = 0.0 if epoch == 0 else EXCHANGE_WAIT_S
                 request = self._party.report(epoch, position, wait_s)
                 try:
                     reply: ExchangeReply = await client.call(request, CALL_TIMEOUT_S)
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -9,7 +9,6 @@
 from aiohttp import web
 
 from baobabstream.backends.connection_pool import ConnectionPool
-from baobabstream.coordination.daemon import inner_codec
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.gateway.control_contact import ControlContact, ExchangeParty
@@ -30,6 +29,7 @@
     ServerEvidence,
     ServerRow,
 )
+from baobabstream.wire.inner_codec import inner_codec
 
 __all__ = ["GatewayDaemon"]
 
@@ -138,6 +138,11 @@
         self.context.decisions.flush()
         await asyncio.sleep(0)
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take what may change without a restart: the seeds."""
+        self._contact.add_seeds(settings.seeds)
+        self.context.decisions.record(DecisionEvent.SETTINGS_RELOADED, outcome="taken")
+
     # Exchanges
 
     def report(self, epoch: int, position: int, wait_s: float) -> ExchangeRequest:
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -15,7 +15,7 @@
 from baobabstream.gateway.run_context import RunContext
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.routing.document import RouteKind
-from baobabstream.routing.model_choice import choose_model
+from baobabstream.routing.model_choice import first_model, larger_model
 from baobabstream.routing.server_choice import choose_server
 from baobabstream.telemetry.decision_log import DecisionEvent
 
@@ -72,7 +72,7 @@
         self._http = http
         self._context = context
         self._loop = asyncio.get_running_loop()
-        self._progress = _Progress(model=choose_model(request.route, request.model))
+        self._progress = _Progress(model=first_model(request.route, request.model))
         self._tried: set[str] = set()
         self._server: KnownServer | None = None
         self._response: web.StreamResponse | None = None
@@ -111,6 +111,9 @@
             )
             try:
                 return await self._attempt(attempt)
+            except _LargerModel as larger:
+                self._progress.model = larger.model
+                self._tried.clear()
             except AttemptFailed as failure:
                 self._note_failure(attempt, failure)
                 self._check_retry(failure)
@@ -136,9 +139,10 @@
             self._outcome = "failed by the server"
             failed = web.Response(body=body, status=head.status, headers=_passed_back(head))
             return self._respond(failed)
+        self._progress.confidence = head.get(self._context.names.confidence) or ""
+        self._check_confidence(attempt)
         events = await attempt.read_events()
         self._note_answer(attempt, failed=False)
-        self._progress.confidence = head.get(self._context.names.confidence) or ""
         response = web.StreamResponse(status=head.status, headers=_passed_back(head))
         response.enable_chunked_encoding()
         self._response = response
@@ -146,6 +150,24 @@
         await self._relay(attempt, response, events)
         return response
 
+    def _check_confidence(self, attempt: Attempt) -> None:
+        """Raise ``_LargerModel`` if another model should answer instead."""
+        request, progress = self._request, self._progress
+        try:
+            confidence = float(progress.confidence)
+        except ValueError:
+            return
+        if not request.route.repeatable or progress.runs + 1 >= request.route.max_attempts:
+            return
+        now_s = self._loop.time()
+        largest = request.route.model_names[-1] if request.route.model_names else ""
+        expected_s = self._context.times.expected_s(request.route.name, largest, 0.0)
+        in_time = now_s + expected_s < request.arrived_s + request.route.target_s
+        model = larger_model(request.route, attempt.model, confidence, in_time)
+        if model is not None and self._budget_left():
+            self._note_answer(attempt, failed=False)
+            raise _LargerModel(model)
+
     async def _relay(self, attempt: Attempt, response: web.StreamResponse, events: bytes) -> None:
         """Pass events on until the end; goes on at another server if the stream breaks."""
         owned: Attempt | None = None
@@ -371,6 +393,14 @@
         )
 
 
+class _LargerModel(Exception):
+    """Another model should answer; the caller has received nothing yet."""
+
+    def __init__(self, model: str) -> None:
+        self.model = model
+        super().__init__(model)
+
+
 class _Delivered(Exception):
     """Carries a server's own failure to the caller."""
 
--- a/src/baobabstream/platform/__main__.py
+++ b/src/baobabstream/platform/__main__.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from random import SystemRandom
+from typing import Any
 
 from baobabstream.cli.run_daemon import run_until_stopped
 from baobabstream.errors.exceptions import BaobabstreamError, SettingsError
 from baobabstream.platform.settings import PlatformSettings, load_platform_settings
-from baobabstream.telemetry.logs import configure_logging
+from baobabstream.telemetry.logs import configure_logging, get_logger
 from baobabstream.wire.threads import limit_nng_threads
 
 __all__ = ["main"]
@@ -15,6 +17,8 @@
 # Exit status for a wrong command line or settings file, as in sysexits.h.
 EX_USAGE, EX_CONFIG = 64, 78
 
+_log = get_logger("platform")
+
 
 def _run_gateway(settings: PlatformSettings) -> None:
     import uvloop
@@ -28,6 +32,7 @@
             settings.gateway(), HEADERS, READY_PATH, read_document, SystemRandom()
         ),
         uvloop.run,
+        lambda daemon: _reload(daemon, PlatformSettings.gateway),
     )
 
 
@@ -36,10 +41,22 @@
     from baobabstream.platform.operator_api import operator_application
 
     run_until_stopped(
-        lambda: CoordinationDaemon(settings.coordination(), operator_application), asyncio.run
+        lambda: CoordinationDaemon(settings.coordination(), operator_application),
+        asyncio.run,
+        lambda daemon: _reload(daemon, PlatformSettings.coordination),
     )
 
 
+def _reload(daemon: Any, read: Callable[[PlatformSettings], Any]) -> None:
+    """Read the settings file again; a daemon keeps its settings if the file cannot be used."""
+    try:
+        settings = read(load_platform_settings())
+    except SettingsError as error:
+        _log.warning("The settings file is not taken: %s", error)
+        return
+    daemon.reload(settings)
+
+
 _ROLES = {"gateway": _run_gateway, "coordination": _run_coordination}
 
 
--- a/src/baobabstream/routing/model_choice.py
+++ b/src/baobabstream/routing/model_choice.py
@@ -1,22 +1,60 @@
-"""Chooses the model of a request among those that its route allows."""
+"""Chooses models of a route, smallest first, and goes on to a larger one on low confidence."""
 
 from baobabstream.routing.document import Route
 
-__all__ = ["ANY_MODEL", "choose_model"]
+__all__ = ["ANY_MODEL", "first_model", "larger_model"]
 
 ANY_MODEL = "*"
+FULL_CONFIDENCE = 100.0
+# Probability, by the model's own confidence, at which an answer is kept. A larger model costs
+# about a seventh of an answer's value, and its answers are not all right either.
+KEEP_PROBABILITY = 0.6
+# The same when the larger model's answer would come after the target: a late answer counts for a
+# part only.
+KEEP_PROBABILITY_LATE = 0.2
 
 
-def choose_model(route: Route, asked: str) -> str:
-    """Return the model to name to the server, or an empty text if the caller named none.
+def first_model(route: Route, asked: str) -> str:
+    """Return the model to name to the first server, or the one that the caller asked for.
 
     Parameters
     ----------
     route
-        Route of the request; its models come smallest first.
+        Route of the request.
     asked
         Model that the caller names.
+
+    Notes
+    -----
+    A request that may run once only goes to the largest model, since its answer cannot be
+    replaced by another one.
+    """
+    if not route.model_names or asked not in ("", ANY_MODEL):
+        return asked
+    cascades = route.repeatable and route.max_attempts > 1
+    return route.model_names[0] if cascades else route.model_names[-1]
+
+
+def larger_model(route: Route, model: str, confidence: float, in_time: bool) -> str | None:
+    """Return the model that should answer instead, or None if the answer is kept.
+
+    Parameters
+    ----------
+    route
+        Route of the request.
+    model
+        Model that has answered.
+    confidence
+        Its opinion of its answer, 0 to 100.
+    in_time
+        Whether the largest model would probably answer within the route's target.
+
+    Notes
+    -----
+    The largest model comes next, without the ones in between: what the smallest cannot answer,
+    those seldom can, and each model that is tried takes time from the target.
     """
-    if route.model_names and asked in ("", ANY_MODEL):
-        return route.model_names[-1]
-    return asked
+    if model not in route.model_names or model == route.model_names[-1]:
+        return None
+    needed = KEEP_PROBABILITY if in_time else KEEP_PROBABILITY_LATE
+    return None if confidence >= needed * FULL_CONFIDENCE else route.model_names[-1]
--- a/src/baobabstream/wire/tls.py
+++ b/src/baobabstream/wire/tls.py
@@ -1,10 +1,13 @@
 """TLS of the connections between daemons."""
 
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from pynng import TLSConfig
 
-from baobabstream.settings.tls import PeerTlsFiles
+if TYPE_CHECKING:
+    # pydantic is loaded only by daemons whose settings name TLS files.
+    from baobabstream.settings.tls import PeerTlsFiles
 
 __all__ = ["PeerTls", "tls_url"]
 
@@ -25,7 +28,7 @@
         Host name in the certificate of the daemon at each nng address.
     """
 
-    def __init__(self, files: PeerTlsFiles, names: Mapping[str, str]) -> None:
+    def __init__(self, files: "PeerTlsFiles", names: Mapping[str, str]) -> None:
         self._files = files
         self._names = names
 
