--- a/src/baobabstream/gateway/front.py
+++ b/src/baobabstream/gateway/front.py
@@ -20,6 +20,10 @@
 DEFAULT_IDLE_S = 20.0
 MAX_BODY_BYTES = 16 * 1024 * 1024
 FINISH_POLL_S = 0.05
+# A caller that reached a stopping host finds another one at once.
+STOPPING_RETRY_S = 0.05
+# A new host has its configuration once the coordination hosts have a leader.
+NO_CONFIGURATION_RETRY_S = 1.5
 
 
 class Front:
@@ -61,9 +65,11 @@
         self._max_body_bytes = limits.max_body_bytes
 
     async def stop_accepting(self) -> None:
-        """Take no new connections; open ones are still served."""
+        """Take no new connections or requests; open requests are finished."""
         self._accepting = False
         await self._site.stop()
+        if self._runner.server is not None:
+            self._runner.server.pre_shutdown()
 
     async def finish(self, end_s: float) -> None:
         """Wait for open requests until a time, then close all connections."""
@@ -83,6 +89,8 @@
     async def _answer(self, http: web.Request, arrived_s: float) -> web.StreamResponse:
         context = self._context
         try:
+            if not self._accepting:
+                raise RequestRefused(ResultCode.STOPPING, retry_after_s=STOPPING_RETRY_S)
             route = self._reader.route_of(http, context.table)
             assert context.table is not None
             account = self._reader.account_of(http, route, context.table)
@@ -90,6 +98,8 @@
             if len(request.body) > self._max_body_bytes:
                 raise RequestRefused(ResultCode.BODY_TOO_LARGE)
         except RequestRefused as error:
+            if error.code is ResultCode.NO_CONFIGURATION:
+                error.retry_after_s = NO_CONFIGURATION_RETRY_S
             self._log_refusal(http, error, arrived_s)
             return refusal(error)
         return await RequestRun(request, http, context).run()
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -260,8 +260,7 @@
             self._context.crashes.answered(request.fingerprint)
         if request.shared_part is not None:
             server.note_prompt(request.shared_part.part_id)
-        if self._progress.first_event_s is None:
-            self._progress.first_event_s = now_s - request.arrived_s
+        self._progress.first_event_s = now_s - request.arrived_s
         self._progress.runs += 1
         attempt.answered = True
 
