--- a/src/baobabstream/gateway/front.py
+++ b/src/baobabstream/gateway/front.py
@@ -65,11 +65,13 @@
         self._max_body_bytes = limits.max_body_bytes
 
     async def stop_accepting(self) -> None:
-        """Take no new connections or requests; open requests are finished."""
+        """Take no new connections or requests; open requests are finished.
+
+        Idle connections stay open until the end, since aiohttp's own shutdown of them leaves
+        requests that are on their way unanswered; such requests are refused here.
+        """
         self._accepting = False
         await self._site.stop()
-        if self._runner.server is not None:
-            self._runner.server.pre_shutdown()
 
     async def finish(self, end_s: float) -> None:
         """Wait for open requests until a time, then close all connections."""
