--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -86,6 +86,8 @@
         self._names = names
         self._connection: HttpConnection | None = None
         self.answered = False
+        held = server.holds(request.cached_prompt(model))
+        self.unread_tokens = request.prompt_tokens - (request.shared_tokens if held else 0)
         self._reading_prompt = False
         self._cutter = EventCutter()
 
@@ -99,7 +101,7 @@
         """
         server, loop = self.server, asyncio.get_running_loop()
         server.in_flight += 1
-        server.prompt_tokens += self._request.prompt_tokens
+        server.prompt_tokens += self.unread_tokens
         self._reading_prompt = True
         self.sent_s = loop.time()
         try:
@@ -156,7 +158,7 @@
         """Note that the server has read the prompt: its first event has come."""
         if self._reading_prompt:
             self._reading_prompt = False
-            self.server.prompt_tokens -= self._request.prompt_tokens
+            self.server.prompt_tokens -= self.unread_tokens
 
     def close(self) -> None:
         """Give the connection back, or drop it if the answer is not complete."""
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -162,7 +162,7 @@
             return
         now_s = self._loop.time()
         largest = request.route.model_names[-1] if request.route.model_names else ""
-        expected_s = self._context.times.expected_s(request.route.name, largest, 0.0)
+        expected_s = self._context.times.expected_s(largest, request.prompt_tokens)
         in_time = now_s + expected_s < request.arrived_s + request.route.target_s
         model = larger_model(request.route, attempt.model, confidence, in_time)
         if model is not None and self._budget_left():
@@ -236,10 +236,10 @@
         usable = [item for item in open_to if item.held_until_s <= now_s] or open_to
         if not usable:
             raise RequestRefused(ResultCode.NO_BACKEND_SERVER)
-        part = request.shared_part
+        cached_prompt = request.cached_prompt(self._progress.model)
         loads = {
             server.row.server_id: server.load(
-                now_s, context.settings.availability_zone, part.part_id if part else None
+                now_s, context.settings.availability_zone, cached_prompt
             )
             for server in usable
         }
@@ -253,15 +253,17 @@
         now_s = self._loop.time()
         server, request = attempt.server, self._request
         elapsed_s = now_s - attempt.sent_s
-        ratio = self._context.times.ratio(request.route.name, attempt.model, elapsed_s)
+        kind = attempt.model or request.route.name
+        ratio = self._context.times.ratio(kind, attempt.unread_tokens, elapsed_s)
         server.note_answer(failed, ratio, now_s)
         if failed or ratio > BAD_SLOWNESS:
             server.bad += 1
         else:
             server.good += 1
             self._context.crashes.answered(request.fingerprint)
-        if request.shared_part is not None:
-            server.note_prompt(request.shared_part.part_id)
+        cached_prompt = request.cached_prompt(attempt.model)
+        if cached_prompt is not None:
+            server.note_prompt(cached_prompt)
         self._progress.first_event_s = now_s - request.arrived_s
         self._progress.runs += 1
         attempt.answered = True
--- a/src/baobabstream/gateway/routed_request.py
+++ b/src/baobabstream/gateway/routed_request.py
@@ -63,10 +63,11 @@
     deadline_s: float
     fingerprint: str
 
-    @property
-    def shared_part(self) -> PromptPart | None:
-        """The longest part of the prompt that other requests share, or None."""
-        return self.prompt_parts[-2] if len(self.prompt_parts) > 1 else None
+    def cached_prompt(self, model: str) -> str | None:
+        """Return what names the shared start of the prompt in a model's cache, or None."""
+        if len(self.prompt_parts) < 2:
+            return None
+        return f"{model}/{self.prompt_parts[-2].part_id}"
 
     @property
     def shared_tokens(self) -> int:
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from baobabstream.gateway.answer_times import AnswerTimes
 from baobabstream.gateway.crash_watch import CrashWatch
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.routing.first_event_times import FirstEventTimes
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.second_send_budget import SecondSendBudget
 from baobabstream.routing.session_versions import SessionVersions
@@ -45,7 +45,7 @@
     crashes: CrashWatch
     decisions: DecisionLog
     random: Random
-    times: AnswerTimes = field(default_factory=AnswerTimes)
+    times: FirstEventTimes = field(default_factory=FirstEventTimes)
     table: RouteTable | None = None
     rollouts: dict[str, RolloutRow] = field(default_factory=dict)
     rollout_revision: int = 0
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -20,8 +20,8 @@
 # Averages of a server without answers return to normal by this share per second, so that it is
 # tried again.
 RECOVERY_PER_S = 0.15
-# Prompt parts that are remembered per server; the memory of an engine holds a few hundred.
-MAX_REMEMBERED_PARTS = 400
+# Shared starts of prompts that are remembered per server; an engine's memory holds a few hundred.
+MAX_REMEMBERED_PROMPTS = 400
 
 
 class KnownServer:
@@ -51,9 +51,9 @@
         self._slowness = 1.0
         self._averaged_s = now_s
         self._refusals = 0
-        self._parts: OrderedDict[str, None] = OrderedDict()
+        self._prompts: OrderedDict[str | None, None] = OrderedDict()
 
-    def load(self, now_s: float, availability_zone: str, shared_part: str | None) -> ServerLoad:
+    def load(self, now_s: float, availability_zone: str, cached_prompt: str | None) -> ServerLoad:
         """Return the input of the choice among servers."""
         self._recover(now_s)
         return ServerLoad(
@@ -63,15 +63,19 @@
             self._slowness,
             self._failure_share,
             self.row.availability_zone == availability_zone,
-            shared_part is None or shared_part in self._parts,
+            cached_prompt is None or self.holds(cached_prompt),
         )
 
-    def note_prompt(self, part_id: str) -> None:
-        """Note that the server has read a shared part of a prompt."""
-        self._parts[part_id] = None
-        self._parts.move_to_end(part_id)
-        if len(self._parts) > MAX_REMEMBERED_PARTS:
-            self._parts.popitem(last=False)
+    def holds(self, cached_prompt: str | None) -> bool:
+        """Return whether the server has lately read the shared start of a prompt."""
+        return cached_prompt in self._prompts
+
+    def note_prompt(self, cached_prompt: str) -> None:
+        """Note that the server has read the shared start of a prompt."""
+        self._prompts[cached_prompt] = None
+        self._prompts.move_to_end(cached_prompt)
+        if len(self._prompts) > MAX_REMEMBERED_PROMPTS:
+            self._prompts.popitem(last=False)
 
     def note_answer(self, failed: bool, slowness: float | None, now_s: float) -> None:
         """Take an answer into the averages.
--- /dev/null
+++ b/src/baobabstream/routing/first_event_times.py
@@ -0,0 +1,77 @@
+"""Expected time to the first part of an answer, as a line over the prompt tokens to be read."""
+
+from dataclasses import dataclass
+
+__all__ = ["FirstEventTimes"]
+
+# Weight that remains of an answer when the next one comes; about the last 40 answers count.
+REMEMBERED = 0.975
+# Answers after which the line is used; before, only their mean.
+MIN_ANSWERS = 6.0
+# An answer counts with at most this multiple of the expected time, so that a few very slow answers
+# do not make slow answers expected.
+MAX_RATIO = 4.0
+
+
+@dataclass(slots=True)
+class _Line:
+    """Sums of a weighted least-squares line of seconds over tokens."""
+
+    weight: float = 0.0
+    tokens: float = 0.0
+    tokens_squared: float = 0.0
+    seconds: float = 0.0
+    products: float = 0.0
+
+    def add(self, tokens: float, elapsed_s: float) -> None:
+        self.weight = self.weight * REMEMBERED + 1.0
+        self.tokens = self.tokens * REMEMBERED + tokens
+        self.tokens_squared = self.tokens_squared * REMEMBERED + tokens * tokens
+        self.seconds = self.seconds * REMEMBERED + elapsed_s
+        self.products = self.products * REMEMBERED + tokens * elapsed_s
+
+    def at(self, tokens: float) -> float:
+        mean_s = self.seconds / self.weight
+        spread = self.weight * self.tokens_squared - self.tokens * self.tokens
+        if self.weight < MIN_ANSWERS or spread <= 0:
+            return mean_s
+        slope = (self.weight * self.products - self.tokens * self.seconds) / spread
+        start_s = (self.seconds - slope * self.tokens) / self.weight
+        if slope < 0 or start_s < 0:
+            return mean_s
+        return start_s + slope * tokens
+
+
+class FirstEventTimes:
+    """Lines by kind of request, such as the model that reads the prompt or the route.
+
+    Notes
+    -----
+    Old answers lose their weight with each new one, so the line follows the load.
+    """
+
+    def __init__(self) -> None:
+        self._lines: dict[str, _Line] = {}
+
+    def ratio(self, kind: str, tokens: int, elapsed_s: float) -> float:
+        """Return a time as a multiple of the expected one, and learn from it.
+
+        Parameters
+        ----------
+        kind
+            Kind of request.
+        tokens
+            Prompt tokens that the server had to read.
+        elapsed_s
+            Time to the first part of the answer.
+        """
+        line = self._lines.setdefault(kind, _Line())
+        expected_s = line.at(tokens) if line.weight else elapsed_s
+        ratio = elapsed_s / expected_s if expected_s > 0 else 1.0
+        line.add(tokens, expected_s * min(ratio, MAX_RATIO))
+        return ratio
+
+    def expected_s(self, kind: str, tokens: int) -> float:
+        """Return the expected time in seconds; 0 before the first answer."""
+        line = self._lines.get(kind)
+        return line.at(tokens) if line is not None and line.weight else 0.0
