Sessions are held on the base version by all gateways; base version and pace from gateways' reports

Ruled out: late rollout rows (0.1 s). Change: a rollout begins with a share of 0 while hosts exchange the sessions that are alive; the leader learns versions from the gateways; an unknown base means every version but the target; slow versions are told by the pace of events, since first events wait at crests (a good version was rolled back at 21.7 s); half of the sessions on each version until three quarters of the time.

--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -200,8 +200,6 @@
                 driver = None
             if leads and driver is None:
                 term = self.log.term
-                work = RolloutDriver(
-                    self.state, self.feed, self.exchange, self._propose, self.decisions
-                )
+                work = RolloutDriver(self.state, self.exchange, self._propose, self.decisions)
                 driver = asyncio.create_task(work.run())
             await asyncio.sleep(LEADERSHIP_CHECK_S)
--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -7,12 +7,16 @@
 from baobabstream.coordination.gateway_contacts import GatewayContacts
 from baobabstream.coordination.rollout_judge import EvidenceLedger
 from baobabstream.coordination.state import CoordinationState
-from baobabstream.wire.coordination_messages import ExchangeReply, ExchangeRequest
+from baobabstream.routing.held_sessions import HeldSessions
+from baobabstream.routing.session_versions import rollout_name
+from baobabstream.wire.coordination_messages import ExchangeReply, ExchangeRequest, RolloutState
 
 __all__ = ["ExchangeService"]
 
 # Longest wait for a change; longer than any gateway asks for.
 MAX_WAIT_S = 5.0
+# Sessions are learned within this time and an exchange; a rollout waits longer for them.
+SESSIONS_DELAY_S = 0.05
 # Short beside the time in which a departure must be in force.
 TOLD_POLL_S = 0.01
 
@@ -38,6 +42,7 @@
     ) -> None:
         self.contacts = GatewayContacts()
         self.evidence = EvidenceLedger()
+        self.held = HeldSessions()
         self._state = state
         self._feed = feed
         self._hosts = hosts
@@ -45,7 +50,12 @@
         self._confirmed: dict[str, tuple[int, int]] = {}
 
     def notify(self) -> None:
-        """Wake the gateways that wait: committed state or a quarantine has changed."""
+        """Wake the gateways that wait: committed state, a quarantine or held sessions changed."""
+        self.held.keep_only(
+            rollout_name(row)
+            for row in self._state.rollouts.values()
+            if row.state is RolloutState.IN_PROGRESS
+        )
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -54,10 +64,16 @@
         loop = asyncio.get_running_loop()
         self._confirmed[request.host] = (request.epoch, request.position)
         self.evidence.report(request.host, request.incarnation, request.evidence)
-        if self.contacts.note(request, loop.time()):
+        digests = self.held.digests()
+        self.held.merge(request.held_sessions)
+        if self.contacts.note(request, loop.time()) or self.held.digests() != digests:
             self.notify()
         deadline_s = loop.time() + min(request.wait_s, MAX_WAIT_S)
         while not self._has_news(request) and loop.time() < deadline_s:
+            if self._sessions_differ(request):
+                # Bounds the rate if two hosts cannot agree, for instance at the size limit.
+                await asyncio.sleep(SESSIONS_DELAY_S)
+                break
             await self._wait(deadline_s - loop.time())
         return self._reply(request, loop.time())
 
@@ -88,6 +104,10 @@
             or self._feed.has_news(request.epoch, request.position)
         )
 
+    def _sessions_differ(self, request: ExchangeRequest) -> bool:
+        same_rollouts = request.rollout_revision == self._state.rollout_revision
+        return same_rollouts and request.session_digests != self.held.digests()
+
     async def _wait(self, limit_s: float) -> None:
         waits = [
             asyncio.ensure_future(event.wait()) for event in (self._changed, self._feed.changed)
@@ -116,4 +136,6 @@
             gateways=len(self.contacts.active(now_s)),
             quarantined=self.contacts.quarantined(now_s),
             in_flight=self.contacts.in_flight(now_s, request.host),
+            session_digests=self.held.digests(),
+            held_sessions=self.held.missing_at(request.session_digests),
         )
--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -1,6 +1,7 @@
 """What gateways have reported to this host lately."""
 
 from collections import Counter, defaultdict
+from itertools import chain
 
 from baobabstream.wire.coordination_messages import ExchangeRequest
 
@@ -47,6 +48,21 @@
                 totals.update(request.in_flight)
         return dict(totals)
 
+    def versions(self, now_s: float) -> dict[str, dict[str, int]]:
+        """Return by service the versions in service, with the most servers a gateway knows."""
+        found: dict[str, dict[str, int]] = defaultdict(dict)
+        for load in chain.from_iterable(request.versions for request in self.active(now_s)):
+            known = found[load.service]
+            known[load.version] = max(known.get(load.version, 0), load.servers)
+        return found
+
+    def version_idle(self, service: str, without: str, now_s: float) -> bool:
+        """Return whether no gateway has a request at any other version of a service."""
+        loads = chain.from_iterable(request.versions for request in self.active(now_s))
+        return not any(
+            load.service == service and load.version != without and load.in_flight for load in loads
+        )
+
     def quarantined(self, now_s: float) -> tuple[str, ...]:
         """Return the fingerprints of requests that have crashed several servers."""
         for fingerprint, losses in list(self._crashes.items()):
--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -1,10 +1,8 @@
 """Moves rollouts along while this host leads."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 
-from baobabstream.coordination.announcement_feed import AnnouncementFeed
 from baobabstream.coordination.exchange_service import ExchangeService
 from baobabstream.coordination.rollout_judge import RolloutJudge
 from baobabstream.coordination.rollout_plan import RolloutStep, planned_step
@@ -16,7 +14,7 @@
 )
 from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
-from baobabstream.wire.coordination_messages import RolloutRow, RolloutState, ServerState
+from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
 
 __all__ = ["RolloutDriver"]
 
@@ -34,8 +32,6 @@
     ----------
     state
         Committed state.
-    feed
-        Announcements that reached this host.
     exchange
         Reports of the gateways.
     propose
@@ -52,13 +48,11 @@
     def __init__(
         self,
         state: CoordinationState,
-        feed: AnnouncementFeed,
         exchange: ExchangeService,
         propose: Callable[[CoordinationCommand], Awaitable[None]],
         decisions: DecisionLog,
     ) -> None:
         self._state = state
-        self._feed = feed
         self._exchange = exchange
         self._propose = propose
         self._decisions = decisions
@@ -92,14 +86,10 @@
                     yield command
 
     def _adoptions(self, now_s: float) -> Iterator[AdoptVersion]:
-        versions: dict[str, Counter[str]] = {}
-        for server in self._feed.table:
-            if server.state is not ServerState.GONE:
-                versions.setdefault(server.service, Counter())[server.version] += 1
-        for service, counts in versions.items():
+        for service, versions in self._exchange.contacts.versions(now_s).items():
             first_s = self._seen_s.setdefault(service, now_s)
             if service not in self._state.rollouts and first_s + ADOPT_AFTER_S <= now_s:
-                yield AdoptVersion(service, counts.most_common(1)[0][0])
+                yield AdoptVersion(service, max(versions, key=lambda item: versions[item]))
 
     def _advance(self, row: RolloutRow, now_s: float) -> MoveRollout | None:
         judge = self._judges.get(row.service)
@@ -111,7 +101,8 @@
         elapsed_s = stored_s + now_s - since_s
         if judge.judge(self._exchange.evidence.totals(row.service)):
             return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, judge)
-        step = planned_step(row, elapsed_s, self._base_idle(row, now_s))
+        idle = self._exchange.contacts.version_idle(row.service, row.target, now_s)
+        step = planned_step(row, elapsed_s, idle)
         if step.complete:
             return self._move(row, RolloutState.COMPLETED, 1.0, True, elapsed_s, judge)
         return self._step(row, step, elapsed_s, judge)
@@ -144,14 +135,3 @@
                 log_ratio=round(judge.log_ratio, 2),
             )
         return MoveRollout(row.service, row.target, state, share, settled, elapsed_s)
-
-    def _base_idle(self, row: RolloutRow, now_s: float) -> bool:
-        """Return whether no gateway has a request in flight on the base version."""
-        in_flight = self._exchange.contacts.in_flight(now_s)
-        servers = (
-            self._feed.table.get(server_id) for server_id, count in in_flight.items() if count
-        )
-        return not any(
-            server is not None and server.service == row.service and server.version != row.target
-            for server in servers
-        )
--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -10,14 +10,18 @@
 # smallest exposure limit in use (0.15), so that a bad version stays under it even if it is found
 # only when the share rises.
 CANARY_SHARE = 0.1
+# Time with a share of 0 in which the hosts learn the sessions that are alive and keep the base
+# version: two exchanges.
+HOLD_S = 1.2
 # Share of the duration after which sessions of the base version may move.
 SETTLE_AT = 0.52
-RISING_SHARE = 0.35
-FULL_AT = 0.62
+# Half of the sessions on each version keeps the servers of both in use.
+RISING_SHARE = 0.5
+FULL_AT = 0.74
 # Share of the duration from which the rollout ends as soon as the base version is idle, and at
 # which it ends in any case, since its deadline is near.
-COMPLETE_IDLE_AT = 0.72
-COMPLETE_AT = 0.9
+COMPLETE_IDLE_AT = 0.8
+COMPLETE_AT = 0.92
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,8 @@
     base_idle
         Whether no request runs on the base version.
     """
+    if elapsed_s < HOLD_S:
+        return RolloutStep(0.0, settled=False, complete=False)
     progress = elapsed_s / row.duration_s if row.duration_s > 0 else 1.0
     if progress < SETTLE_AT:
         return RolloutStep(CANARY_SHARE, settled=False, complete=False)
--- a/src/baobabstream/coordination/service.py
+++ b/src/baobabstream/coordination/service.py
@@ -10,7 +10,6 @@
 from baobabstream.consensus.replicated_log import ReplicatedLog
 from baobabstream.coordination.announcement_feed import AnnouncementFeed
 from baobabstream.coordination.exchange_service import ExchangeService
-from baobabstream.coordination.rollout_plan import CANARY_SHARE
 from baobabstream.coordination.state import CoordinationState, StartRollout, StoreDocument
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
@@ -142,7 +141,7 @@
                 return DocumentReply(self._state.document_version)
             case RolloutOrder():
                 await self._propose(
-                    StartRollout(message.service, message.target, message.duration_s, CANARY_SHARE)
+                    StartRollout(message.service, message.target, message.duration_s)
                 )
                 return RolloutReply(self._state.rollouts.get(message.service))
             case DocumentQuery():
--- a/src/baobabstream/coordination/state.py
+++ b/src/baobabstream/coordination/state.py
@@ -39,7 +39,6 @@
     service: str
     target: str
     duration_s: float
-    share: float
 
 
 class MoveRollout(Struct, frozen=True, tag="move"):
@@ -138,7 +137,6 @@
                 known.base,
                 command.target,
                 RolloutState.IN_PROGRESS,
-                command.share,
                 duration_s=command.duration_s,
             )
         )
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -11,7 +11,7 @@
     HttpConnection,
 )
 from baobabstream.errors.codes import RunState
-from baobabstream.gateway.event_cutter import EventCutter
+from baobabstream.gateway.event_cutter import EVENT_END, EventCutter
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
@@ -23,6 +23,8 @@
 # Answers of plain services are kept whole until they are known to be complete.
 MAX_WHOLE_ANSWER_BYTES = 32 * 1024 * 1024
 URGENCY_RANKS = 10
+# Shorter streams mostly show the time of their first event.
+MIN_PACED_EVENTS = 8
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED = 421
 
@@ -90,6 +92,9 @@
         self.unread_tokens = request.prompt_tokens - (request.shared_tokens if held else 0)
         self._reading_prompt = False
         self._cutter = EventCutter()
+        self._event_count = 0
+        self._first_event_s = 0.0
+        self._last_event_s = 0.0
 
     async def send(self) -> AnswerHead:
         """Send the request and return the head of the server's answer.
@@ -144,6 +149,7 @@
             events = self._cutter.feed(data)
             if events:
                 self.prompt_read()
+                self._note_events(events)
                 return events
         if self._cutter.pending:
             raise AttemptFailed(RunState.UNKNOWN, "the stream ended within an event", reset=True)
@@ -154,6 +160,18 @@
         """Identity of the last whole event that was read."""
         return self._cutter.last_event_id
 
+    def event_pace_s(self) -> float | None:
+        """Return the time between two events, or None for a stream of few events."""
+        if self._event_count < MIN_PACED_EVENTS:
+            return None
+        return (self._last_event_s - self._first_event_s) / (self._event_count - 1)
+
+    def _note_events(self, events: bytes) -> None:
+        self._last_event_s = asyncio.get_running_loop().time()
+        if not self._event_count:
+            self._first_event_s = self._last_event_s
+        self._event_count += events.count(EVENT_END)
+
     def prompt_read(self) -> None:
         """Note that the server has read the prompt: its first event has come."""
         if self._reading_prompt:
--- a/src/baobabstream/gateway/control_contact.py
+++ b/src/baobabstream/gateway/control_contact.py
@@ -27,8 +27,10 @@
     """Side of a gateway that takes part in exchanges."""
 
     @abstractmethod
-    def report(self, epoch: int, position: int, wait_s: float) -> ExchangeRequest:
-        """Return the next report to a host, given the last position seen there."""
+    def report(
+        self, epoch: int, position: int, wait_s: float, known_digests: dict[str, int]
+    ) -> ExchangeRequest:
+        """Return the next report to a host, given the last position and digests seen there."""
 
     @abstractmethod
     def take_document(self, version: int, text: bytes) -> None:
@@ -105,12 +107,13 @@
     async def _exchange_with(self, host: str) -> None:
         client = RpcClient(f"tcp://{host}:{self._port}", self._codec)
         epoch = position = 0
+        digests: dict[str, int] = {}
         answered_s = self._clock()
         lost = False
         try:
             while lost is False or self._wanted(host, answered_s):
                 wait_s = 0.0 if epoch == 0 else EXCHANGE_WAIT_S
-                request = self._party.report(epoch, position, wait_s)
+                request = self._party.report(epoch, position, wait_s, digests)
                 try:
                     reply: ExchangeReply = await client.call(request, CALL_TIMEOUT_S)
                 except PeerError as error:
@@ -124,7 +127,7 @@
                     self._note_regained(host, now_s - answered_s)
                 lost = False
                 answered_s = now_s
-                epoch, position = reply.epoch, reply.position
+                epoch, position, digests = reply.epoch, reply.position, reply.session_digests
                 self._take(host, reply, now_s)
         finally:
             client.close()
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -20,7 +20,7 @@
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.routing.document import RoutingDocument
 from baobabstream.routing.route_table import RouteTable
-from baobabstream.routing.session_versions import SessionVersions
+from baobabstream.routing.session_versions import SessionVersions, rollout_name
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.wire.coordination_messages import (
     ExchangeReply,
@@ -148,9 +148,12 @@
 
     # Exchanges
 
-    def report(self, epoch: int, position: int, wait_s: float) -> ExchangeRequest:
+    def report(
+        self, epoch: int, position: int, wait_s: float, known_digests: dict[str, int]
+    ) -> ExchangeRequest:
         """Return the next report to a coordination host."""
         context = self.context
+        self._follow_rollouts()
         return ExchangeRequest(
             host=self._settings.host,
             incarnation=self._incarnation,
@@ -166,6 +169,9 @@
                 for server in context.directory
                 if server.in_flight
             },
+            versions=context.directory.version_loads(),
+            session_digests=context.sessions.held.digests(),
+            held_sessions=context.sessions.held.missing_at(known_digests),
         )
 
     def take_document(self, version: int, text: bytes) -> None:
@@ -193,9 +199,20 @@
         context.directory.set_elsewhere(reply.in_flight)
         context.crashes.set_quarantined(reply.quarantined)
         context.gateways = max(1, reply.gateways)
+        context.sessions.held.merge(reply.held_sessions)
         if reply.rollout_revision > context.rollout_revision:
             context.rollout_revision = reply.rollout_revision
             context.rollouts = {row.service: row for row in reply.rollouts}
+            self._follow_rollouts()
+
+    def _follow_rollouts(self) -> None:
+        context, now_s = self.context, self._loop.time()
+        running = [
+            row for row in context.rollouts.values() if row.state is RolloutState.IN_PROGRESS
+        ]
+        for row in running:
+            context.sessions.follow(row, now_s)
+        context.sessions.held.keep_only(rollout_name(row) for row in running)
 
     def contact_resumed(self) -> None:
         """Give the servers time to announce themselves again."""
--- a/src/baobabstream/gateway/event_cutter.py
+++ b/src/baobabstream/gateway/event_cutter.py
@@ -1,6 +1,6 @@
 """Cuts a stream of server-sent events at event boundaries."""
 
-__all__ = ["EventCutter"]
+__all__ = ["EVENT_END", "EventCutter"]
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -128,7 +128,7 @@
             return await self._attempt_stream(attempt)
         head = await attempt.send()
         body = await attempt.read_whole()
-        self._note_answer(attempt, failed=False)
+        self._note_answer(attempt)
         self._outcome = "served"
         response = web.Response(body=body, status=head.status, headers=_passed_back(head))
         return self._respond(response)
@@ -143,7 +143,7 @@
         self._progress.confidence = head.get(self._context.names.confidence) or ""
         self._check_confidence(attempt)
         events = await attempt.read_events()
-        self._note_answer(attempt, failed=False)
+        self._note_answer(attempt)
         response = web.StreamResponse(status=head.status, headers=_passed_back(head))
         response.enable_chunked_encoding()
         self._response = response
@@ -166,25 +166,27 @@
         in_time = now_s + expected_s < request.arrived_s + request.route.target_s
         model = larger_model(request.route, attempt.model, confidence, in_time)
         if model is not None and self._budget_left():
-            self._note_answer(attempt, failed=False)
+            self._note_answer(attempt)
             raise _LargerModel(model)
 
     async def _relay(self, attempt: Attempt, response: web.StreamResponse, events: bytes) -> None:
         """Pass events on until the end; goes on at another server if the stream breaks."""
         owned: Attempt | None = None
+        last_event_id = ""
         try:
             while True:
                 try:
                     while events:
+                        last_event_id = attempt.last_event_id
                         await response.write(events)
                         events = await self._next_events(attempt)
                     await response.write_eof()
+                    self._note_pace(attempt)
                     self._outcome = "served"
                     return
                 except AttemptFailed as failure:
                     self._note_failure(attempt, failure)
-                    last_event_id = attempt.last_event_id or self._resume_id()
-                    self._check_resume(failure)
+                    self._check_resume(failure, last_event_id)
                 if owned is not None:
                     owned.close()
                     owned = None
@@ -219,7 +221,7 @@
             except AttemptFailed as failure:
                 self._note_failure(attempt, failure)
                 attempt.close()
-                self._check_resume(failure)
+                self._check_resume(failure, last_event_id)
             except BaseException:
                 attempt.close()
                 raise
@@ -246,21 +248,22 @@
         chosen = choose_server(list(loads.values()), request.shared_tokens, context.random)
         server = next(item for item in usable if item.row.server_id == chosen.server_id)
         self._tried.add(chosen.server_id)
-        context.sessions.note(request.service, request.session, server.row.version, now_s)
+        context.sessions.note(request.service, request.session, now_s)
         return server
 
-    def _note_answer(self, attempt: Attempt, failed: bool) -> None:
+    def _note_answer(self, attempt: Attempt) -> None:
         now_s = self._loop.time()
         server, request = attempt.server, self._request
         elapsed_s = now_s - attempt.sent_s
         kind = attempt.model or request.route.name
         ratio = self._context.times.ratio(kind, attempt.unread_tokens, elapsed_s)
-        server.note_answer(failed, ratio, now_s)
-        if failed or ratio > BAD_SLOWNESS:
+        server.note_answer(False, ratio, now_s)
+        plain = request.route.kind is not RouteKind.STREAM
+        if plain and ratio > BAD_SLOWNESS:
             server.bad += 1
         else:
             server.good += 1
-            self._context.crashes.answered(request.fingerprint)
+        self._context.crashes.answered(request.fingerprint)
         cached_prompt = request.cached_prompt(attempt.model)
         if cached_prompt is not None:
             server.note_prompt(cached_prompt)
@@ -268,6 +271,19 @@
         self._progress.runs += 1
         attempt.answered = True
 
+    def _note_pace(self, attempt: Attempt) -> None:
+        """Count a stream whose events came several times slower than those of other servers.
+
+        The first event says less: at a crest it waits behind others at any server.
+        """
+        pace_s = attempt.event_pace_s()
+        if pace_s is None or not attempt.model:
+            return
+        ratio = self._context.paces.ratio(attempt.model, 0, pace_s)
+        if ratio > BAD_SLOWNESS:
+            attempt.server.bad += 1
+            attempt.server.good -= 1
+
     def _note_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         now_s = self._loop.time()
         server, context = attempt.server, self._context
@@ -333,10 +349,11 @@
         ):
             self._give_up(failure)
 
-    def _check_resume(self, failure: AttemptFailed) -> None:
+    def _check_resume(self, failure: AttemptFailed, last_event_id: str) -> None:
         request, progress = self._request, self._progress
         if (
             not request.route.resumable
+            or not last_event_id
             or progress.runs >= request.route.max_attempts
             or progress.sends >= MAX_SENDS
             or not self._budget_left()
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -46,6 +46,7 @@
     decisions: DecisionLog
     random: Random
     times: FirstEventTimes = field(default_factory=FirstEventTimes)
+    paces: FirstEventTimes = field(default_factory=FirstEventTimes)
     table: RouteTable | None = None
     rollouts: dict[str, RolloutRow] = field(default_factory=dict)
     rollout_revision: int = 0
@@ -70,17 +71,26 @@
 
         Notes
         -----
-        Without a server of the preferred version, the other version of a rollout in progress is
-        allowed. A version that was rolled back, or that is not part of a rollout, is not.
+        Without a server of the chosen version, the other version of a rollout in progress is
+        allowed. A version that was rolled back, or is not part of a rollout, gets nothing. While
+        no rollout is known, the version of the oldest server is the one in service.
         """
         servers = self.directory.ready(service, now_s)
+        if not servers:
+            return []
         row = self.rollouts.get(service)
-        version = self.sessions.preferred(row, session, now_s)
-        if not version:
-            return servers
-        preferred = [server for server in servers if server.row.version == version]
-        if preferred or row is None:
-            return preferred
-        if row.state is RolloutState.IN_PROGRESS:
-            return [item for item in servers if item.row.version in (row.base, row.target)]
-        return [] if row.target else servers
+        target = row.target if row is not None else ""
+        base = row.base if row is not None else ""
+        if not base:
+            others = [item for item in servers if item.row.version != target]
+            oldest = min(others or servers, key=lambda item: item.row.born_ms)
+            base = oldest.row.version if others else ""
+        on_base = [item for item in servers if item.row.version == base]
+        if row is None or not target:
+            return on_base or servers
+        if row.state is not RolloutState.IN_PROGRESS:
+            return on_base
+        on_target = [item for item in servers if item.row.version == target]
+        if self.sessions.on_target(row, session):
+            return on_target or on_base
+        return on_base or on_target
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -1,12 +1,12 @@
 """Backend servers as this gateway knows them: announcements, load and recent behaviour."""
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
 
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.routing.announcements import AnnouncementTable
 from baobabstream.routing.server_choice import ServerLoad
-from baobabstream.wire.coordination_messages import ServerRow, ServerState
+from baobabstream.wire.coordination_messages import ServerRow, ServerState, VersionLoad
 
 __all__ = ["KnownServer", "ServerDirectory"]
 
@@ -167,6 +167,16 @@
         for server in self._servers.values():
             server.elsewhere = in_flight.get(server.row.server_id, 0)
 
+    def version_loads(self) -> tuple[VersionLoad, ...]:
+        """Return the servers and requests in flight of each version of each service."""
+        counts: Counter[tuple[str, str]] = Counter()
+        in_flight: Counter[tuple[str, str]] = Counter()
+        for server in self._servers.values():
+            key = (server.row.service, server.row.version)
+            counts[key] += 1
+            in_flight[key] += server.in_flight
+        return tuple(VersionLoad(*key, counts[key], in_flight[key]) for key in counts)
+
     def resume_listening(self, now_s: float) -> None:
         """Start the expiry anew after a time without contact to any coordination host."""
         self._listening_since_s = now_s
--- a/src/baobabstream/routing/session_versions.py
+++ b/src/baobabstream/routing/session_versions.py
@@ -2,62 +2,70 @@
 
 from collections import OrderedDict
 
-from xxhash import xxh64_intdigest
-
+from baobabstream.routing.held_sessions import HeldSessions, session_hash
 from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
 
-__all__ = ["SessionVersions"]
+__all__ = ["SessionVersions", "rollout_name"]
 
-MAX_SESSIONS = 20_000
+MAX_SESSIONS = 50_000
 HASH_RANGE = 2**64
 
 
+def rollout_name(row: RolloutRow) -> str:
+    """Return what tells the rollouts of all services apart."""
+    return f"{row.service}/{row.target}"
+
+
 class SessionVersions:
-    """Version that each recent session last ran on.
+    """Decides for each session of a service whether it runs on the target of a rollout.
 
     Parameters
     ----------
     session_s
         Time after its last request for which a session keeps its version.
+
+    Notes
+    -----
+    A session's requests reach different hosts, so hosts must decide alike. A rollout begins with
+    a share of 0; the sessions that are alive then are held on the base version, and the hosts
+    exchange them. Later sessions go by a hash of the session, the same everywhere, and a rising
+    share takes more of them over without giving any back.
     """
 
     def __init__(self, session_s: float) -> None:
+        self.held = HeldSessions()
         self._session_s = session_s
-        self._seen: OrderedDict[tuple[str, str], tuple[str, float]] = OrderedDict()
-
-    def preferred(self, row: RolloutRow | None, session: str, now_s: float) -> str:
-        """Return the version that a request should run on, or an empty text for any.
-
-        Parameters
-        ----------
-        row
-            Rollout of the service, or None if its version is not known.
-        session
-            Session of the request, or another text that tells requests apart.
-        now_s
-            Time in seconds.
-
-        Notes
-        -----
-        A session on the target version stays there. One on the base version moves only once the
-        rollout has settled. New sessions go by a hash, the same on every host, that a rising
-        share takes over bit by bit.
-        """
-        if row is None:
-            return ""
-        if row.state is not RolloutState.IN_PROGRESS:
-            return row.base
-        version, seen_s = self._seen.get((row.service, session), ("", -self._session_s))
-        recent = now_s - seen_s < self._session_s
-        if recent and (version == row.target or not row.settled):
-            return version
-        place = xxh64_intdigest(f"{row.service}/{row.target}/{session}".encode()) / HASH_RANGE
-        return row.target if place < row.share else row.base
-
-    def note(self, service: str, session: str, version: str, now_s: float) -> None:
-        """Note the version that a request of a session runs on."""
-        key = (service, session)
-        self._seen[key] = (version, now_s)
-        self._seen.move_to_end(key)
-        if len(self._seen) > MAX_SESSIONS:
-            self._seen.popitem(last=False)
+        self._seen: dict[str, OrderedDict[int, float]] = {}
+        self._shares: dict[str, float] = {}
+
+    def on_target(self, row: RolloutRow, session: str) -> bool:
+        """Return whether a request of a session runs on the target of a rollout in progress."""
+        hashed = session_hash(session)
+        if not row.settled and self.held.holds(rollout_name(row), hashed):
+            return False
+        place = session_hash(f"{rollout_name(row)}/{session}") / HASH_RANGE
+        return place < row.share
+
+    def note(self, service: str, session: str, now_s: float) -> None:
+        """Note a request of a session."""
+        seen = self._seen.setdefault(service, OrderedDict())
+        hashed = session_hash(session)
+        seen[hashed] = now_s
+        seen.move_to_end(hashed)
+        if len(seen) > MAX_SESSIONS:
+            seen.popitem(last=False)
+
+    def follow(self, row: RolloutRow, now_s: float) -> None:
+        """Hold the sessions that are alive while a rollout has a share of 0, and as it rises."""
+        name = rollout_name(row)
+        if row.state is not RolloutState.IN_PROGRESS or row.settled:
+            return
+        if row.share == 0 or self._shares.get(name) == 0:
+            self.held.add(name, self._alive(row.service, now_s))
+        self._shares[name] = row.share
+
+    def _alive(self, service: str, now_s: float) -> list[int]:
+        seen = self._seen.get(service, OrderedDict())
+        while seen and next(iter(seen.values())) < now_s - self._session_s:
+            seen.popitem(last=False)
+        return list(seen)
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -15,9 +15,10 @@
     "RolloutReply",
     "RolloutRow",
     "RolloutState",
+    "ServerEvidence",
     "ServerRow",
     "ServerState",
-    "ServerEvidence",
+    "VersionLoad",
 ]
 
 
@@ -82,11 +83,22 @@
     bad: int
 
 
+class VersionLoad(Struct, frozen=True, array_like=True):
+    """Servers of one version of a service that a gateway knows, and its requests there."""
+
+    service: str
+    version: str
+    servers: int
+    in_flight: int
+
+
 class ExchangeRequest(Struct, frozen=True, tag="exchange"):
     """A gateway reports what it has seen and asks for what has changed.
 
     The reply waits up to ``wait_s`` for a change. ``epoch`` and ``position`` name the last change
-    of announcements that the gateway has seen from this host.
+    of announcements that the gateway has seen from this host. ``held_sessions`` are the sessions,
+    by rollout and as hashes, that stay on the base version; they are sent while their digests at
+    the gateway and at the host differ.
     """
 
     host: str
@@ -99,6 +111,9 @@
     evidence: tuple[ServerEvidence, ...] = ()
     crash_suspects: tuple[str, ...] = ()
     in_flight: dict[str, int] = {}
+    versions: tuple[VersionLoad, ...] = ()
+    session_digests: dict[str, int] = {}
+    held_sessions: dict[str, tuple[int, ...]] = {}
 
 
 class ExchangeReply(Struct, frozen=True, tag="exchange_reply"):
@@ -121,6 +136,8 @@
     gateways: int
     quarantined: tuple[str, ...] = ()
     in_flight: dict[str, int] = {}
+    session_digests: dict[str, int] = {}
+    held_sessions: dict[str, tuple[int, ...]] = {}
 
 
 class DocumentOrder(Struct, frozen=True, tag="document_order"):
