Choice of server by seconds of work ahead; the largest model yields as the load rises

Cause: at crests on five or six servers first events came after 1.5 to 2 s: load was counted in requests and prompt tokens whatever the model, and the largest model, ten times slower, kept two of five requests. Change: work ahead is the learned time to read the waiting prompts by model, summed over all gateways; the confidence that keeps a small model's answer falls from 60 to 10 as the largest model's expected first event takes from 0.2 to 0.7 of the time left.

--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -135,7 +135,7 @@
             refreshed=delta.refreshed,
             gateways=len(self.contacts.active(now_s)),
             quarantined=self.contacts.quarantined(now_s),
-            in_flight=self.contacts.in_flight(now_s, request.host),
+            work=self.contacts.work(now_s, request.host),
             session_digests=self.held.digests(),
             held_sessions=self.held.missing_at(request.session_digests),
         )
--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from itertools import chain
 
-from baobabstream.wire.coordination_messages import ExchangeRequest
+from baobabstream.wire.coordination_messages import ExchangeRequest, ServerWork
 
 __all__ = ["GatewayContacts"]
 
@@ -40,13 +40,19 @@
             if seen_s + CONTACT_EXPIRY_S > now_s
         ]
 
-    def in_flight(self, now_s: float, without: str = "") -> dict[str, int]:
-        """Return the requests in flight at each server, by all gateways but one."""
-        totals: Counter[str] = Counter()
+    def work(self, now_s: float, without: str = "") -> dict[str, ServerWork]:
+        """Return the work at each server, by all gateways but one."""
+        in_flight: Counter[str] = Counter()
+        pending_ms: Counter[str] = Counter()
         for request in self.active(now_s):
             if request.host != without:
-                totals.update(request.in_flight)
-        return dict(totals)
+                for server_id, work in request.work.items():
+                    in_flight[server_id] += work.in_flight
+                    pending_ms[server_id] += work.pending_ms
+        return {
+            server_id: ServerWork(count, pending_ms[server_id])
+            for server_id, count in in_flight.items()
+        }
 
     def versions(self, now_s: float) -> dict[str, dict[str, int]]:
         """Return by service the versions in service, with the most servers a gateway knows."""
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -16,7 +16,7 @@
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
 
-__all__ = ["Attempt", "AttemptFailed"]
+__all__ = ["Attempt", "AttemptFailed", "unread_tokens"]
 
 # Servers are milliseconds away; one that takes this long to accept is not there.
 CONNECT_TIMEOUT_S = 0.6
@@ -29,6 +29,12 @@
 MISDIRECTED = 421
 
 
+def unread_tokens(request: RoutedRequest, server: KnownServer, model: str) -> int:
+    """Return the prompt tokens that a server probably has to read."""
+    held = server.holds(request.cached_prompt(model))
+    return request.prompt_tokens - (request.shared_tokens if held else 0)
+
+
 @dataclass(eq=False)
 class AttemptFailed(Exception):
     """A send brought no answer that may be passed on as a success.
@@ -70,6 +76,8 @@
         Event after which a stream goes on, or empty.
     names
         Names of the headers.
+    expected_s
+        Expected time for the server to read the prompt.
     """
 
     def __init__(
@@ -79,6 +87,7 @@
         model: str,
         last_event_id: str,
         names: HeaderNames,
+        expected_s: float,
     ) -> None:
         self.server = server
         self.model = model
@@ -86,10 +95,10 @@
         self._request = request
         self._last_event_id = last_event_id
         self._names = names
+        self._expected_s = expected_s
         self._connection: HttpConnection | None = None
         self.answered = False
-        held = server.holds(request.cached_prompt(model))
-        self.unread_tokens = request.prompt_tokens - (request.shared_tokens if held else 0)
+        self.unread_tokens = unread_tokens(request, server, model)
         self._reading_prompt = False
         self._cutter = EventCutter()
         self._event_count = 0
@@ -106,7 +115,7 @@
         """
         server, loop = self.server, asyncio.get_running_loop()
         server.in_flight += 1
-        server.prompt_tokens += self.unread_tokens
+        server.pending_s += self._expected_s
         self._reading_prompt = True
         self.sent_s = loop.time()
         try:
@@ -176,7 +185,7 @@
         """Note that the server has read the prompt: its first event has come."""
         if self._reading_prompt:
             self._reading_prompt = False
-            self.server.prompt_tokens -= self.unread_tokens
+            self.server.pending_s -= self._expected_s
 
     def close(self) -> None:
         """Give the connection back, or drop it if the answer is not complete."""
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -39,7 +39,7 @@
 # meanwhile are still served.
 STOP_ACCEPTING_AFTER_S = 2.8
 # What a stop leaves between the end of the last request and the kill.
-STOP_MARGIN_S = 0.5
+STOP_MARGIN_S = 1.2
 CONNECTION_SHARE = 0.8
 MIN_CONNECTIONS = 4
 
@@ -164,8 +164,8 @@
             wait_s=wait_s,
             evidence=tuple(self._evidence()),
             crash_suspects=context.crashes.reports(self._loop.time()),
-            in_flight={
-                server.row.server_id: server.in_flight
+            work={
+                server.row.server_id: server.work()
                 for server in context.directory
                 if server.in_flight
             },
@@ -196,7 +196,7 @@
         for row in context.directory.merge(reply.rows, now_s):
             self._log_server(row)
         context.directory.refresh(reply.refreshed, now_s)
-        context.directory.set_elsewhere(reply.in_flight)
+        context.directory.set_elsewhere(reply.work)
         context.crashes.set_quarantined(reply.quarantined)
         context.gateways = max(1, reply.gateways)
         context.sessions.held.merge(reply.held_sessions)
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -9,7 +9,7 @@
 from baobabstream.entry.http_errors import error_body
 from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
 from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
-from baobabstream.gateway.attempt import MISDIRECTED, Attempt, AttemptFailed
+from baobabstream.gateway.attempt import MISDIRECTED, Attempt, AttemptFailed, unread_tokens
 from baobabstream.gateway.request_reader import CONNECTION_HEADERS
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.run_context import RunContext
@@ -107,9 +107,7 @@
         context.budget(request.service).note_request(self._loop.time())
         while True:
             server = self._choose()
-            attempt = Attempt(
-                request, server, self._progress.model, self._resume_id(), context.names
-            )
+            attempt = self._new_attempt(server, self._resume_id())
             try:
                 return await self._attempt(attempt)
             except _LargerModel as larger:
@@ -160,15 +158,28 @@
             return
         if not request.route.repeatable or progress.runs + 1 >= request.route.max_attempts:
             return
-        now_s = self._loop.time()
-        largest = request.route.model_names[-1] if request.route.model_names else ""
-        expected_s = self._context.times.expected_s(largest, request.prompt_tokens)
-        in_time = now_s + expected_s < request.arrived_s + request.route.target_s
-        model = larger_model(request.route, attempt.model, confidence, in_time)
+        model = larger_model(request.route, attempt.model, confidence, self._strain())
         if model is not None and self._budget_left():
             self._note_answer(attempt)
             raise _LargerModel(model)
 
+    def _strain(self) -> float:
+        """Return the largest model's time to its first event over the time left to the target."""
+        request, context, now_s = self._request, self._context, self._loop.time()
+        left_s = request.arrived_s + request.route.target_s - now_s
+        if left_s <= 0 or not request.route.model_names:
+            return float("inf")
+        largest = request.route.model_names[-1]
+        zone = context.settings.availability_zone
+        times_s = (
+            load.pending_s + load.own_s * load.slowness
+            for load in (
+                server.load(now_s, zone, self._own_s(server, largest))
+                for server in context.candidates(request.service, request.session, now_s)
+            )
+        )
+        return min(times_s, default=float("inf")) / left_s
+
     async def _relay(self, attempt: Attempt, response: web.StreamResponse, events: bytes) -> None:
         """Pass events on until the end; goes on at another server if the stream breaks."""
         owned: Attempt | None = None
@@ -208,9 +219,7 @@
         """Open the stream at another server after the last event that the caller has."""
         while True:
             server = self._choose()
-            attempt = Attempt(
-                self._request, server, self._progress.model, last_event_id, self._context.names
-            )
+            attempt = self._new_attempt(server, last_event_id)
             self._server = server
             self._progress.sends += 1
             try:
@@ -238,19 +247,32 @@
         usable = [item for item in open_to if item.held_until_s <= now_s] or open_to
         if not usable:
             raise RequestRefused(ResultCode.NO_BACKEND_SERVER)
-        cached_prompt = request.cached_prompt(self._progress.model)
-        loads = {
-            server.row.server_id: server.load(
-                now_s, context.settings.availability_zone, cached_prompt
-            )
-            for server in usable
-        }
-        chosen = choose_server(list(loads.values()), request.shared_tokens, context.random)
+        zone = context.settings.availability_zone
+        loads = [
+            server.load(now_s, zone, self._own_s(server, self._progress.model)) for server in usable
+        ]
+        chosen = choose_server(loads, context.random)
         server = next(item for item in usable if item.row.server_id == chosen.server_id)
         self._tried.add(chosen.server_id)
         context.sessions.note(request.service, request.session, now_s)
         return server
 
+    def _own_s(self, server: KnownServer, model: str) -> float:
+        """Return the expected time for a server to read the prompt with a model."""
+        if not model:
+            return 0.0
+        return self._context.times.expected_s(model, unread_tokens(self._request, server, model))
+
+    def _new_attempt(self, server: KnownServer, last_event_id: str) -> Attempt:
+        return Attempt(
+            self._request,
+            server,
+            self._progress.model,
+            last_event_id,
+            self._context.names,
+            self._own_s(server, self._progress.model),
+        )
+
     def _note_answer(self, attempt: Attempt) -> None:
         now_s = self._loop.time()
         server, request = attempt.server, self._request
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -1,12 +1,12 @@
 """Backend servers as this gateway knows them: announcements, load and recent behaviour."""
 
 from collections import Counter, OrderedDict, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.routing.announcements import AnnouncementTable
 from baobabstream.routing.server_choice import ServerLoad
-from baobabstream.wire.coordination_messages import ServerRow, ServerState, VersionLoad
+from baobabstream.wire.coordination_messages import ServerRow, ServerState, ServerWork, VersionLoad
 
 __all__ = ["KnownServer", "ServerDirectory"]
 
@@ -23,6 +23,8 @@
 # Shared starts of prompts that are remembered per server; an engine's memory holds a few hundred.
 MAX_REMEMBERED_PROMPTS = 400
 
+NO_WORK = ServerWork(0, 0)
+
 
 class KnownServer:
     """One incarnation of a backend server and what this gateway has seen of it.
@@ -42,8 +44,8 @@
         self.pool = pool
         self.heard_s = now_s
         self.in_flight = 0
-        self.elsewhere = 0
-        self.prompt_tokens = 0
+        self.pending_s = 0.0
+        self.elsewhere = NO_WORK
         self.held_until_s = 0.0
         self.good = 0
         self.bad = 0
@@ -53,19 +55,33 @@
         self._refusals = 0
         self._prompts: OrderedDict[str | None, None] = OrderedDict()
 
-    def load(self, now_s: float, availability_zone: str, cached_prompt: str | None) -> ServerLoad:
-        """Return the input of the choice among servers."""
+    def load(self, now_s: float, availability_zone: str, own_s: float) -> ServerLoad:
+        """Return the input of the choice among servers.
+
+        Parameters
+        ----------
+        now_s
+            Time in seconds.
+        availability_zone
+            Where this gateway is.
+        own_s
+            Expected time for this server to read the request's prompt.
+        """
         self._recover(now_s)
         return ServerLoad(
             self.row.server_id,
-            self.in_flight + self.elsewhere,
-            self.prompt_tokens,
+            self.in_flight + self.elsewhere.in_flight,
+            self.pending_s + self.elsewhere.pending_ms / 1000,
+            own_s,
             self._slowness,
             self._failure_share,
             self.row.availability_zone == availability_zone,
-            cached_prompt is None or self.holds(cached_prompt),
         )
 
+    def work(self) -> ServerWork:
+        """Return this gateway's work at the server, for its report."""
+        return ServerWork(self.in_flight, int(self.pending_s * 1000))
+
     def holds(self, cached_prompt: str | None) -> bool:
         """Return whether the server has lately read the shared start of a prompt."""
         return cached_prompt in self._prompts
@@ -162,10 +178,10 @@
             if server is not None:
                 server.heard_s = now_s
 
-    def set_elsewhere(self, in_flight: dict[str, int]) -> None:
-        """Take the requests in flight that other gateways have reported."""
+    def set_elsewhere(self, work: Mapping[str, ServerWork]) -> None:
+        """Take the work that other gateways have reported."""
         for server in self._servers.values():
-            server.elsewhere = in_flight.get(server.row.server_id, 0)
+            server.elsewhere = work.get(server.row.server_id, NO_WORK)
 
     def version_loads(self) -> tuple[VersionLoad, ...]:
         """Return the servers and requests in flight of each version of each service."""
--- a/src/baobabstream/routing/model_choice.py
+++ b/src/baobabstream/routing/model_choice.py
@@ -2,16 +2,19 @@
 
 from baobabstream.routing.document import Route
 
-__all__ = ["ANY_MODEL", "first_model", "larger_model"]
+__all__ = ["ANY_MODEL", "first_model", "larger_model", "needed_probability"]
 
 ANY_MODEL = "*"
 FULL_CONFIDENCE = 100.0
-# Probability, by the model's own confidence, at which an answer is kept. A larger model costs
-# about a seventh of an answer's value, and its answers are not all right either.
+# Probability, by the model's own confidence, at which an answer is kept while servers are idle. A
+# larger model costs about a seventh of an answer's value, and its answers are not all right either.
 KEEP_PROBABILITY = 0.6
-# The same when the larger model's answer would come after the target: a late answer counts for a
-# part only.
-KEEP_PROBABILITY_LATE = 0.2
+# The same when the larger model's answer would miss the target: a late answer counts for a part
+# only, and the work for it makes others late.
+KEEP_PROBABILITY_LATE = 0.1
+# Parts of the time left to the target that the larger model may take: up to the first, servers
+# count as idle; from the second on, the target counts as missed, since estimates lag behind load.
+IDLE_STRAIN, FULL_STRAIN = 0.2, 0.7
 
 
 def first_model(route: Route, asked: str) -> str:
@@ -35,7 +38,7 @@
     return route.model_names[0] if cascades else route.model_names[-1]
 
 
-def larger_model(route: Route, model: str, confidence: float, in_time: bool) -> str | None:
+def larger_model(route: Route, model: str, confidence: float, strain: float) -> str | None:
     """Return the model that should answer instead, or None if the answer is kept.
 
     Parameters
@@ -46,8 +49,9 @@
         Model that has answered.
     confidence
         Its opinion of its answer, 0 to 100.
-    in_time
-        Whether the largest model would probably answer within the route's target.
+    strain
+        Expected time to the largest model's first event, as a part of the time that is left
+        until the route's target.
 
     Notes
     -----
@@ -56,5 +60,11 @@
     """
     if model not in route.model_names or model == route.model_names[-1]:
         return None
-    needed = KEEP_PROBABILITY if in_time else KEEP_PROBABILITY_LATE
-    return None if confidence >= needed * FULL_CONFIDENCE else route.model_names[-1]
+    kept = confidence >= needed_probability(strain) * FULL_CONFIDENCE
+    return None if kept else route.model_names[-1]
+
+
+def needed_probability(strain: float) -> float:
+    """Return the probability at which an answer is kept, which falls as the load rises."""
+    eased = min(max((strain - IDLE_STRAIN) / (FULL_STRAIN - IDLE_STRAIN), 0.0), 1.0)
+    return KEEP_PROBABILITY + eased * (KEEP_PROBABILITY_LATE - KEEP_PROBABILITY)
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -18,6 +18,7 @@
     "ServerEvidence",
     "ServerRow",
     "ServerState",
+    "ServerWork",
     "VersionLoad",
 ]
 
@@ -83,6 +84,13 @@
     bad: int
 
 
+class ServerWork(Struct, frozen=True, array_like=True):
+    """Requests at a backend server, and the expected time to read the prompts among them."""
+
+    in_flight: int
+    pending_ms: int
+
+
 class VersionLoad(Struct, frozen=True, array_like=True):
     """Servers of one version of a service that a gateway knows, and its requests there."""
 
@@ -110,7 +118,7 @@
     wait_s: float
     evidence: tuple[ServerEvidence, ...] = ()
     crash_suspects: tuple[str, ...] = ()
-    in_flight: dict[str, int] = {}
+    work: dict[str, ServerWork] = {}
     versions: tuple[VersionLoad, ...] = ()
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
@@ -120,7 +128,7 @@
     """Changes since the position of the request.
 
     ``document`` is empty if the gateway holds this version already. ``refreshed`` names servers
-    whose announcements came without a change. ``in_flight`` sums the reports of the other
+    whose announcements came without a change. ``work`` sums the reports of the other
     gateways.
     """
 
@@ -135,7 +143,7 @@
     refreshed: tuple[str, ...]
     gateways: int
     quarantined: tuple[str, ...] = ()
-    in_flight: dict[str, int] = {}
+    work: dict[str, ServerWork] = {}
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
 
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -9,7 +9,7 @@
     StartRollout,
     StoreDocument,
 )
-from baobabstream.wire.coordination_messages import ExchangeRequest, RolloutState
+from baobabstream.wire.coordination_messages import ExchangeRequest, RolloutState, ServerWork
 
 START = StartRollout("engine", "v2", 12.0)
 
@@ -78,8 +78,8 @@
 def test_load_of_silent_gateways_is_forgotten():
     """Guards against counting requests of a gateway that is gone."""
     contacts = GatewayContacts()
-    request = ExchangeRequest("gw-1", 1, 0, 0, 0, 0, 0.0, in_flight={"i-1": 3})
+    request = ExchangeRequest("gw-1", 1, 0, 0, 0, 0, 0.0, work={"i-1": ServerWork(3, 40)})
     contacts.note(request, 1.0)
-    assert contacts.in_flight(2.0) == {"i-1": 3}
-    assert contacts.in_flight(2.0, without="gw-1") == {}
-    assert contacts.in_flight(9.0) == {}
+    assert contacts.work(2.0) == {"i-1": ServerWork(3, 40)}
+    assert contacts.work(2.0, without="gw-1") == {}
+    assert contacts.work(9.0) == {}
--- a/tests/routing/test_choices.py
+++ b/tests/routing/test_choices.py
@@ -6,7 +6,7 @@
 
 from baobabstream.routing.document import RouteKind
 from baobabstream.routing.held_sessions import HeldSessions
-from baobabstream.routing.model_choice import first_model, larger_model
+from baobabstream.routing.model_choice import first_model, larger_model, needed_probability
 from baobabstream.routing.second_send_budget import SecondSendBudget
 from baobabstream.routing.server_choice import ServerLoad, choose_server
 from baobabstream.routing.session_versions import SessionVersions
@@ -21,11 +21,11 @@
 def load(server_id="a", **changes) -> ServerLoad:
     fields = {
         "in_flight": 2,
-        "prompt_tokens": 0,
+        "pending_s": 0.1,
+        "own_s": 0.1,
         "slowness": 1.0,
         "failure_share": 0.0,
         "same_zone": True,
-        "holds_prompt": True,
     }
     return ServerLoad(server_id, **(fields | changes))
 
@@ -37,34 +37,41 @@
         {"slowness": 3.0},
         {"failure_share": 0.4},
         {"same_zone": False},
-        {"holds_prompt": False},
-        {"prompt_tokens": 20_000},
+        {"own_s": 0.3},
+        {"pending_s": 1.0},
     ],
 )
 def test_the_better_server_is_chosen(worse):
     """Guards against work for a server that is busier, slower, failing or without the prompt."""
-    assert choose_server([load("a", **worse), load("b")], 5000, Random(1)).server_id == "b"
+    assert choose_server([load("a", **worse), load("b")], Random(1)).server_id == "b"
 
 
 def test_equal_servers_share_the_work():
     """Guards against all gateways taking the same of two equal servers."""
     random = Random(1)
-    chosen = {choose_server([load("a"), load("b")], 0, random).server_id for _ in range(20)}
+    chosen = {choose_server([load("a"), load("b")], random).server_id for _ in range(20)}
     assert chosen == {"a", "b"}
 
 
 def test_low_confidence_goes_to_the_largest_model():
     """Guards against poor answers of a small model, and against the cost of the largest for all."""
     assert first_model(CASCADE, "*") == "s"
-    assert larger_model(CASCADE, "s", 20.0, in_time=True) == "l"
-    assert larger_model(CASCADE, "s", 90.0, in_time=True) is None
-    assert larger_model(CASCADE, "l", 0.0, in_time=True) is None
+    assert larger_model(CASCADE, "s", 20.0, strain=0.1) == "l"
+    assert larger_model(CASCADE, "s", 90.0, strain=0.1) is None
+    assert larger_model(CASCADE, "l", 0.0, strain=0.1) is None
 
 
 def test_a_middling_answer_is_kept_when_the_next_would_be_late():
     """Guards against giving up a usable answer at the crest for one that comes too late."""
-    assert larger_model(CASCADE, "s", 40.0, in_time=False) is None
-    assert larger_model(CASCADE, "s", 5.0, in_time=False) == "l"
+    assert larger_model(CASCADE, "s", 40.0, strain=2.0) is None
+    assert larger_model(CASCADE, "s", 5.0, strain=2.0) == "l"
+
+
+def test_the_largest_model_yields_bit_by_bit():
+    """Guards against a threshold that flips all requests at once and back at a crest."""
+    steps = [needed_probability(strain / 20) for strain in range(21)]
+    assert steps == sorted(steps, reverse=True)
+    assert max(a - b for a, b in zip(steps, steps[1:], strict=False)) < 0.1
 
 
 def test_a_request_that_may_run_once_gets_the_largest_model():
