Statistics on the metrics address, page for engineers on call, tests of membership and reads

Change: counters and histograms as plain numbers, rendered at the first question; docs/OPERATIONS.md; what a gateway learns from answers is a module of its own.

--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from msgspec import Struct
 
+from baobabstream import __version__
 from baobabstream.consensus.address_book import SeededAddresses
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged, Timing
@@ -27,6 +28,8 @@
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.logs import get_logger
+from baobabstream.telemetry.statistics import StatisticName
+from baobabstream.telemetry.statistics_page import StatisticsServer
 from baobabstream.wire.consensus_messages import (
     AppendRequest,
     JoinRequest,
@@ -126,6 +129,7 @@
             self.decisions,
         )
         self._application = application
+        self._metrics = StatisticsServer(self.decisions.statistics)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -137,19 +141,24 @@
         await self._runner.setup()
         try:
             await web.TCPSite(self._runner, self.settings.ip, self.settings.http_port).start()
+            await self._metrics.start(self.settings.ip)
         except OSError as error:
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
         self._tasks = [
             asyncio.create_task(self.decisions.run()),
             asyncio.create_task(self._lead()),
         ]
-        self.decisions.record(DecisionEvent.DAEMON_STARTED, role="coordination")
+        self.decisions.record(
+            DecisionEvent.DAEMON_STARTED, role="coordination", version=__version__
+        )
+        self._show_gauges()
 
     async def stop(self) -> None:
         """Hand leadership over and end."""
         self.decisions.record(DecisionEvent.DAEMON_STOPPING, reason="signal")
         await self.log.stop()
         await self._runner.cleanup()
+        await self._metrics.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -163,6 +172,14 @@
         self._addresses.set_seeds(settings.seeds)
         self.decisions.record(DecisionEvent.SETTINGS_RELOADED, outcome="taken")
 
+    def _show_gauges(self) -> None:
+        statistics = self.decisions.statistics
+        statistics.show(StatisticName.LEADER, lambda: float(self._leads()))
+        statistics.show(StatisticName.DOCUMENT_VERSION, lambda: self.state.document_version)
+
+    def _leads(self) -> bool:
+        return self.log.leader == self.settings.ip and self.log.holds_leader_lease()
+
     def _hosts(self) -> tuple[str, ...]:
         membership = self.log.membership
         members = tuple(item.host for item in membership.voters + membership.learners)
@@ -192,7 +209,7 @@
         driver: asyncio.Task[None] | None = None
         term = 0
         while True:
-            leads = self.log.leader == self.settings.ip and self.log.holds_leader_lease()
+            leads = self._leads()
             if driver is not None and (not leads or self.log.term != term or driver.done()):
                 if driver.done() and not driver.cancelled() and driver.exception() is not None:
                     _log.error("The rollout driver failed.", exc_info=driver.exception())
--- a/src/baobabstream/coordination/service.py
+++ b/src/baobabstream/coordination/service.py
@@ -14,6 +14,7 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.telemetry.statistics import StatisticName
 from baobabstream.wire.coordination_messages import (
     DocumentOrder,
     DocumentQuery,
@@ -173,14 +174,17 @@
         return reply
 
     def _note_order(self, order: str, outcome: str, detail: str, began_s: float) -> None:
-        elapsed_ms = int((asyncio.get_running_loop().time() - began_s) * 1000)
+        elapsed_s = asyncio.get_running_loop().time() - began_s
+        statistics = self._decisions.statistics
+        statistics.add(StatisticName.ORDERS, order, outcome)
+        statistics.observe(StatisticName.ORDER_SECONDS, elapsed_s, order)
         self._decisions.record(
             DecisionEvent.ORDER_DECIDED,
             important=outcome != "done",
             order=order,
             outcome=outcome,
             detail=detail,
-            elapsed_ms=elapsed_ms,
+            elapsed_ms=int(elapsed_s * 1000),
         )
 
     def _require_listeners(self) -> None:
@@ -190,6 +194,8 @@
         raise PeerError(ResultCode.PEER_UNREACHABLE, "no gateway is in contact with this host")
 
     async def _tell(self, changed: bool, server_id: str, reason: str) -> None:
+        outcome = reason if changed else "repeated"
+        self._decisions.statistics.add(StatisticName.ANNOUNCEMENTS, outcome)
         if not changed:
             return
         row = self._feed.table.get(server_id)
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from baobabstream import __version__
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
@@ -22,12 +23,15 @@
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.session_versions import SessionVersions, rollout_name
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.telemetry.statistics import StatisticName
+from baobabstream.telemetry.statistics_page import StatisticsServer
 from baobabstream.wire.coordination_messages import (
     ExchangeReply,
     ExchangeRequest,
     RolloutState,
     ServerEvidence,
     ServerRow,
+    ServerState,
 )
 from baobabstream.wire.inner_codec import inner_codec
 
@@ -94,7 +98,9 @@
         self._contact = ControlContact(
             settings.seeds, settings.inner_port, inner_codec(settings.host), self, decisions
         )
-        self._front = Front(self.context, self._contact.age_s)
+        self.context.control_age_s = self._contact.age_s
+        self._front = Front(self.context)
+        self._metrics = StatisticsServer(decisions.statistics)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -117,10 +123,13 @@
         try:
             await web.TCPSite(self._ready_runner, settings.ip, settings.ready_port).start()
             await self._front.start(settings.ip, settings.front_port)
+            await self._metrics.start(settings.ip)
         except OSError as error:
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
-        self._tasks = [asyncio.create_task(self.context.decisions.run())]
-        self.context.decisions.record(DecisionEvent.DAEMON_STARTED, role="gateway")
+        decisions = self.context.decisions
+        self._tasks = [asyncio.create_task(decisions.run())]
+        decisions.record(DecisionEvent.DAEMON_STARTED, role="gateway", version=__version__)
+        self._show_gauges()
         # Objects made so far live as long as the process.
         gc.collect()
         gc.freeze()
@@ -136,6 +145,7 @@
         await self._front.finish(end_s)
         await self._contact.stop()
         await self._ready_runner.cleanup()
+        await self._metrics.stop()
         for task in self._tasks:
             task.cancel()
         self.context.decisions.flush()
@@ -218,6 +228,20 @@
         """Give the servers time to announce themselves again."""
         self.context.directory.resume_listening(self._loop.time())
 
+    def _show_gauges(self) -> None:
+        context = self.context
+        statistics = context.decisions.statistics
+        statistics.show(StatisticName.OPEN_REQUESTS, lambda: self._front.open_requests)
+        statistics.show(StatisticName.CONTROL_AGE_SECONDS, self._contact.age_s)
+        statistics.show(
+            StatisticName.DOCUMENT_VERSION,
+            lambda: context.table.document.version if context.table else 0,
+        )
+        statistics.show(
+            StatisticName.READY_SERVERS,
+            lambda: sum(item.row.state is ServerState.READY for item in context.directory),
+        )
+
     def _evidence(self) -> Iterator[ServerEvidence]:
         context = self.context
         for server in context.directory:
--- a/src/baobabstream/gateway/front.py
+++ b/src/baobabstream/gateway/front.py
@@ -1,14 +1,14 @@
 """HTTP front of a gateway for callers."""
 
 import asyncio
-from collections.abc import Callable
 
 from aiohttp import web
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.gateway.refusals import refusal
 from baobabstream.gateway.request_reader import RequestReader
-from baobabstream.gateway.request_run import RequestRun, refusal
+from baobabstream.gateway.request_run import RequestRun
 from baobabstream.gateway.run_context import RunContext
 from baobabstream.routing.document import RequestLimits
 from baobabstream.telemetry.decision_log import DecisionEvent
@@ -33,18 +33,20 @@
     ----------
     context
         What request runs share.
-    control_age_s
-        Returns the time since a coordination host has answered.
     """
 
-    def __init__(self, context: RunContext, control_age_s: Callable[[], float]) -> None:
+    def __init__(self, context: RunContext) -> None:
         self._context = context
-        self._control_age_s = control_age_s
         self._reader = RequestReader(context.names)
         self._open = 0
         self._accepting = True
         self._max_body_bytes = MAX_BODY_BYTES
 
+    @property
+    def open_requests(self) -> int:
+        """Requests under way."""
+        return self._open
+
     async def start(self, ip: str, port: int) -> None:
         """Listen for callers."""
         application = web.Application(client_max_size=MAX_BODY_BYTES)
@@ -113,7 +115,6 @@
 
     def _log_refusal(self, http: web.Request, error: RequestRefused, arrived_s: float) -> None:
         context = self._context
-        age_s = self._control_age_s()
         context.decisions.record(
             DecisionEvent.REQUEST_REFUSED,
             request_id=http.headers.get(context.names.request_id, ""),
@@ -121,6 +122,6 @@
             code=int(error.code),
             reason=error.detail,
             document_version=context.table.document.version if context.table else 0,
-            control_age_ms=int(age_s * 1000) if age_s != float("inf") else None,
+            control_age_ms=context.control_age_ms(),
             elapsed_ms=int((asyncio.get_running_loop().time() - arrived_s) * 1000),
         )
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -6,10 +6,11 @@
 from aiohttp import web
 
 from baobabstream.backends.http_connection import AnswerHead
-from baobabstream.entry.http_errors import error_body
-from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
-from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
-from baobabstream.gateway.attempt import MISDIRECTED, Attempt, AttemptFailed, unread_tokens
+from baobabstream.errors.codes import ResultCode, RunState
+from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.gateway.answer_notes import AnswerNotes
+from baobabstream.gateway.attempt import Attempt, AttemptFailed, unread_tokens
+from baobabstream.gateway.refusals import refusal
 from baobabstream.gateway.request_reader import CONNECTION_HEADERS
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.run_context import RunContext
@@ -18,30 +19,16 @@
 from baobabstream.routing.model_choice import first_model, larger_model
 from baobabstream.routing.server_choice import choose_server
 from baobabstream.telemetry.decision_log import DecisionEvent
+from baobabstream.telemetry.statistics import StatisticName
 
-__all__ = ["RequestRun", "refusal"]
+__all__ = ["RequestRun"]
 
 # Sends of one request, counting those that servers refuse without running it.
 MAX_SENDS = 5
-# A caller that comes back this soon finds another server or the load gone; it waits longer by
-# itself when it is refused again.
-RETRY_AFTER_S = 0.5
-# An answer that takes this many times the expected time counts against its server's version.
-BAD_SLOWNESS = 5.0
 # An engine that is silent this long in the middle of a stream is taken for lost.
 STALL_GAPS = 2.5
 
 
-def refusal(error: BaobabstreamError, run_state: RunState | None = None) -> web.Response:
-    """Return the answer of a request that gets none from a server."""
-    row = CODE_TABLE[error.code]
-    response = web.json_response(error_body(error, run_state), status=row.http_status)
-    if row.http_status in (429, 503):
-        retry_after_s = error.retry_after_s if error.retry_after_s is not None else RETRY_AFTER_S
-        response.headers["Retry-After"] = f"{retry_after_s:.2f}"
-    return response
-
-
 @dataclass
 class _Progress:
     """Sends of a request so far."""
@@ -77,6 +64,7 @@
         self._refused_by: set[str] = set()
         self._server: KnownServer | None = None
         self._response: web.StreamResponse | None = None
+        self._notes = AnswerNotes(request, context)
         self._outcome = "caller_left"
 
     async def run(self) -> web.StreamResponse:
@@ -192,7 +180,7 @@
                         await response.write(events)
                         events = await self._next_events(attempt)
                     await response.write_eof()
-                    self._note_pace(attempt)
+                    self._notes.paced(attempt)
                     self._outcome = "served"
                     return
                 except AttemptFailed as failure:
@@ -274,90 +262,18 @@
         )
 
     def _note_answer(self, attempt: Attempt) -> None:
-        now_s = self._loop.time()
-        server, request = attempt.server, self._request
-        elapsed_s = now_s - attempt.sent_s
-        kind = attempt.model or request.route.name
-        ratio = self._context.times.ratio(kind, attempt.unread_tokens, elapsed_s)
-        server.note_answer(False, ratio, now_s)
-        plain = request.route.kind is not RouteKind.STREAM
-        if plain and ratio > BAD_SLOWNESS:
-            server.bad += 1
-        else:
-            server.good += 1
-        self._context.crashes.answered(request.fingerprint)
-        cached_prompt = request.cached_prompt(attempt.model)
-        if cached_prompt is not None:
-            server.note_prompt(cached_prompt)
-        self._progress.first_event_s = now_s - request.arrived_s
-        self._progress.runs += 1
         attempt.answered = True
-
-    def _note_pace(self, attempt: Attempt) -> None:
-        """Count a stream whose events came several times slower than those of other servers.
-
-        The first event says less: at a crest it waits behind others at any server.
-        """
-        pace_s = attempt.event_pace_s()
-        if pace_s is None or not attempt.model:
-            return
-        ratio = self._context.paces.ratio(attempt.model, 0, pace_s)
-        if ratio > BAD_SLOWNESS:
-            attempt.server.bad += 1
-            attempt.server.good -= 1
+        self._progress.runs += 1
+        self._progress.first_event_s = self._loop.time() - self._request.arrived_s
+        self._notes.answered(attempt)
 
     def _note_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
-        now_s = self._loop.time()
-        server, context = attempt.server, self._context
-        if failure.run_state is not RunState.NO:
+        if failure.run_state is RunState.NO:
+            self._refused_by.add(attempt.server.row.server_id)
+        else:
             self._progress.runs += not attempt.answered
             self._progress.maybe_run = True
-            server.note_answer(failed=True, slowness=None, now_s=now_s)
-        if failure.run_state is RunState.YES:
-            server.bad += 1
-        if failure.run_state is RunState.NO:
-            self._refused_by.add(server.row.server_id)
-        if failure.unreachable:
-            hold_s = server.hold(now_s)
-            context.decisions.record(
-                DecisionEvent.SERVER_SUSPECTED,
-                server=server.row.server_id,
-                reason=failure.reason,
-                hold_ms=int(hold_s * 1000),
-            )
-        if failure.head is not None and failure.head.status == MISDIRECTED:
-            server.hold(now_s)
-        if failure.reset:
-            self._check_crash(server)
-        context.decisions.record(
-            DecisionEvent.ATTEMPT_FAILED,
-            request_id=self._request.request_id,
-            server=server.row.server_id,
-            model=attempt.model,
-            attempt=self._progress.sends,
-            run_state=failure.run_state,
-            reason=failure.reason,
-            status=failure.head.status if failure.head else 0,
-            elapsed_ms=int((now_s - self._request.arrived_s) * 1000),
-            in_flight=server.in_flight,
-            announced_age_ms=int((now_s - server.heard_s) * 1000),
-        )
-
-    def _check_crash(self, server: KnownServer) -> None:
-        context, request = self._context, self._request
-
-        async def check() -> None:
-            if await context.crashes.check(
-                request.fingerprint,
-                f"{server.row.server_id}.{server.row.born_ms}",
-                server.row.address,
-                context.names.request_id.lower(),
-            ):
-                server.hold(self._loop.time())
-
-        task = asyncio.create_task(check())
-        context.background.add(task)
-        task.add_done_callback(context.background.discard)
+        self._notes.failed(attempt, failure, self._progress.sends)
 
     def _check_retry(self, failure: AttemptFailed) -> None:
         """Return if the request may be sent again; else raise its final answer."""
@@ -417,6 +333,11 @@
         context, request, progress = self._context, self._request, self._progress
         now_s = self._loop.time()
         first_s = progress.first_event_s
+        statistics, kind = context.decisions.statistics, request.route.kind
+        statistics.add(StatisticName.REQUESTS, kind, self._outcome.partition(":")[0])
+        statistics.observe(StatisticName.REQUEST_SECONDS, now_s - request.arrived_s, kind)
+        if first_s is not None and self._outcome == "served":
+            statistics.observe(StatisticName.FIRST_EVENT_SECONDS, first_s, kind)
         context.decisions.record(
             DecisionEvent.REQUEST_ENDED,
             important=self._outcome != "served",
@@ -433,6 +354,7 @@
             first_event_ms=int(first_s * 1000) if first_s is not None else None,
             elapsed_ms=int((now_s - request.arrived_s) * 1000),
             document_version=context.table.document.version if context.table else 0,
+            control_age_ms=context.control_age_ms(),
             session=request.session,
         )
 
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -1,6 +1,7 @@
 """What every request run of a gateway shares."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -36,6 +37,8 @@
         Log of decisions.
     random
         Breaks ties.
+    control_age_s
+        Returns the time since a coordination host has answered.
     """
 
     settings: GatewaySettings
@@ -45,6 +48,7 @@
     crashes: CrashWatch
     decisions: DecisionLog
     random: Random
+    control_age_s: Callable[[], float] = lambda: float("inf")
     times: FirstEventTimes = field(default_factory=FirstEventTimes)
     paces: FirstEventTimes = field(default_factory=FirstEventTimes)
     table: RouteTable | None = None
@@ -66,6 +70,11 @@
             self.budgets[service] = budget
         return budget
 
+    def control_age_ms(self) -> int | None:
+        """Return the age of what the coordination hosts have told, or None before the first."""
+        age_s = self.control_age_s()
+        return int(age_s * 1000) if age_s != float("inf") else None
+
     def candidates(self, service: str, session: str, now_s: float) -> list[KnownServer]:
         """Return the servers that may run a request of a session.
 
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -11,6 +11,8 @@
 
 from msgspec.json import Encoder
 
+from baobabstream.telemetry.statistics import StatisticName, Statistics
+
 __all__ = ["EVENT_FIELDS", "DecisionEvent", "DecisionLog"]
 
 # A fifth of a second keeps lines together for one write and still shows a fault as it happens.
@@ -121,6 +123,11 @@
     file_number
         Open file that the lines are written to.
 
+    Attributes
+    ----------
+    statistics
+        Counts every decision, also those whose line is dropped.
+
     Notes
     -----
     Lines are dropped and counted when more come in a second than the bounds allow, or when the
@@ -128,6 +135,7 @@
     """
 
     def __init__(self, host: str, file_number: int = 1) -> None:
+        self.statistics = Statistics()
         self._host = host
         self._file_number = file_number
         self._encoder = Encoder()
@@ -150,6 +158,7 @@
         fields
             Inputs and outcome of the decision.
         """
+        self.statistics.add(StatisticName.DECISIONS, event)
         if event not in _ORDINARY:
             important = True
         if not self._within_bounds(important):
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -146,3 +146,22 @@
     assert removed == Membership((B, C), (new,))
     assert next_membership(removed, {}, lambda _: False) is None
     assert next_membership(removed, {}, lambda _: True) == Membership((B, C, new))
+
+
+def test_a_read_is_confirmed_by_messages_sent_after_it():
+    """Guards against a deposed leader that answers from what it held before it was suspended."""
+    core = make_leader()
+    own_entry = core.log.last_index
+    request = core.request_for(B.member_id, 3.0)
+    core.handle_reply(request, AppendReply(4, True, own_entry), 3.0, 3.1)
+    assert core.confirmed_since(2.9)
+    assert not core.confirmed_since(3.05)
+    assert not make_core().confirmed_since(0.0)
+
+
+def test_a_new_leader_confirms_no_read_before_its_own_entry():
+    """Guards against a read that misses what an earlier leader had committed."""
+    core = make_leader()
+    request = core.request_for(B.member_id, 3.0)
+    core.handle_reply(request, AppendReply(4, False, 0), 3.0, 3.1)
+    assert not core.confirmed_since(2.9)
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -7,6 +7,8 @@
 import pytest
 
 from baobabstream.emulator.faults import Faults
+from baobabstream.telemetry.decision_log import EVENT_FIELDS
+from baobabstream.telemetry.statistics import STATISTICS
 
 ROOT = Path(__file__).resolve().parents[2]
 WRITER = runpy.run_path(str(ROOT / "scripts" / "write_pages.py"))
@@ -35,3 +37,14 @@
         if not (page.parent / target).exists()
     ]
     assert links == []
+
+
+def test_operations_page_names_every_event_and_metric():
+    """Guards against a line or number that nobody on call can look up."""
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    rows = [
+        f"| `{event}` | {', '.join(f'`{name}`' for name in fields)} |"
+        for event, fields in EVENT_FIELDS.items()
+    ]
+    assert [row for row in rows if row not in page] == []
+    assert [name for name in STATISTICS if f"| `{name}` |" not in page] == []
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -220,6 +220,7 @@
             await gateway._contact.stop()
             await gateway._front.finish(0)
             await gateway._ready_runner.cleanup()
+            await gateway._metrics.stop()
         for ip in list(self.coordinators):
             await self.kill_coordinator(ip)
         for backend in self.backends.values():
--- /dev/null
+++ b/tests/telemetry/test_decision_log.py
@@ -0,0 +1,94 @@
+"""Tests that decisions are written as lines, bounded, without blocking."""
+
+import json
+import os
+import time
+
+import pytest
+
+from baobabstream.telemetry.decision_log import (
+    EVENT_FIELDS,
+    MAX_IMPORTANT_PER_S,
+    MAX_ORDINARY_PER_S,
+    DecisionEvent,
+    DecisionLog,
+)
+from baobabstream.telemetry.statistics import StatisticName, Statistics
+from baobabstream.telemetry.statistics_page import render_statistics
+
+
+@pytest.fixture
+def pipe():
+    read_end, write_end = os.pipe()
+    yield read_end, write_end
+    os.close(read_end)
+    os.close(write_end)
+
+
+def lines_of(read_end: int, log: DecisionLog) -> list[dict]:
+    log.flush()
+    time.sleep(0.1)
+    return [json.loads(line) for line in os.read(read_end, 1_000_000).splitlines()]
+
+
+def test_a_decision_is_one_json_line(pipe):
+    """Guards against lines that a collector cannot read."""
+    log = DecisionLog("host-1", pipe[1])
+    log.record(DecisionEvent.DEPENDENCY_LOST, dependency="coordination", reason='a "quoted" one')
+    (line,) = lines_of(pipe[0], log)
+    assert (line["host"], line["event"]) == ("host-1", "dependency_lost")
+    assert line["reason"] == 'a "quoted" one'
+
+
+def test_ordinary_lines_are_dropped_before_failures(pipe):
+    """Guards against a load peak that hides refusals and failures behind served requests."""
+    log = DecisionLog("host-1", pipe[1])
+    for _ in range(500):
+        log.record(DecisionEvent.REQUEST_ENDED, important=False, outcome="served")
+    log.record(DecisionEvent.REQUEST_REFUSED, code=1009)
+    lines = lines_of(pipe[0], log)
+    served = [line for line in lines if line["event"] == "request_ended"]
+    assert len(served) <= 2 * MAX_ORDINARY_PER_S
+    assert any(line["event"] == "request_refused" for line in lines)
+    dropped = next(line for line in lines if line["event"] == "lines_dropped")
+    assert dropped["count"] + len(served) == 500
+    assert log.statistics.counters[StatisticName.DECISIONS, ("request_ended",)] == 500
+
+
+def test_failures_are_bounded_too(pipe):
+    """Guards against a log that grows with the load without limit."""
+    log = DecisionLog("host-1", pipe[1])
+    for _ in range(3000):
+        log.record(DecisionEvent.REQUEST_REFUSED, code=1009)
+    refused = [line for line in lines_of(pipe[0], log) if line["event"] == "request_refused"]
+    assert len(refused) <= 2 * MAX_IMPORTANT_PER_S
+
+
+def test_a_reader_that_stops_does_not_block(pipe):
+    """Guards against a daemon that waits for whoever collects its output."""
+    log = DecisionLog("host-1", pipe[1])
+    began_s = time.monotonic()
+    for _ in range(40):
+        log.record(DecisionEvent.ATTEMPT_FAILED, reason="x" * 60_000)
+        log.flush()
+    assert time.monotonic() - began_s < 2.0
+    assert log._dropped["unread"] > 0
+
+
+def test_every_event_has_fields():
+    """Guards against an event that nothing documents."""
+    assert set(EVENT_FIELDS) == set(DecisionEvent)
+
+
+def test_statistics_are_rendered():
+    """Guards against a histogram whose buckets do not add up."""
+    statistics = Statistics()
+    statistics.add(StatisticName.REQUESTS, "stream", "served")
+    for value_s in (0.004, 0.3, 99.0):
+        statistics.observe(StatisticName.REQUEST_SECONDS, value_s, "stream")
+    statistics.show(StatisticName.LEADER, lambda: 1.0)
+    text = render_statistics(statistics).decode()
+    assert 'baobabstream_requests_total{kind="stream",outcome="served"} 1.0' in text
+    assert 'baobabstream_request_seconds_bucket{kind="stream",le="0.5"} 2.0' in text
+    assert 'baobabstream_request_seconds_bucket{kind="stream",le="+Inf"} 3.0' in text
+    assert "baobabstream_leader 1.0" in text
