--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -4,13 +4,13 @@
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
-from itertools import chain
 from random import Random
 from typing import Any
 
 from msgspec import Struct
 
 from baobabstream.consensus.address_book import AddressBook
+from baobabstream.consensus.admission import Admission
 from baobabstream.consensus.command_log import CommandLog
 from baobabstream.consensus.core import RaftCore, Role
 from baobabstream.consensus.records import (
@@ -55,7 +55,6 @@
 CALL_TIMEOUT_S = 0.5
 SNAPSHOT_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.05
-JOIN_INTERVAL_S = 0.5
 # Several election timeouts; a member that was replaced while it was away gets no leader's message.
 REJOIN_AFTER_S = 3.0
 # Covers catching up the successor and its election; a planned stop goes on without it.
@@ -184,7 +183,8 @@
         self._open = True
         self._start(self._writer.run())
         self._start(self._tick())
-        self._start(self._ask_to_join())
+        admission = Admission(self.core.member, self._addresses, self._codec)
+        self._start(admission.run(self._needs_admission, self._member_hosts, self._form_group))
         self._follow_membership()
 
     async def stop(self) -> None:
@@ -365,25 +365,9 @@
         wait_s = self.core.request_due_s(peer.member_id) - self._loop.time()
         return min(max(wait_s, MIN_WAIT_S), MAX_PEER_WAIT_S)
 
-    async def _ask_to_join(self) -> None:
-        """Ask the other hosts until this member is part of a group, forming it if it is new.
-
-        A member that hears no leader asks too: the group may have replaced it meanwhile.
-        """
-        clients: dict[str, RpcClient] = {}
-        known = set(self._member_hosts())
-        try:
-            while self._open:
-                if self._needs_admission():
-                    hosts = set(self._addresses.contacts(known)) - {self._own_host}
-                    replies = await asyncio.gather(*(self._ask(clients, host) for host in hosts))
-                    answered = [reply for reply in replies if reply is not None]
-                    known.update(chain.from_iterable(reply.hosts for reply in answered))
-                    self._form_group(answered)
-                await asyncio.sleep(JOIN_INTERVAL_S)
-        finally:
-            for client in clients.values():
-                client.close()
+    def _member_hosts(self) -> tuple[str, ...]:
+        members = self.core.membership.voters + self.core.membership.learners
+        return tuple(item.host for item in members)
 
     def _needs_admission(self) -> bool:
         members = self.core.membership.voters + self.core.membership.learners
@@ -391,35 +375,10 @@
             return True
         return self.core.contact_age_s(self._loop.time()) > REJOIN_AFTER_S
 
-    def _member_hosts(self) -> tuple[str, ...]:
-        members = self.core.membership.voters + self.core.membership.learners
-        return tuple(item.host for item in members)
-
-    @property
-    def _own_host(self) -> str:
-        return self.core.member.host
-
-    async def _ask(self, clients: dict[str, RpcClient], host: str) -> JoinReply | None:
-        url = self._addresses.url(host)
-        if url is None:
-            return None
-        client = clients.setdefault(host, RpcClient(url, self._codec))
-        try:
-            return await client.call(JoinRequest(self.core.member), CALL_TIMEOUT_S)
-        except PeerError as error:
-            _log.debug("Host %s does not answer a request to join: %s.", host, error)
-            return None
-
-    def _form_group(self, replies: list[JoinReply]) -> None:
-        founders = self._addresses.founders()
-        if self.core.initialised or not founders or founders[0] != self._own_host:
-            return
-        others = [reply for reply in replies if reply.member.host in founders]
-        if len(others) < len(founders) - 1 or any(reply.initialised for reply in replies):
-            return
-        members = (self.core.member, *(reply.member for reply in others))
-        _log.info("Forming a new group of %d members.", len(members))
-        self._run(self.core.bootstrap(Membership(voters=members)))
+    def _form_group(self, members: tuple[Member, ...]) -> None:
+        if not self.core.initialised:
+            _log.info("Forming a new group of %d members.", len(members))
+            self._run(self.core.bootstrap(Membership(voters=members)))
 
     def _follow_membership(self) -> None:
         if not self._open:
