--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -17,8 +17,7 @@
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.routing.document import RouteKind
 from baobabstream.routing.model_choice import first_model, larger_model
-from baobabstream.routing.model_partition import largest_model_servers
-from baobabstream.routing.server_choice import ServerLoad, choose_server
+from baobabstream.routing.server_choice import choose_server
 from baobabstream.telemetry.decision_log import DecisionEvent
 from baobabstream.telemetry.statistics import StatisticName
 
@@ -159,10 +158,13 @@
         if left_s <= 0 or not request.route.model_names:
             return float("inf")
         largest = request.route.model_names[-1]
-        servers = context.candidates(request.service, request.session, now_s)
-        loads = self._loads(servers, servers, largest, now_s)
+        zone = context.settings.availability_zone
         times_s = (
-            load.pending_s + load.own_s * load.slowness for load in loads if not load.other_models
+            load.pending_s + load.own_s * load.slowness
+            for load in (
+                server.load(now_s, zone, self._own_s(server, largest))
+                for server in context.candidates(request.service, request.session, now_s)
+            )
         )
         return min(times_s, default=float("inf")) / left_s
 
@@ -233,43 +235,16 @@
         usable = [item for item in open_to if item.held_until_s <= now_s] or open_to
         if not usable:
             raise RequestRefused(ResultCode.NO_BACKEND_SERVER)
-        model = self._progress.model
-        chosen = choose_server(self._loads(usable, servers, model, now_s), context.random)
+        zone = context.settings.availability_zone
+        loads = [
+            server.load(now_s, zone, self._own_s(server, self._progress.model)) for server in usable
+        ]
+        chosen = choose_server(loads, context.random)
         server = next(item for item in usable if item.row.server_id == chosen.server_id)
         self._tried.add(chosen.server_id)
         context.sessions.note(request.service, request.session, now_s)
-        self._note_work(server, model, now_s)
         return server
 
-    def _loads(
-        self, usable: list[KnownServer], servers: list[KnownServer], model: str, now_s: float
-    ) -> list[ServerLoad]:
-        """Return the loads of usable servers, given all that could run the request."""
-        context, names = self._context, self._request.route.model_names
-        largest = bool(names) and model == names[-1]
-        kept = largest_model_servers(
-            (server.row.server_id for server in servers) if len(names) > 1 else (),
-            context.shares.largest_share(),
-        )
-        zone = context.settings.availability_zone
-        return [
-            server.load(
-                now_s,
-                zone,
-                self._own_s(server, model),
-                bool(kept) and (server.row.server_id in kept) != largest,
-            )
-            for server in usable
-        ]
-
-    def _note_work(self, server: KnownServer, model: str, now_s: float) -> None:
-        request, context = self._request, self._context
-        names = request.route.model_names
-        if len(names) > 1:
-            tokens = unread_tokens(request, server, model)
-            cost = context.model_cost(request.service, model)
-            context.shares.note(tokens * cost, model == names[-1], now_s)
-
     def _own_s(self, server: KnownServer, model: str) -> float:
         """Return the expected time for a server to read the prompt with a model."""
         if not model:
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -10,7 +10,6 @@
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.routing.first_event_times import FirstEventTimes
-from baobabstream.routing.model_partition import ModelShares
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.second_send_budget import SecondSendBudget
 from baobabstream.routing.session_versions import SessionVersions
@@ -51,7 +50,6 @@
     random: Random
     control_age_s: Callable[[], float] = lambda: float("inf")
     times: FirstEventTimes = field(default_factory=FirstEventTimes)
-    shares: ModelShares = field(default_factory=ModelShares)
     paces: FirstEventTimes = field(default_factory=FirstEventTimes)
     table: RouteTable | None = None
     rollouts: dict[str, RolloutRow] = field(default_factory=dict)
@@ -72,12 +70,6 @@
             self.budgets[service] = budget
         return budget
 
-    def model_cost(self, service: str, model: str) -> float:
-        """Return the cost of a model per token, which also stands for an engine's time."""
-        spec = self.table.services.get(service) if self.table is not None else None
-        models = spec.engine.models if spec is not None and spec.engine is not None else ()
-        return next((item.cost_per_1000_tokens for item in models if item.name == model), 1.0)
-
     def control_age_ms(self) -> int | None:
         """Return the age of what the coordination hosts have told, or None before the first."""
         age_s = self.control_age_s()
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -55,9 +55,7 @@
         self._refusals = 0
         self._prompts: OrderedDict[str | None, None] = OrderedDict()
 
-    def load(
-        self, now_s: float, availability_zone: str, own_s: float, other_models: bool = False
-    ) -> ServerLoad:
+    def load(self, now_s: float, availability_zone: str, own_s: float) -> ServerLoad:
         """Return the input of the choice among servers.
 
         Parameters
@@ -68,8 +66,6 @@
             Where this gateway is.
         own_s
             Expected time for this server to read the request's prompt.
-        other_models
-            Whether the server is kept for models of another size.
         """
         self._recover(now_s)
         return ServerLoad(
@@ -80,7 +76,6 @@
             self._slowness,
             self._failure_share,
             self.row.availability_zone == availability_zone,
-            other_models,
         )
 
     def work(self) -> ServerWork:
--- a/src/baobabstream/routing/server_choice.py
+++ b/src/baobabstream/routing/server_choice.py
@@ -11,9 +11,6 @@
 RUNNING_REQUEST_S = 0.05
 # A request in another availability zone pays for its bytes; less than a running request.
 OTHER_ZONE_S = 0.02
-# What a request costs beside models of another size, which it slows or which slow it; several
-# running requests, so that a full server is still left for one that is kept for others.
-OTHER_MODELS_S = 0.4
 # A server that fails all requests counts as this many times as slow.
 FAILURE_WEIGHT = 6.0
 
@@ -38,8 +35,6 @@
         Recent share of failed answers.
     same_zone
         Whether it is in this gateway's availability zone.
-    other_models
-        Whether it is kept for models of another size.
     """
 
     server_id: str
@@ -49,14 +44,11 @@
     slowness: float
     failure_share: float
     same_zone: bool
-    other_models: bool = False
 
 
 def expected_cost_s(load: ServerLoad) -> float:
     """Return the expected time of a request at a server, with what else speaks against it."""
     work_s = (1 + load.in_flight) * RUNNING_REQUEST_S + load.pending_s + load.own_s
-    if load.other_models:
-        work_s += OTHER_MODELS_S
     cost_s = work_s * load.slowness * (1.0 + FAILURE_WEIGHT * load.failure_share)
     return cost_s if load.same_zone else cost_s + OTHER_ZONE_S
 
