A version that is bad from a cold start is measured by its baseline's prior

Ruled out: late evidence. Change: until one of them has 100 results, the reference is the baseline's few results with the prior.

--- a/src/baobabstream/policy/version_health.py
+++ b/src/baobabstream/policy/version_health.py
@@ -170,6 +170,10 @@
             reference = baseline.streams[kind].reference
             if reference.counts.total >= MIN_BASELINE_RESULTS:
                 return reference.joined(record.streams[kind].reference)
+            if record.streams[kind].reference.counts.total < MIN_BASELINE_RESULTS:
+                # At a cold start the prior and the few results of the baseline tell more than
+                # the version's own, which would make a bad version its own measure.
+                return reference
         return record.streams[kind].reference
 
     def _others(self, record: _VersionRecord, kind: _Kind) -> Iterator[_Stream]:
--- a/tests/policy/test_version_health.py
+++ b/tests/policy/test_version_health.py
@@ -42,6 +42,27 @@
         self.assertThat(self.serve(2000, 0.5, 0.1).version, Equals("2"))
         self.assertThat(self.bad, LessThan(20))
 
+    def test_a_version_that_is_bad_from_a_cold_start_is_found_early(self) -> None:
+        """The replaced version has hardly any answers to compare with."""
+        for seed in range(20):
+            self.random = Random(seed)
+            self.health = VersionHealth()
+            self.health.set_baseline("m", "2", "1")
+            verdict = self.serve(400, 0.5, 0.1)
+            assert verdict is not None, f"seed {seed}: not found after {self.bad} bad answers"
+            self.assertThat(verdict.version, Equals("2"))
+            self.assertThat(self.bad, LessThan(21))
+
+    def test_a_healthy_version_survives_a_cold_start(self) -> None:
+        """Few answers of the replaced version must not make ordinary bad answers stand out."""
+        stopped = 0
+        for seed in range(40):
+            self.random = Random(seed)
+            self.health = VersionHealth()
+            self.health.set_baseline("m", "2", "1")
+            stopped += self.serve(400, 0.5, 0.85, old=0.85) is not None
+        self.assertThat(stopped, Equals(0))
+
     def test_a_version_is_found_after_its_rollout(self) -> None:
         """The replaced version gets no more traffic to compare with."""
         assert self.serve(2000, 0.5, 0.9) is None
