Rollouts stay canaries until shortly before their end; full disks are waited for

Ruled out: lost evidence (the counts of gateways and leader agree). Change: 7% of new sessions until the allowed exposure suffices for the rest of the time; pace is compared at the same load and learned from versions that are not on trial; a rollout under suspicion (odds 5 to 1) stays a canary and is rolled back at its end; a record that a full disk refuses is removed and tried again. Conclusion: kept; it costs the servers of the new version for the middle of a rollout, since a version is unproven until its end.

--- a/src/baobabstream/consensus/file_storage.py
+++ b/src/baobabstream/consensus/file_storage.py
@@ -4,6 +4,7 @@
 import os
 import uuid
 from collections.abc import Sequence
+from errno import ENOSPC
 from pathlib import Path
 
 from msgspec import DecodeError, Struct
@@ -87,11 +88,19 @@
         return self._stored.durable_state()
 
     def save(self, saves: Sequence[Save]) -> None:
-        """Write and sync; consecutive entries share one sync."""
+        """Write and sync; consecutive entries share one sync.
+
+        Notes
+        -----
+        After ``DISK_FULL`` nothing of the last record is kept, and the same saves may be tried
+        again: each of them replaces what an earlier try has written.
+        """
         if self._failed:
             raise StorageError(ResultCode.DISK_FAILED, f"{self._folder}: an earlier write failed")
         try:
             self._save(saves)
+        except _DiskFull as error:
+            raise StorageError(ResultCode.DISK_FULL, f"{self._folder}: {error}") from error
         except OSError as error:
             # After a failed sync the kernel may have dropped the data, so a retry proves nothing.
             self._failed = True
@@ -120,7 +129,12 @@
         if not pending:
             return
         body = self._encoder.encode(_LogFrame(0, 0, tuple(pending)))
-        _write_all(self._log_file, frame(body))
+        size_bytes = os.fstat(self._log_file).st_size
+        try:
+            _write_all(self._log_file, frame(body))
+        except _DiskFull:
+            os.ftruncate(self._log_file, size_bytes)
+            raise
         os.fdatasync(self._log_file)
         pending.clear()
 
@@ -144,7 +158,7 @@
 
     def _write_file(self, path: Path, data: bytes) -> None:
         aside = path.with_name(f"{path.name}.new")
-        number = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        number = _open_new(aside)
         try:
             _write_all(number, data)
             os.fsync(number)
@@ -258,8 +272,26 @@
         return StorageError(ResultCode.LOG_DAMAGED, f"{self._log_path}: record at byte {offset}")
 
 
+class _DiskFull(OSError):
+    """A write was refused for want of room; unlike a failed sync it may be tried again."""
+
+
+def _open_new(path: Path) -> int:
+    try:
+        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    except OSError as error:
+        if error.errno == ENOSPC:
+            raise _DiskFull(str(error)) from error
+        raise
+
+
 def _write_all(number: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
-        written = os.write(number, view)
+        try:
+            written = os.write(number, view)
+        except OSError as error:
+            if error.errno == ENOSPC:
+                raise _DiskFull(str(error)) from error
+            raise
         view = view[written:]
--- a/src/baobabstream/consensus/storage_writer.py
+++ b/src/baobabstream/consensus/storage_writer.py
@@ -6,10 +6,17 @@
 
 from baobabstream.consensus.records import Save
 from baobabstream.consensus.storage import LogStorage
+from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import StorageError
+from baobabstream.telemetry.logs import get_logger
 
 __all__ = ["StorageWriter"]
 
+# Short beside the time in which a host is expected back once the disk has room.
+FULL_RETRY_S = 0.25
+
+_log = get_logger("consensus")
+
 
 class StorageWriter:
     """Makes saves durable in order without blocking the event loop.
@@ -60,7 +67,7 @@
             self._pending.clear()
             saves, self._queue = self._queue, []
             try:
-                await loop.run_in_executor(self._executor, self._storage.save, saves)
+                await self._save(loop, saves)
             except StorageError as error:
                 self._on_failure(error)
                 return
@@ -68,6 +75,21 @@
             self._on_saved(self._saved_sequence)
             self._wake()
 
+    async def _save(self, loop: asyncio.AbstractEventLoop, saves: list[Save]) -> None:
+        """Save, again and again while the disk is full; nothing is acknowledged meanwhile."""
+        full = False
+        while True:
+            try:
+                await loop.run_in_executor(self._executor, self._storage.save, saves)
+                return
+            except StorageError as error:
+                if error.code is not ResultCode.DISK_FULL:
+                    raise
+                if not full:
+                    _log.warning("Waiting for room on the disk: %s", error)
+                full = True
+                await asyncio.sleep(FULL_RETRY_S)
+
     def close(self) -> None:
         """Wait for the write in progress and end the thread."""
         self._executor.shutdown(wait=True)
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -17,6 +17,7 @@
 from baobabstream.coordination.announcement_feed import AnnouncementFeed
 from baobabstream.coordination.exchange_service import ExchangeService
 from baobabstream.coordination.rollout_driver import RolloutDriver
+from baobabstream.coordination.rollout_plan import Exposure
 from baobabstream.coordination.service import ORDER_TIMEOUT_S, CoordinationService
 from baobabstream.coordination.settings import CoordinationSettings
 from baobabstream.coordination.state import (
@@ -217,6 +218,12 @@
                 driver = None
             if leads and driver is None:
                 term = self.log.term
-                work = RolloutDriver(self.state, self.exchange, self._propose, self.decisions)
+                work = RolloutDriver(
+                    self.state,
+                    self.exchange,
+                    self._propose,
+                    self.decisions,
+                    Exposure(self.settings.exposure_share, self.settings.exposure_slack),
+                )
                 driver = asyncio.create_task(work.run())
             await asyncio.sleep(LEADERSHIP_CHECK_S)
--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -62,13 +62,6 @@
             known[load.version] = max(known.get(load.version, 0), load.servers)
         return found
 
-    def version_idle(self, service: str, without: str, now_s: float) -> bool:
-        """Return whether no gateway has a request at any other version of a service."""
-        loads = chain.from_iterable(request.versions for request in self.active(now_s))
-        return not any(
-            load.service == service and load.version != without and load.in_flight for load in loads
-        )
-
     def quarantined(self, now_s: float) -> tuple[str, ...]:
         """Return the fingerprints of requests that have crashed several servers."""
         for fingerprint, losses in list(self._crashes.items()):
--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -1,11 +1,11 @@
 """Moves rollouts along while this host leads."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 
 from baobabstream.coordination.exchange_service import ExchangeService
-from baobabstream.coordination.rollout_judge import RolloutJudge
-from baobabstream.coordination.rollout_plan import RolloutStep, planned_step
+from baobabstream.coordination.rollout_judge import AnswerCounts, RolloutJudge
+from baobabstream.coordination.rollout_plan import Exposure, RolloutStep, planned_step
 from baobabstream.coordination.state import (
     AdoptVersion,
     CoordinationCommand,
@@ -38,6 +38,8 @@
         Commits a command.
     decisions
         Log of decisions.
+    limits
+        Limit of the requests that an unproven version may get.
 
     Notes
     -----
@@ -51,6 +53,7 @@
         exchange: ExchangeService,
         propose: Callable[[CoordinationCommand], Awaitable[None]],
         decisions: DecisionLog,
+        limits: Exposure,
     ) -> None:
         self._state = state
         self._exchange = exchange
@@ -59,6 +62,8 @@
         self._judges: dict[str, RolloutJudge] = {}
         self._learned: dict[tuple[str, str], tuple[float, float]] = {}
         self._seen_s: dict[str, float] = {}
+        self._began_with: dict[tuple[str, str], int] = {}
+        self._limits = limits
 
     async def run(self) -> None:
         """Drive until cancelled."""
@@ -99,14 +104,37 @@
             (row.service, row.target), (row.elapsed_s, now_s)
         )
         elapsed_s = stored_s + now_s - since_s
-        if judge.judge(self._exchange.evidence.totals(row.service)):
+        totals = self._exchange.evidence.totals(row.service)
+        if judge.judge(totals):
+            return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, judge)
+        step = planned_step(
+            row, elapsed_s, self._exposure(row, totals, now_s - since_s), judge.log_ratio
+        )
+        if step.give_up:
             return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, judge)
-        idle = self._exchange.contacts.version_idle(row.service, row.target, now_s)
-        step = planned_step(row, elapsed_s, idle)
         if step.complete:
             return self._move(row, RolloutState.COMPLETED, 1.0, True, elapsed_s, judge)
         return self._step(row, step, elapsed_s, judge)
 
+    def _exposure(
+        self, row: RolloutRow, totals: Mapping[str, Mapping[str, AnswerCounts]], seen_s: float
+    ) -> Exposure:
+        """Return the answers that this leader has counted in the time it followed the rollout."""
+        counts = {
+            version: sum(item.good + item.bad for item in servers.values())
+            for version, servers in totals.items()
+        }
+        everything = sum(counts.values())
+        began = self._began_with.setdefault((row.service, row.target), everything)
+        limits = self._limits
+        return Exposure(
+            limits.limit_share,
+            limits.limit_slack,
+            target_answers=counts.get(row.target, 0),
+            all_answers=everything - began,
+            seen_s=seen_s,
+        )
+
     def _step(
         self, row: RolloutRow, step: RolloutStep, elapsed_s: float, judge: RolloutJudge
     ) -> MoveRollout | None:
--- a/src/baobabstream/coordination/settings.py
+++ b/src/baobabstream/coordination/settings.py
@@ -28,6 +28,9 @@
         Hosts that may be lost at once.
     data_folder
         Folder of the durable state.
+    exposure_share, exposure_slack
+        Requests that a version may get during its rollout, as a share of its service's requests
+        and a fixed number.
     """
 
     host: str
@@ -38,6 +41,8 @@
     may_found: bool
     tolerated_losses: int
     data_folder: Path
+    exposure_share: float = 0.15
+    exposure_slack: float = 30.0
 
     @property
     def wanted_voters(self) -> int:
--- a/src/baobabstream/errors/codes.py
+++ b/src/baobabstream/errors/codes.py
@@ -77,6 +77,7 @@
     DISK_FAILED = 5002
     DATA_FOLDER_IN_USE = 5003
     DATA_FOLDER_FOREIGN = 5004
+    DISK_FULL = 5005
     SETTINGS_INVALID = 6001
     SETTINGS_UNREADABLE = 6002
     ADDRESS_IN_USE = 6003
@@ -168,6 +169,7 @@
         CodeRow(_C.DISK_FAILED, 500, _UNKNOWN, False, "Writing or syncing a file failed."),
         CodeRow(_C.DATA_FOLDER_IN_USE, 500, _NO, False, "Another daemon uses the data folder."),
         CodeRow(_C.DATA_FOLDER_FOREIGN, 500, _NO, False, "The folder is another member's."),
+        CodeRow(_C.DISK_FULL, 500, _NO, True, "The disk takes no more bytes at present."),
         CodeRow(_C.SETTINGS_INVALID, 400, _NO, False, "A settings value is not valid."),
         CodeRow(_C.SETTINGS_UNREADABLE, 400, _NO, False, "The settings file cannot be read."),
         CodeRow(_C.ADDRESS_IN_USE, 500, _NO, False, "The address is in use."),
--- a/src/baobabstream/gateway/answer_notes.py
+++ b/src/baobabstream/gateway/answer_notes.py
@@ -13,8 +13,12 @@
 
 __all__ = ["AnswerNotes"]
 
-# An answer that takes this many times the expected time counts against its server's version.
-BAD_SLOWNESS = 5.0
+# An answer that takes this many times the expected time counts against its server's version; noise
+# of a server alone makes answers two to three times as slow.
+BAD_SLOWNESS = 4.0
+# The same for the time between events, which varies less. A tenth of all streams of healthy servers
+# are this slow; the versions of a service are compared by their shares.
+BAD_PACE = 2.0
 
 
 class AnswerNotes:
@@ -32,6 +36,7 @@
         self._request = request
         self._context = context
         self._loop = asyncio.get_running_loop()
+        self.pace_ratio: float | None = None
 
     def answered(self, attempt: Attempt) -> None:
         """Note the first part of an answer, or the whole one of a plain service."""
@@ -51,15 +56,17 @@
             server.note_prompt(cached_prompt)
 
     def paced(self, attempt: Attempt) -> None:
-        """Count a stream whose events came several times slower than those of other servers.
+        """Count a stream whose events came several times slower than elsewhere at this load.
 
         The first event says less: at a crest it waits behind others at any server.
         """
         pace_s = attempt.event_pace_s()
-        if pace_s is None or not attempt.model:
+        if not attempt.model:
             return
-        ratio = self._context.paces.ratio(attempt.model, 0, pace_s)
-        if ratio > BAD_SLOWNESS:
+        learn = not self._context.on_trial(attempt.server)
+        ratio = self._context.paces.ratio(attempt.model, attempt.load, pace_s, learn)
+        self.pace_ratio = ratio
+        if ratio > BAD_PACE:
             attempt.server.bad += 1
             attempt.server.good -= 1
 
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -23,8 +23,8 @@
 # Answers of plain services are kept whole until they are known to be complete.
 MAX_WHOLE_ANSWER_BYTES = 32 * 1024 * 1024
 URGENCY_RANKS = 10
-# Shorter streams mostly show the time of their first event.
-MIN_PACED_EVENTS = 8
+# Shorter streams mostly show the time of their first event, and a slow one should show early.
+MIN_PACED_EVENTS = 10
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED = 421
 
@@ -92,6 +92,7 @@
         self.server = server
         self.model = model
         self.sent_s = 0.0
+        self.load = 0
         self._request = request
         self._last_event_id = last_event_id
         self._names = names
@@ -102,6 +103,7 @@
         self._reading_prompt = False
         self._cutter = EventCutter()
         self._event_count = 0
+        self._pace_told = False
         self._first_event_s = 0.0
         self._last_event_s = 0.0
 
@@ -114,6 +116,7 @@
             If there is no answer, or one that says that the request has not run.
         """
         server, loop = self.server, asyncio.get_running_loop()
+        self.load = server.in_flight + server.elsewhere.in_flight
         server.in_flight += 1
         server.pending_s += self._expected_s
         self._reading_prompt = True
@@ -169,11 +172,16 @@
         """Identity of the last whole event that was read."""
         return self._cutter.last_event_id
 
-    def event_pace_s(self) -> float | None:
-        """Return the time between two events, or None for a stream of few events."""
-        if self._event_count < MIN_PACED_EVENTS:
-            return None
-        return (self._last_event_s - self._first_event_s) / (self._event_count - 1)
+    def pace_is_known(self) -> bool:
+        """Return True once, as soon as enough events have come to tell their pace."""
+        if self._pace_told or self._event_count < MIN_PACED_EVENTS:
+            return False
+        self._pace_told = True
+        return True
+
+    def event_pace_s(self) -> float:
+        """Return the mean time between the events so far."""
+        return (self._last_event_s - self._first_event_s) / max(1, self._event_count - 1)
 
     def _note_events(self, events: bytes) -> None:
         self._last_event_s = asyncio.get_running_loop().time()
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -179,8 +179,9 @@
                         last_event_id = attempt.last_event_id
                         await response.write(events)
                         events = await self._next_events(attempt)
+                        if attempt.pace_is_known():
+                            self._notes.paced(attempt)
                     await response.write_eof()
-                    self._notes.paced(attempt)
                     self._outcome = "served"
                     return
                 except AttemptFailed as failure:
@@ -355,6 +356,7 @@
             elapsed_ms=int((now_s - request.arrived_s) * 1000),
             document_version=context.table.document.version if context.table else 0,
             control_age_ms=context.control_age_ms(),
+            pace_ratio=round(self._notes.pace_ratio, 2) if self._notes.pace_ratio else None,
             session=request.session,
         )
 
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -70,6 +70,15 @@
             self.budgets[service] = budget
         return budget
 
+    def on_trial(self, server: KnownServer) -> bool:
+        """Return whether a server runs the target version of a rollout in progress."""
+        row = self.rollouts.get(server.row.service)
+        return (
+            row is not None
+            and row.state is RolloutState.IN_PROGRESS
+            and row.target == server.row.version
+        )
+
     def control_age_ms(self) -> int | None:
         """Return the age of what the coordination hosts have told, or None before the first."""
         age_s = self.control_age_s()
--- a/src/baobabstream/platform/settings.py
+++ b/src/baobabstream/platform/settings.py
@@ -26,6 +26,8 @@
     retry_slack: float = 10.0
     budget_window_s: float = 10.0
     session_s: float = 5.0
+    exposure_share: float = 0.15
+    exposure_slack: float = 30.0
     pass_ms: float = 120.0
 
 
@@ -88,6 +90,8 @@
             may_found=self.bootstrap,
             tolerated_losses=self.fault_tolerance.machines,
             data_folder=Path(self.data_dir),
+            exposure_share=self.bounds.exposure_share,
+            exposure_slack=self.bounds.exposure_slack,
         )
 
 
--- a/src/baobabstream/routing/first_event_times.py
+++ b/src/baobabstream/routing/first_event_times.py
@@ -53,7 +53,7 @@
     def __init__(self) -> None:
         self._lines: dict[str, _Line] = {}
 
-    def ratio(self, kind: str, tokens: int, elapsed_s: float) -> float:
+    def ratio(self, kind: str, tokens: int, elapsed_s: float, learn: bool = True) -> float:
         """Return a time as a multiple of the expected one, and learn from it.
 
         Parameters
@@ -64,11 +64,14 @@
             Prompt tokens that the server had to read.
         elapsed_s
             Time to the first part of the answer.
+        learn
+            Whether later times are compared with this one too.
         """
         line = self._lines.setdefault(kind, _Line())
         expected_s = line.at(tokens) if line.weight else elapsed_s
         ratio = elapsed_s / expected_s if expected_s > 0 else 1.0
-        line.add(tokens, expected_s * min(ratio, MAX_RATIO))
+        if learn:
+            line.add(tokens, expected_s * min(ratio, MAX_RATIO))
         return ratio
 
     def expected_s(self, kind: str, tokens: int) -> float:
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -75,6 +75,7 @@
         "model",
         "confidence",
         "first_event_ms",
+        "pace_ratio",
         "elapsed_ms",
         "document_version",
         "control_age_ms",
--- a/tests/consensus/test_file_storage.py
+++ b/tests/consensus/test_file_storage.py
@@ -1,11 +1,15 @@
 """Tests the files of the log."""
 
+import asyncio
 import os
+import shutil
+from errno import ENOSPC
 
 import pytest
 
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import Save, Snapshot, VoteState
+from baobabstream.consensus.storage_writer import StorageWriter
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import StorageError
 from baobabstream.wire.consensus_messages import EntryKind, LogEntry, Membership
@@ -140,3 +144,71 @@
     assert caught.value.code is ResultCode.DISK_FAILED
     with pytest.raises(StorageError):
         storage.save([Save(2, entries=(entry(1),))])
+
+
+class _FullDisk:
+    """Writes a few bytes of each record, then refuses, until it has room again."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.full = True
+        self._write = os.write
+        monkeypatch.setattr(os, "write", self.write)
+
+    def write(self, number: int, data: bytes) -> int:
+        if not self.full:
+            return self._write(number, data)
+        if len(data) > 5:
+            return self._write(number, data[:5])
+        raise OSError(ENOSPC, "No space left on device")
+
+
+def test_full_disk_loses_nothing_and_goes_on(tmp_path, monkeypatch):
+    """Guards against a torn record, a lost vote, or a host that ends because its disk is full."""
+    write_three(tmp_path)
+    storage = FileStorage(tmp_path, "demo", "a")
+    disk = _FullDisk(monkeypatch)
+    saves = [
+        Save(1, entries=(entry(4),)),
+        Save(2, VoteState(7, "b#1")),
+        Save(3, entries=(entry(5),)),
+    ]
+    for _ in range(3):
+        with pytest.raises(StorageError) as caught:
+            storage.save(saves)
+        assert caught.value.code is ResultCode.DISK_FULL
+        assert indexes_while_open(tmp_path) == [1, 2, 3]
+    disk.full = False
+    storage.save(saves)
+    storage.close()
+    assert indexes(tmp_path) == [1, 2, 3, 4, 5]
+    again = FileStorage(tmp_path, "demo", "a")
+    assert again.load().vote == VoteState(7, "b#1")
+    again.close()
+
+
+def indexes_while_open(folder) -> list[int]:
+    """Return what a restart would find, from a copy of the folder."""
+    copy = folder.parent / f"{folder.name}-copy"
+    shutil.rmtree(copy, ignore_errors=True)
+    shutil.copytree(folder, copy)
+    (copy / "vote.new").unlink(missing_ok=True)
+    return indexes(copy)
+
+
+async def test_writer_waits_for_room_and_acknowledges_nothing_meanwhile(tmp_path, monkeypatch):
+    """Guards against an acknowledgement of what a full disk has not stored."""
+    storage = FileStorage(tmp_path, "demo", "a")
+    disk = _FullDisk(monkeypatch)
+    saved: list[int] = []
+    failures: list[StorageError] = []
+    writer = StorageWriter(storage, saved.append, failures.append)
+    task = asyncio.create_task(writer.run())
+    writer.submit(Save(1, entries=(entry(1),)))
+    await asyncio.sleep(0.4)
+    assert (saved, failures) == ([], [])
+    disk.full = False
+    await asyncio.wait_for(writer.wait_saved(1), 2.0)
+    assert saved == [1]
+    task.cancel()
+    writer.close()
+    storage.close()
