A hung server is left after twice the target; no refusal says not run after a run

Cause: found by reading: after a lost answer a refusal for want of servers said that the request had not run, and a request waited at a server that took it and hung until its deadline. Ruled out: keep-alive probes find only hosts that are gone. Change: such refusals become failures; requests that may be repeated leave a server without a first part after the larger of two targets and five expected times, if a run is left. Before: three new tests fail (503 with Retry-After; 504 after 4 s). After: they pass, and a request that may run once stays.

--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -4,14 +4,15 @@
 
 from baobabstream.wire.coordination_messages import RolloutRow
 
-__all__ = ["CANARY_SHARE", "Exposure", "RolloutStep", "full_share_s", "planned_step"]
+__all__ = ["CANARY_PART", "Exposure", "RolloutStep", "full_share_s", "planned_step"]
 
 # Time with a share of 0 in which the hosts learn the sessions that are alive and keep the base
 # version: two exchanges.
 HOLD_S = 1.2
-# Share of new sessions on the target version until shortly before the end. A version may be bad in
-# a way that shows late or only under load, and the limit of exposure holds for all of the time.
-CANARY_SHARE = 0.07
+# Part of the allowed share that new sessions on the target version take until shortly before the
+# end. A version may be bad in a way that shows late or only under load, and the limit of exposure
+# holds for all of the time; the rest is for the end, and for sessions that a hash divides unevenly.
+CANARY_PART = 0.45
 # A rollout ends this long before its deadline, so that a change of leaders does not miss it.
 END_MARGIN_S = 0.8
 # Bounds of the time with all requests on the target before the end: enough for a last look at its
@@ -110,4 +111,4 @@
     full = elapsed_s >= end_s - full_share_s(row, exposure)
     if row.settled or (full and not suspicious):
         return RolloutStep(1.0, settled=True)
-    return RolloutStep(CANARY_SHARE, settled=False)
+    return RolloutStep(CANARY_PART * exposure.limit_share, settled=False)
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -1,12 +1,14 @@
 """Carries one request through its attempts to its answer."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 from aiohttp import web
 
 from baobabstream.backends.http_connection import AnswerHead
-from baobabstream.errors.codes import ResultCode, RunState
+from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.answer_notes import AnswerNotes
 from baobabstream.gateway.attempt import Attempt, AttemptFailed, unread_tokens
@@ -25,6 +27,9 @@
 
 # Sends of one request, counting those that servers refuse without running it.
 MAX_SENDS = 5
+# A server without a first part after this many times the target, and this many times the expected
+# time, hangs. Twice the target leaves late answers their worth; servers' noise triples a time.
+HUNG_TARGETS, HUNG_RATIO = 2.0, 5.0
 # An engine that is silent this long in the middle of a stream is taken for lost.
 STALL_GAPS = 2.5
 
@@ -84,7 +89,7 @@
             self._outcome = f"refused {int(error.code)}"
             if self._response is not None and self._response.prepared:
                 return self._broken_off()
-            return self._respond(refusal(error))
+            return self._respond(refusal(self._truthful(error)))
         finally:
             self._log_end()
 
@@ -112,15 +117,17 @@
         self._progress.sends += 1
         if self._request.route.kind is RouteKind.STREAM:
             return await self._attempt_stream(attempt)
-        head = await attempt.send()
-        body = await attempt.read_whole()
+        async with self._first_part_limit(attempt):
+            head = await attempt.send()
+            body = await attempt.read_whole()
         self._note_answer(attempt)
         self._outcome = "served"
         response = web.Response(body=body, status=head.status, headers=_passed_back(head))
         return self._respond(response)
 
     async def _attempt_stream(self, attempt: Attempt) -> web.StreamResponse:
-        head = await attempt.send()
+        async with self._first_part_limit(attempt):
+            head = await attempt.send()
         if head.status >= 300:
             body = await attempt.read_whole()
             self._outcome = "failed by the server"
@@ -128,7 +135,8 @@
             return self._respond(failed)
         self._progress.confidence = head.get(self._context.names.confidence) or ""
         self._check_confidence(attempt)
-        events = await attempt.read_events()
+        async with self._first_part_limit(attempt):
+            events = await attempt.read_events()
         self._note_answer(attempt)
         response = web.StreamResponse(status=head.status, headers=_passed_back(head))
         response.enable_chunked_encoding()
@@ -137,6 +145,24 @@
         await self._relay(attempt, response, events)
         return response
 
+    @asynccontextmanager
+    async def _first_part_limit(self, attempt: Attempt) -> AsyncIterator[None]:
+        """Bound the wait for a server's first part if another server may be asked instead."""
+        route, progress = self._request.route, self._progress
+        if not route.repeatable or progress.runs + 1 >= route.max_attempts:
+            yield
+            return
+        expected_s = self._context.times.expected_s(
+            attempt.model or route.name, attempt.unread_tokens
+        )
+        limit_s = max(route.target_s * HUNG_TARGETS, expected_s * HUNG_RATIO)
+        try:
+            async with asyncio.timeout(limit_s):
+                yield
+        except TimeoutError as error:
+            reason = f"no answer within {limit_s:.2f} s"
+            raise AttemptFailed(RunState.UNKNOWN, reason) from error
+
     def _check_confidence(self, attempt: Attempt) -> None:
         """Raise ``_LargerModel`` if another model should answer instead."""
         request, progress = self._request, self._progress
@@ -311,6 +337,13 @@
             raise RequestRefused(ResultCode.BACKEND_FAILED, failure.reason) from failure
         raise RequestRefused(ResultCode.NO_BACKEND_SERVER, failure.reason) from failure
 
+    def _truthful(self, error: RequestRefused) -> RequestRefused:
+        """Return a refusal as it is, or a failure if the request may have run somewhere."""
+        ran = self._progress.runs > 0 or self._progress.maybe_run
+        if not ran or CODE_TABLE[error.code].run_state is not RunState.NO:
+            return error
+        return RequestRefused(ResultCode.BACKEND_FAILED, error.detail)
+
     def _respond(self, response: web.Response) -> web.Response:
         self._response = response
         return response
--- a/tests/coordination/test_rollout_decisions.py
+++ b/tests/coordination/test_rollout_decisions.py
@@ -8,7 +8,7 @@
 
 from baobabstream.coordination.rollout_judge import AnswerCounts, EvidenceLedger, RolloutJudge
 from baobabstream.coordination.rollout_plan import (
-    CANARY_SHARE,
+    CANARY_PART,
     Exposure,
     RolloutStep,
     planned_step,
@@ -94,13 +94,14 @@
     return taken
 
 
+@pytest.mark.parametrize("share", [0.15, 0.0975])
 @pytest.mark.parametrize("rate", [5.0, 30.0, 60.0, 300.0])
-def test_exposure_stays_under_its_limit_until_the_end(rate):
+def test_exposure_stays_under_its_limit_until_the_end(rate, share):
     """Guards against a version that shows only late, or never, that it is bad."""
-    limit = Exposure(0.15, 30.0)
+    limit = Exposure(share, 30.0)
     taken = steps(limit, rate)
     exposed = sum(step.share * rate / 5 for _, step in taken)
-    assert exposed <= 0.15 * rate * ROLLOUT.duration_s + 30
+    assert exposed <= share * rate * ROLLOUT.duration_s + 30
     assert taken[-1][1].complete
     assert taken[-1][0] < ROLLOUT.duration_s
 
@@ -109,7 +110,7 @@
     """Guards against conversations that change their version early."""
     for elapsed_s, step in steps(Exposure(0.15, 30.0), 30.0):
         assert not step.settled or elapsed_s > ROLLOUT.duration_s / 2
-        assert step.share <= CANARY_SHARE or step.settled
+        assert step.share <= CANARY_PART * 0.15 or step.settled
 
 
 def test_a_rollout_begins_with_a_share_of_nothing():
@@ -121,7 +122,7 @@
     """Guards against all requests on a version that has looked bad, though not for certain."""
     limit = Exposure(0.15, 30.0, all_answers=400, seen_s=15.0)
     late = planned_step(ROLLOUT, 18.6, limit, log_ratio=4.0)
-    assert (late.share, late.settled) == (CANARY_SHARE, False)
+    assert (late.share, late.settled) == (CANARY_PART * 0.15, False)
     assert planned_step(ROLLOUT, 19.5, limit, log_ratio=4.0).give_up
     settled = row_replace(ROLLOUT, share=1.0, settled=True)
     assert planned_step(settled, 19.5, limit, log_ratio=4.0).give_up
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -140,6 +140,37 @@
     assert sum(server.runs["r1"] for server in servers) == 1
 
 
+async def test_no_refusal_says_not_run_after_a_run(platform):
+    """Guards against a refusal for want of servers after one of them has run the request."""
+    await platform.serving(Backend("i-1", "app", lose_answers=1, refuse_after_loss=True))
+    status, headers, body = await platform.ask("/look/1", "r1", "GET")
+    assert status == 502
+    assert "Retry-After" not in headers
+    assert json.loads(body)["error"]["ran"] == "unknown"
+
+
+@pytest.mark.parametrize(("path", "method"), [("/look/1", "GET"), ("/chat/1", "POST")])
+async def test_silent_server_does_not_hold_a_request_to_its_end(platform, path, method):
+    """Guards against a request that waits for a server that took it and hangs."""
+    service = "app" if method == "GET" else "engine"
+    servers = [Backend("i-1", service, silent=1), Backend("i-2", service, silent=1)]
+    await platform.serving(*servers)
+    servers[1].silent = 0
+    began_s = asyncio.get_running_loop().time()
+    for n in range(6):
+        assert (await platform.ask(path, f"r{n}", method))[0] == 200
+    assert servers[0].silent == 0
+    assert asyncio.get_running_loop().time() - began_s < 3.5
+
+
+async def test_silent_server_keeps_a_request_that_may_run_once(platform):
+    """Guards against a booking sent to a second server while the first may still run it."""
+    servers = [Backend(f"i-{n}", "app", silent=1) for n in range(2)]
+    await platform.serving(*servers)
+    assert (await platform.ask("/sign/1", "r1"))[0] == 504
+    assert sum(server.runs["r1"] for server in servers) == 1
+
+
 async def test_refusing_server_is_passed_over(platform):
     """Guards against a refusal although another server has room."""
     full = Backend("i-1", "app", refuse=True)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -74,8 +74,10 @@
         Number of streams that break off.
     lose_answers
         Answers that are lost although the request ran.
-    refuse
-        Whether it refuses requests without running them.
+    refuse, refuse_after_loss
+        Whether it refuses requests without running them, from the start or after a lost answer.
+    silent
+        Requests that it takes and never answers.
     confidence
         By model, its opinion of its answers.
     """
@@ -88,6 +90,8 @@
     breaks: int = 1
     lose_answers: int = 0
     refuse: bool = False
+    refuse_after_loss: bool = False
+    silent: int = 0
     event_gap_s: float = 0.0
     confidence: dict[str, str] = field(default_factory=dict)
     state: str = "ready"
@@ -140,8 +144,12 @@
             return
         self.runs[request_id] += 1
         self.models.append(headers.get("x-model", ""))
+        if self.silent:
+            self.silent -= 1
+            await asyncio.sleep(60)
         if self.lose_answers:
             self.lose_answers -= 1
+            self.refuse = self.refuse_after_loss
             raise ConnectionResetError
         if "/chat/" in first:
             await self._stream(headers, writer)
