Requests at a host's start wait for its configuration and servers; sums of work are kept

Ruled out: faster coordination hosts (the leader is elected 0.6 s after their start). Change: for 3 s after its start a gateway holds a request up to 0.8 s until it knows a server of each service. The sum of all gateways' work was made for each reply; it is kept for 50 ms.

--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -1,6 +1,7 @@
 """What gateways have reported to this host lately."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
 from itertools import chain
 
 from baobabstream.wire.coordination_messages import ExchangeRequest, ServerWork
@@ -9,6 +10,8 @@
 
 # Two exchanges and a lost one; a gateway that is silent this long is not counted any more.
 CONTACT_EXPIRY_S = 2.0
+# Short beside the age of the reports that are summed.
+SUM_LIFETIME_S = 0.05
 # Time for which the loss of a server stands against the request that ran on it.
 CRASH_MEMORY_S = 60.0
 # Servers lost while they ran the same request before it is kept away from the others. Two losses
@@ -22,6 +25,9 @@
     def __init__(self) -> None:
         self._reports: dict[str, tuple[float, ExchangeRequest]] = {}
         self._crashes: dict[str, dict[str, float]] = defaultdict(dict)
+        self._summed_s = float("-inf")
+        self._summed: dict[str, dict[str, ServerWork]] = {}
+        self._total: dict[str, ServerWork] = {}
 
     def note(self, request: ExchangeRequest, now_s: float) -> bool:
         """Keep a report; returns whether it quarantines another request."""
@@ -41,18 +47,20 @@
         ]
 
     def work(self, now_s: float, without: str = "") -> dict[str, ServerWork]:
-        """Return the work at each server, by all gateways but one."""
-        in_flight: Counter[str] = Counter()
-        pending_ms: Counter[str] = Counter()
-        for request in self.active(now_s):
-            if request.host != without:
-                for server_id, work in request.work.items():
-                    in_flight[server_id] += work.in_flight
-                    pending_ms[server_id] += work.pending_ms
-        return {
-            server_id: ServerWork(count, pending_ms[server_id])
-            for server_id, count in in_flight.items()
+        """Return the work at each server, by all gateways but one.
+
+        The sum over all gateways is kept for a short time, since each of them asks for it.
+        """
+        if now_s - self._summed_s >= SUM_LIFETIME_S:
+            self._summed_s = now_s
+            self._summed = {item.host: item.work for item in self.active(now_s)}
+            self._total = _sum_work(self._summed.values())
+        own = self._summed.get(without, {})
+        others = {
+            server_id: _less(work, own[server_id]) if server_id in own else work
+            for server_id, work in self._total.items()
         }
+        return {server_id: work for server_id, work in others.items() if work.in_flight > 0}
 
     def versions(self, now_s: float) -> dict[str, dict[str, int]]:
         """Return by service the versions in service, with the most servers a gateway knows."""
@@ -72,3 +80,19 @@
             for fingerprint, losses in self._crashes.items()
             if len(losses) >= CRASHES_TO_QUARANTINE
         )
+
+
+def _sum_work(reports: Iterable[Mapping[str, ServerWork]]) -> dict[str, ServerWork]:
+    in_flight: Counter[str] = Counter()
+    pending_ms: Counter[str] = Counter()
+    for server_id, work in chain.from_iterable(report.items() for report in reports):
+        in_flight[server_id] += work.in_flight
+        pending_ms[server_id] += work.pending_ms
+    return {
+        server_id: ServerWork(count, pending_ms[server_id])
+        for server_id, count in in_flight.items()
+    }
+
+
+def _less(work: ServerWork, own: ServerWork) -> ServerWork:
+    return ServerWork(work.in_flight - own.in_flight, work.pending_ms - own.pending_ms)
--- a/src/baobabstream/gateway/front.py
+++ b/src/baobabstream/gateway/front.py
@@ -20,6 +20,12 @@
 DEFAULT_IDLE_S = 20.0
 MAX_BODY_BYTES = 16 * 1024 * 1024
 FINISH_POLL_S = 0.05
+# After a start of all hosts, the coordination hosts elect a leader and servers announce themselves
+# within this time.
+STARTING_S = 3.0
+# Longest wait of a request in that time; less than callers' targets for most kinds.
+STARTING_HOLD_S = 0.8
+STARTING_POLL_S = 0.05
 # A caller that reached a stopping host finds another one at once.
 STOPPING_RETRY_S = 0.05
 # A new host has its configuration once the coordination hosts have a leader.
@@ -40,6 +46,7 @@
         self._reader = RequestReader(context.names)
         self._open = 0
         self._accepting = True
+        self._started_s = asyncio.get_running_loop().time()
         self._max_body_bytes = MAX_BODY_BYTES
 
     @property
@@ -95,6 +102,7 @@
         try:
             if not self._accepting:
                 raise RequestRefused(ResultCode.STOPPING, retry_after_s=STOPPING_RETRY_S)
+            await self._wait_for_start(arrived_s)
             route = self._reader.route_of(http, context.table)
             assert context.table is not None
             account = self._reader.account_of(http, route, context.table)
@@ -108,6 +116,14 @@
             return refusal(error)
         return await RequestRun(request, http, context).run()
 
+    async def _wait_for_start(self, arrived_s: float) -> None:
+        """Hold a request that comes while this host learns its configuration and servers."""
+        context, loop = self._context, asyncio.get_running_loop()
+        if arrived_s > self._started_s + STARTING_S:
+            return
+        while not context.knows_servers() and loop.time() < arrived_s + STARTING_HOLD_S:
+            await asyncio.sleep(STARTING_POLL_S)
+
     def _finished(self, response: web.StreamResponse) -> web.StreamResponse:
         if self._context.stopping and not response.prepared:
             response.force_close()
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -70,6 +70,12 @@
             self.budgets[service] = budget
         return budget
 
+    def knows_servers(self) -> bool:
+        """Return whether a configuration is in force and each of its services has a server."""
+        return self.table is not None and all(
+            self.directory.knows(service) for service in self.table.services
+        )
+
     def on_trial(self, server: KnownServer) -> bool:
         """Return whether a server runs the target version of a rollout in progress."""
         row = self.rollouts.get(server.row.service)
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -197,6 +197,10 @@
         """Start the expiry anew after a time without contact to any coordination host."""
         self._listening_since_s = now_s
 
+    def knows(self, service: str) -> bool:
+        """Return whether a server of a service has been heard of."""
+        return bool(self._by_service.get(service))
+
     def ready(self, service: str, now_s: float) -> list[KnownServer]:
         """Return the servers that take new requests of a service."""
         return [
