A slow server is left only if the budget of second sends allows another one

Change: the wait is bounded only if the budget has one. Before: the new test fails, the request runs twice. After: passes.

--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -148,13 +148,17 @@
     @asynccontextmanager
     async def _first_part_limit(self, attempt: Attempt) -> AsyncIterator[None]:
         """Bound the wait for a server's first part if another server may be asked instead."""
-        route, progress = self._request.route, self._progress
-        if not route.repeatable or progress.runs + 1 >= route.max_attempts:
+        route, progress, context = self._request.route, self._progress, self._context
+        budget = context.budget(self._request.service)
+        may_leave = (
+            route.repeatable
+            and progress.runs + 1 < route.max_attempts
+            and budget.left(self._loop.time(), context.gateways)
+        )
+        if not may_leave:
             yield
             return
-        expected_s = self._context.times.expected_s(
-            attempt.model or route.name, attempt.unread_tokens
-        )
+        expected_s = context.times.expected_s(attempt.model or route.name, attempt.unread_tokens)
         limit_s = max(route.target_s * HUNG_TARGETS, expected_s * HUNG_RATIO)
         try:
             async with asyncio.timeout(limit_s):
--- a/src/baobabstream/routing/second_send_budget.py
+++ b/src/baobabstream/routing/second_send_budget.py
@@ -33,8 +33,8 @@
         """Count a request of a caller."""
         self._requests.append(now_s)
 
-    def take(self, now_s: float, hosts: int) -> bool:
-        """Count a second send if the budget allows it; returns whether it does.
+    def left(self, now_s: float, hosts: int) -> bool:
+        """Return whether the budget allows a second send.
 
         Parameters
         ----------
@@ -47,7 +47,11 @@
             while times and times[0] <= now_s - self._window_s:
                 times.popleft()
         allowed = self._share * len(self._requests) + self._slack / max(1, hosts)
-        if len(self._extra) + 1 > USED_PART * allowed:
+        return len(self._extra) + 1 <= USED_PART * allowed
+
+    def take(self, now_s: float, hosts: int) -> bool:
+        """Count a second send if the budget allows it; returns whether it does."""
+        if not self.left(now_s, hosts):
             return False
         self._extra.append(now_s)
         return True
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -186,6 +186,16 @@
     assert longest_s < DEADLINE_S
 
 
+async def test_slow_server_is_kept_without_a_budget(platform):
+    """Guards against leaving a server's queue when no second send is allowed."""
+    server = Backend("i-1", "app", answer_after_s=1.2)
+    await platform.serving(server)
+    gateway = next(iter(platform.gateways.values()))
+    gateway.context.budget("app").left = lambda now_s, hosts: False
+    assert (await platform.ask("/look/1", "r1", "GET"))[0] == 200
+    assert server.runs["r1"] == 1
+
+
 async def test_silent_server_keeps_a_request_that_may_run_once(platform):
     """Guards against a booking sent to a second server while the first may still run it."""
     servers = [Backend(f"i-{n}", "app", silent=1) for n in range(2)]
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -40,7 +40,7 @@
             "path_prefix": f"/{name}/",
             "route_kind": kind,
             "timeout_ms": 4000,
-            "slo_ms": 1500,
+            "slo_ms": 1500 if kind == "streaming" else 400,
             "max_attempts": attempts,
             "resumable": kind == "streaming",
             "sizes": ["small", "large"] if kind == "streaming" else [],
@@ -78,6 +78,8 @@
         Whether it refuses requests without running them, from the start or after a lost answer.
     silent
         Requests that it takes and never answers.
+    answer_after_s
+        Time until it answers.
     confidence
         By model, its opinion of its answers.
     """
@@ -92,6 +94,7 @@
     refuse: bool = False
     refuse_after_loss: bool = False
     silent: int = 0
+    answer_after_s: float = 0.0
     event_gap_s: float = 0.0
     confidence: dict[str, str] = field(default_factory=dict)
     state: str = "ready"
@@ -147,6 +150,7 @@
         if self.silent:
             self.silent -= 1
             await asyncio.sleep(60)
+        await asyncio.sleep(self.answer_after_s)
         if self.lose_answers:
             self.lose_answers -= 1
             self.refuse = self.refuse_after_loss
