--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -25,7 +25,6 @@
 URGENCY_RANKS = 10
 # Shorter streams mostly show the time of their first event, and a slow one should show early.
 MIN_PACED_EVENTS = 10
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED = 421
 
 
--- a/src/baobabstream/gateway/event_cutter.py
+++ b/src/baobabstream/gateway/event_cutter.py
@@ -35,10 +35,6 @@
         self._note_identity(whole)
         return whole
 
-    def discard_rest(self) -> None:
-        """Drop the part of an event that broke off."""
-        self._rest = b""
-
     def _note_identity(self, events: bytes) -> None:
         start = events.rfind(b"\n" + ID_FIELD) + 1
         if start == 0 and not events.startswith(ID_FIELD):
--- a/src/baobabstream/gateway/front.py
+++ b/src/baobabstream/gateway/front.py
@@ -16,8 +16,7 @@
 __all__ = ["Front"]
 
 # Longer than callers keep an idle connection, so that they, not this side, end it.
-IDLE_MARGIN_S = 5.0
-DEFAULT_IDLE_S = 20.0
+CALLER_IDLE_S = 75.0
 MAX_BODY_BYTES = 16 * 1024 * 1024
 FINISH_POLL_S = 0.05
 # After a start of all hosts, the coordination hosts elect a leader and servers announce themselves
@@ -62,7 +61,7 @@
             application,
             access_log=None,
             handler_cancellation=True,
-            keepalive_timeout=DEFAULT_IDLE_S,
+            keepalive_timeout=CALLER_IDLE_S,
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
--- a/src/baobabstream/gateway/run_context.py
+++ b/src/baobabstream/gateway/run_context.py
@@ -9,7 +9,7 @@
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
-from baobabstream.routing.first_event_times import FirstEventTimes
+from baobabstream.routing.answer_times import AnswerTimes
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.second_send_budget import SecondSendBudget
 from baobabstream.routing.session_versions import SessionVersions
@@ -49,8 +49,8 @@
     decisions: DecisionLog
     random: Random
     control_age_s: Callable[[], float] = lambda: float("inf")
-    times: FirstEventTimes = field(default_factory=FirstEventTimes)
-    paces: FirstEventTimes = field(default_factory=FirstEventTimes)
+    times: AnswerTimes = field(default_factory=AnswerTimes)
+    paces: AnswerTimes = field(default_factory=AnswerTimes)
     table: RouteTable | None = None
     rollouts: dict[str, RolloutRow] = field(default_factory=dict)
     rollout_revision: int = 0
--- a/src/baobabstream/routing/first_event_times.py
+++ b/src/baobabstream/routing/answer_times.py
@@ -1,8 +1,8 @@
-"""Expected time to the first part of an answer, as a line over the prompt tokens to be read."""
+"""Expected times of answers, as lines over what they grow with."""
 
 from dataclasses import dataclass
 
-__all__ = ["FirstEventTimes"]
+__all__ = ["AnswerTimes"]
 
 # Weight that remains of an answer when the next one comes; about the last 40 answers count.
 REMEMBERED = 0.975
@@ -15,35 +15,35 @@
 
 @dataclass(slots=True)
 class _Line:
-    """Sums of a weighted least-squares line of seconds over tokens."""
+    """Sums of a weighted least-squares line of seconds over a size."""
 
     weight: float = 0.0
-    tokens: float = 0.0
-    tokens_squared: float = 0.0
+    sizes: float = 0.0
+    sizes_squared: float = 0.0
     seconds: float = 0.0
     products: float = 0.0
 
-    def add(self, tokens: float, elapsed_s: float) -> None:
+    def add(self, size: float, elapsed_s: float) -> None:
         self.weight = self.weight * REMEMBERED + 1.0
-        self.tokens = self.tokens * REMEMBERED + tokens
-        self.tokens_squared = self.tokens_squared * REMEMBERED + tokens * tokens
+        self.sizes = self.sizes * REMEMBERED + size
+        self.sizes_squared = self.sizes_squared * REMEMBERED + size * size
         self.seconds = self.seconds * REMEMBERED + elapsed_s
-        self.products = self.products * REMEMBERED + tokens * elapsed_s
+        self.products = self.products * REMEMBERED + size * elapsed_s
 
-    def at(self, tokens: float) -> float:
+    def at(self, size: float) -> float:
         mean_s = self.seconds / self.weight
-        spread = self.weight * self.tokens_squared - self.tokens * self.tokens
+        spread = self.weight * self.sizes_squared - self.sizes * self.sizes
         if self.weight < MIN_ANSWERS or spread <= 0:
             return mean_s
-        slope = (self.weight * self.products - self.tokens * self.seconds) / spread
-        start_s = (self.seconds - slope * self.tokens) / self.weight
+        slope = (self.weight * self.products - self.sizes * self.seconds) / spread
+        start_s = (self.seconds - slope * self.sizes) / self.weight
         if slope < 0 or start_s < 0:
             return mean_s
-        return start_s + slope * tokens
+        return start_s + slope * size
 
 
-class FirstEventTimes:
-    """Lines by kind of request, such as the model that reads the prompt or the route.
+class AnswerTimes:
+    """Lines by kind of answer, such as the model that gives it or the route.
 
     Notes
     -----
@@ -53,28 +53,29 @@
     def __init__(self) -> None:
         self._lines: dict[str, _Line] = {}
 
-    def ratio(self, kind: str, tokens: int, elapsed_s: float, learn: bool = True) -> float:
+    def ratio(self, kind: str, size: int, elapsed_s: float, learn: bool = True) -> float:
         """Return a time as a multiple of the expected one, and learn from it.
 
         Parameters
         ----------
         kind
             Kind of request.
-        tokens
-            Prompt tokens that the server had to read.
+        size
+            What the time grows with, such as the prompt tokens to be read, or the requests that
+            run at the server.
         elapsed_s
-            Time to the first part of the answer.
+            Time that the answer took.
         learn
             Whether later times are compared with this one too.
         """
         line = self._lines.setdefault(kind, _Line())
-        expected_s = line.at(tokens) if line.weight else elapsed_s
+        expected_s = line.at(size) if line.weight else elapsed_s
         ratio = elapsed_s / expected_s if expected_s > 0 else 1.0
         if learn:
-            line.add(tokens, expected_s * min(ratio, MAX_RATIO))
+            line.add(size, expected_s * min(ratio, MAX_RATIO))
         return ratio
 
-    def expected_s(self, kind: str, tokens: int) -> float:
+    def expected_s(self, kind: str, size: int) -> float:
         """Return the expected time in seconds; 0 before the first answer."""
         line = self._lines.get(kind)
-        return line.at(tokens) if line is not None and line.weight else 0.0
+        return line.at(size) if line is not None and line.weight else 0.0
--- a/tests/routing/test_first_event_times.py
+++ b/tests/routing/test_answer_times.py
@@ -1,15 +1,15 @@
-"""Tests the expected time to the first event over the size of the prompt."""
+"""Tests expected times over the size of the prompt."""
 
 from random import Random
 
 import pytest
 
-from baobabstream.routing.first_event_times import FirstEventTimes
+from baobabstream.routing.answer_times import AnswerTimes
 
 
 def test_long_prompts_are_expected_to_take_longer():
     """Guards against a long prompt that is sent to a model that cannot read it in time."""
-    times, random = FirstEventTimes(), Random(1)
+    times, random = AnswerTimes(), Random(1)
     for _ in range(60):
         tokens = random.randrange(200, 12_000)
         times.ratio("large", tokens, 0.15 + tokens * 4e-5)
@@ -19,7 +19,7 @@
 
 def test_the_expectation_follows_the_load():
     """Guards against an expectation from a calm time at the crest."""
-    times = FirstEventTimes()
+    times = AnswerTimes()
     for _ in range(50):
         times.ratio("large", 1000, 0.2)
     for _ in range(80):
@@ -29,7 +29,7 @@
 
 def test_one_stuck_answer_changes_little():
     """Guards against one answer of a stalled server that makes slow answers expected."""
-    times = FirstEventTimes()
+    times = AnswerTimes()
     for _ in range(50):
         times.ratio("large", 1000, 0.2)
     assert times.ratio("large", 1000, 20.0) == pytest.approx(100.0)
@@ -38,5 +38,5 @@
 
 def test_nothing_is_expected_before_the_first_answer():
     """Guards against a division by nothing at the start."""
-    assert FirstEventTimes().expected_s("large", 1000) == 0.0
-    assert FirstEventTimes().ratio("large", 0, 0.0) == 1.0
+    assert AnswerTimes().expected_s("large", 1000) == 0.0
+    assert AnswerTimes().ratio("large", 0, 0.0) == 1.0
