Calls between daemons end although nng ignores a cancellation

Ruled out: handlers and the ledger (the dump of all tasks shows only that call). Change: the context is closed by a timer after the limit, which ends its operations; a server closes its socket under workers that do not end; a closed operation that was cancelled counts as cancelled. Before: three new tests hang. After: they pass.

--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -31,6 +31,9 @@
 MAX_IDLE_WORKERS = 32
 MAX_WORKERS = 4096
 
+# An operation that is cancelled ends within a turn of the event loop, unless nng ignores it.
+CANCEL_GRACE_S = 0.2
+
 # A refused peer tries again several times a second; one log line for each code is enough.
 REFUSAL_LOG_INTERVAL_S = 10.0
 
@@ -46,7 +49,12 @@
     task = asyncio.current_task()
     assert task is not None
     requests = task.cancelling()
-    result = await operation
+    try:
+        result = await operation
+    except NNGException as error:
+        if task.cancelling() > requests:
+            raise asyncio.CancelledError from error
+        raise
     if task.cancelling() > requests:
         raise asyncio.CancelledError
     return result
@@ -88,7 +96,7 @@
         except NNGException as error:
             raise PeerError(ResultCode.PEER_UNREACHABLE, f"{self.url}: {error}") from error
         try:
-            with _request_context(socket) as context:
+            with _request_context(socket, timeout_s) as context:
                 async with asyncio.timeout(timeout_s):
                     await finish(context.asend(self._codec.encode(message)))
                     sent = True
@@ -139,14 +147,25 @@
 
 
 @contextmanager
-def _request_context(socket: Req0) -> Iterator[Any]:
-    """Open a context and close it, even if another call has closed the socket meanwhile."""
+def _request_context(socket: Req0, timeout_s: float) -> Iterator[Any]:
+    """Open a context and close it, even if another call has closed the socket meanwhile.
+
+    nng at times ignores the cancellation of an operation, and pynng then waits for its end. The
+    context is therefore closed by a timer too, which ends what is under way there.
+    """
     context = socket.new_context()
+    loop = asyncio.get_running_loop()
+    guard = loop.call_later(timeout_s + CANCEL_GRACE_S, _close_context, context)
     try:
         yield context
     finally:
-        with suppress(NNGException):
-            context.close()
+        guard.cancel()
+        _close_context(context)
+
+
+def _close_context(context: Any) -> None:
+    with suppress(NNGException):
+        context.close()
 
 
 class RpcServer:
@@ -188,8 +207,11 @@
         """Stop serving and close the socket."""
         for task in (tasks := list(self._tasks)):
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            # Workers whose cancellation nng ignores end when the socket is closed under them.
+            await asyncio.wait(tasks, timeout=CANCEL_GRACE_S)
         self._socket.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _add_workers(self) -> None:
         while self._idle < MIN_IDLE_WORKERS and len(self._tasks) < self._max_workers:
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec.msgpack import encode
+from pynng import _aio
 
 from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
 from baobabstream.errors.exceptions import PeerError
@@ -264,3 +265,58 @@
             async with client(url, codec(tls=tls)) as caller:
                 with pytest.raises(PeerError):
                     await caller.call(BillRequest(()), 0.3)
+
+
+async def within(operation, limit_s: float):
+    """Return what an operation gives; fails if it ignores its end, as pynng's may."""
+    task = asyncio.ensure_future(operation)
+    done, _ = await asyncio.wait({task}, timeout=limit_s)
+    assert done, "the operation did not end"
+    return task
+
+
+async def silent(_sender, _message):
+    await asyncio.sleep(60)
+
+
+async def test_call_ends_when_nng_does_not_cancel(monkeypatch):
+    """Guards against a call without end: nng at times ignores the cancellation of an operation."""
+    async with server(silent) as url, client(url) as caller:
+        monkeypatch.setattr(_aio, "lib", _NoCancel(_aio.lib))
+        task = await within(caller.call(BillRequest(()), 0.2), 3.0)
+        monkeypatch.undo()
+        assert task.exception().code is ResultCode.PEER_TIMEOUT
+
+
+async def test_cancelled_call_ends_when_nng_does_not_cancel(monkeypatch):
+    """Guards against a daemon that cannot stop because of a call to a peer."""
+    async with server(silent) as url, client(url) as caller:
+        monkeypatch.setattr(_aio, "lib", _NoCancel(_aio.lib))
+        task = asyncio.create_task(caller.call(BillRequest(()), 0.5))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        ended = await within(asyncio.wait({task}), 3.0)
+        monkeypatch.undo()
+        assert ended.done()
+        assert task.cancelled()
+
+
+async def test_server_closes_when_nng_does_not_cancel(monkeypatch):
+    """Guards against a daemon that cannot stop because of a worker that waits for a call."""
+    served = RpcServer(f"tcp://127.0.0.1:{free_port()}", codec(), silent)
+    await asyncio.sleep(0.05)
+    monkeypatch.setattr(_aio, "lib", _NoCancel(_aio.lib))
+    await within(served.close(), 3.0)
+
+
+class _NoCancel:
+    """nng's functions, but for the cancellation, which has no effect."""
+
+    def __init__(self, lib) -> None:
+        self._lib = lib
+
+    def __getattr__(self, name: str):
+        return getattr(self._lib, name)
+
+    def nng_aio_cancel(self, _) -> None:
+        return
