Members of a group and the exit status of a failed disk stand once

Voters and learners were joined in six places, the exit status was defined for both control daemons, CrashWatch kept a host name and a count that nothing used, two branches did the same. Change: Membership names its members and hosts; the status stands beside the log that fails; the rest is gone. Behaviour is the same.

--- a/src/baobabstream/consensus/membership_log.py
+++ b/src/baobabstream/consensus/membership_log.py
@@ -92,7 +92,7 @@
     answer: promoting first would need three answers of four. A group of the wanted size replaces
     a silent voter in the same order, and a larger one only drops silent voters.
     """
-    known = {member.member_id for member in membership.voters + membership.learners}
+    known = {member.member_id for member in membership.members}
     for joiner in joiners.values():
         if joiner.member_id not in known:
             kept = tuple(item for item in membership.learners if item.host != joiner.host)
--- a/src/baobabstream/consensus/raft_state.py
+++ b/src/baobabstream/consensus/raft_state.py
@@ -120,8 +120,7 @@
     @property
     def peers(self) -> tuple[Member, ...]:
         """Other members, learners included."""
-        members = self.membership.voters + self.membership.learners
-        return tuple(item for item in members if item != self.member)
+        return tuple(item for item in self.membership.members if item != self.member)
 
     @property
     def initialised(self) -> bool:
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -40,7 +40,10 @@
 )
 from baobabstream.wire.rpc import RpcClient
 
-__all__ = ["LogListener", "LogOptions", "ReplicatedLog"]
+__all__ = ["DISK_FAILED_EXIT_STATUS", "LogListener", "LogOptions", "ReplicatedLog"]
+
+# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
+DISK_FAILED_EXIT_STATUS = 74
 
 # Interval of candidates, which retry votes, and of the wait for a hand-over.
 TICK_S = 0.025
@@ -156,7 +159,7 @@
     @property
     def leader(self) -> str:
         """Host name of the leader, or empty."""
-        members = self.core.membership.voters + self.core.membership.learners
+        members = self.core.membership.members
         leader_id = self.core.leader_id
         return next((item.host for item in members if item.member_id == leader_id), "")
 
@@ -366,12 +369,10 @@
         return min(max(wait_s, MIN_WAIT_S), MAX_PEER_WAIT_S)
 
     def _member_hosts(self) -> tuple[str, ...]:
-        members = self.core.membership.voters + self.core.membership.learners
-        return tuple(item.host for item in members)
+        return self.core.membership.hosts
 
     def _needs_admission(self) -> bool:
-        members = self.core.membership.voters + self.core.membership.learners
-        if self.core.member not in members:
+        if self.core.member not in self.core.membership.members:
             return True
         return self.core.contact_age_s(self._loop.time()) > REJOIN_AFTER_S
 
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -9,10 +9,11 @@
 
 from baobabstream.billing.exchange import LedgerExchange
 from baobabstream.billing.ledger import Ledger
+from baobabstream.consensus.replicated_log import DISK_FAILED_EXIT_STATUS
 from baobabstream.control.admin_api import AdminApi
 from baobabstream.control.commands import Command
 from baobabstream.control.leadership import Leadership
-from baobabstream.control.log_setup import DISK_FAILED_EXIT_STATUS, open_log
+from baobabstream.control.log_setup import open_log
 from baobabstream.control.outcome import Outcome
 from baobabstream.control.peer_service import PeerService
 from baobabstream.control.state import ConfigState
--- a/src/baobabstream/control/log_setup.py
+++ b/src/baobabstream/control/log_setup.py
@@ -7,7 +7,12 @@
 from baobabstream.consensus.address_book import FixedAddresses
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged
-from baobabstream.consensus.replicated_log import LogListener, LogOptions, ReplicatedLog
+from baobabstream.consensus.replicated_log import (
+    DISK_FAILED_EXIT_STATUS,
+    LogListener,
+    LogOptions,
+    ReplicatedLog,
+)
 from baobabstream.control.state import ConfigState
 from baobabstream.control.state_machine import ConfigStateMachine
 from baobabstream.errors.exceptions import StorageError
@@ -16,10 +21,7 @@
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.codec import WireCodec
 
-__all__ = ["DISK_FAILED_EXIT_STATUS", "open_log"]
-
-# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
-DISK_FAILED_EXIT_STATUS = 74
+__all__ = ["open_log"]
 
 _log = get_logger("control")
 
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -13,7 +13,12 @@
 from baobabstream.consensus.address_book import SeededAddresses
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged, Timing
-from baobabstream.consensus.replicated_log import LogListener, LogOptions, ReplicatedLog
+from baobabstream.consensus.replicated_log import (
+    DISK_FAILED_EXIT_STATUS,
+    LogListener,
+    LogOptions,
+    ReplicatedLog,
+)
 from baobabstream.coordination.announcement_feed import AnnouncementFeed
 from baobabstream.coordination.exchange_service import ExchangeService
 from baobabstream.coordination.rollout_driver import RolloutDriver
@@ -50,8 +55,6 @@
 
 __all__ = ["CoordinationDaemon"]
 
-# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
-DISK_FAILED_EXIT_STATUS = 74
 # Whole configurations are large; this bounds what a restart replays and a learner is sent.
 SNAPSHOT_ENTRIES = 100
 # Replication costs each follower a message per heartbeat; elections still end within 2 s.
@@ -182,9 +185,7 @@
         return self.log.leader == self.settings.ip and self.log.holds_leader_lease()
 
     def _hosts(self) -> tuple[str, ...]:
-        membership = self.log.membership
-        members = tuple(item.host for item in membership.voters + membership.learners)
-        return members or (self.settings.ip,)
+        return self.log.membership.hosts or (self.settings.ip,)
 
     def _client(self, host: str) -> RpcClient:
         url = f"tcp://{host}:{self.settings.port}"
@@ -196,9 +197,13 @@
                 return await self.exchange.answer(message)
             case DocumentOrder() | DocumentQuery() | RolloutOrder() | RolloutQuery():
                 return await self.service.answer(message)
-            case VoteRequest() | AppendRequest() | SnapshotRequest() | TransferRequest():
-                return await self.log.handle(sender, message)
-            case JoinRequest():
+            case (
+                VoteRequest()
+                | AppendRequest()
+                | SnapshotRequest()
+                | TransferRequest()
+                | JoinRequest()
+            ):
                 return await self.log.handle(sender, message)
         raise PeerError(ResultCode.MESSAGE_MALFORMED, f"unexpected {type(message).__name__}")
 
--- a/src/baobabstream/gateway/control_contact.py
+++ b/src/baobabstream/gateway/control_contact.py
@@ -111,7 +111,7 @@
         answered_s = self._clock()
         lost = False
         try:
-            while lost is False or self._wanted(host, answered_s):
+            while not lost or self._wanted(host, answered_s):
                 wait_s = 0.0 if epoch == 0 else EXCHANGE_WAIT_S
                 request = self._party.report(epoch, position, wait_s, digests)
                 try:
--- a/src/baobabstream/gateway/crash_watch.py
+++ b/src/baobabstream/gateway/crash_watch.py
@@ -19,20 +19,12 @@
 
 
 class CrashWatch:
-    """Crashes by the fingerprint of the request that ran.
+    """Crashes by the fingerprint of the request that ran."""
 
-    Parameters
-    ----------
-    host
-        Name of this host, part of the identity of a loss.
-    """
-
-    def __init__(self, host: str) -> None:
-        self._host = host
+    def __init__(self) -> None:
         self._reports: deque[tuple[float, str]] = deque(maxlen=MAX_REPORTED)
         self._crashes: dict[str, int] = {}
         self._quarantined: frozenset[str] = frozenset()
-        self._count = 0
 
     def quarantined(self, fingerprint: str) -> bool:
         """Return whether a request must not run any more."""
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -91,7 +91,7 @@
             names,
             directory,
             SessionVersions(settings.session_s),
-            CrashWatch(settings.host),
+            CrashWatch(),
             decisions,
             random,
         )
--- a/src/baobabstream/wire/consensus_messages.py
+++ b/src/baobabstream/wire/consensus_messages.py
@@ -55,6 +55,16 @@
     voters: tuple[Member, ...] = ()
     learners: tuple[Member, ...] = ()
 
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Voters and learners."""
+        return self.voters + self.learners
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Hosts of all members."""
+        return tuple(member.host for member in self.members)
+
 
 class VoteRequest(Struct, frozen=True, tag="vote"):
     """Asks for a vote, or with ``pre_vote`` whether a vote would be given.
--- a/tests/gateway/test_run_context.py
+++ b/tests/gateway/test_run_context.py
@@ -32,7 +32,7 @@
         HEADERS,
         directory,
         SessionVersions(5.0),
-        CrashWatch("gw"),
+        CrashWatch(),
         DecisionLog("gw"),
         Random(1),
     )
