Split entry and control daemons so that handlers do not import them

Cause: entry/daemon.py and four handlers imported each other, and so did control/daemon.py and five modules of the admin interface, because each handler took the whole daemon. Ruled out: a narrow protocol class beside the daemon; it would name every part twice. Change: EntryParts and CallerAccess are what entry handlers use; GroupMember is the control host without its listeners, and the admin interface and the inner protocol take it. Before: import circles of 5 modules in entry and 6 in control.

--- a/src/baobabstream/control/admin_api.py
+++ b/src/baobabstream/control/admin_api.py
@@ -1,7 +1,6 @@
 """HTTP interface of a control host for operators and backend servers."""
 
 import hmac
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -9,13 +8,11 @@
 from baobabstream.control.admin_local import local_answer
 from baobabstream.control.admin_models import MAX_IN_FORCE_WAIT_S
 from baobabstream.control.admin_operations import AdminOperations
+from baobabstream.control.group_member import GroupMember
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, RequestRefused
 from baobabstream.wire.messages import ForwardReply, ForwardRequest
 
-if TYPE_CHECKING:
-    from baobabstream.control.daemon import ControlDaemon
-
 __all__ = ["AdminApi"]
 
 MAX_ADMIN_BODY_BYTES = 1024 * 1024
@@ -34,13 +31,13 @@
 
     Parameters
     ----------
-    daemon
-        The control daemon that the routes act on.
+    member
+        The member of the control group that the routes act on.
     """
 
-    def __init__(self, daemon: "ControlDaemon") -> None:
-        self._daemon = daemon
-        self._operations = AdminOperations(daemon)
+    def __init__(self, member: GroupMember) -> None:
+        self._member = member
+        self._operations = AdminOperations(member)
 
     def application(self) -> web.Application:
         """Return the aiohttp application."""
@@ -59,12 +56,12 @@
         return ForwardReply(status, body)
 
     async def _health(self, _: web.Request) -> web.Response:
-        return web.json_response({"host": self._daemon.settings.host})
+        return web.json_response({"host": self._member.settings.host})
 
     async def _local(self, request: web.Request) -> web.Response:
         if self._operator(request) is None:
             return error_response(RequestRefused(ResultCode.OPERATOR_UNAUTHENTICATED))
-        return web.json_response(local_answer(self._daemon))
+        return web.json_response(local_answer(self._member))
 
     async def _admin(self, request: web.Request) -> web.Response:
         operator = self._operator(request)
@@ -74,14 +71,14 @@
 
     async def _backend(self, request: web.Request) -> web.Response:
         key = _bearer(request)
-        expected = self._daemon.settings.backend_key.get_secret_value()
+        expected = self._member.settings.backend_key.get_secret_value()
         if not hmac.compare_digest(key, expected.encode()):
             return error_response(RequestRefused(ResultCode.ANNOUNCEMENT_UNAUTHENTICATED))
         return await self._serve(request, "", MAX_BACKEND_BODY_BYTES)
 
     def _operator(self, request: web.Request) -> str | None:
         key = _bearer(request)
-        keys = self._daemon.settings.operator_keys.items()
+        keys = self._member.settings.operator_keys.items()
         matches = (
             name
             for name, value in keys
@@ -99,14 +96,14 @@
 
     async def _answer(self, request: web.Request, body: bytes, operator: str) -> tuple[int, bytes]:
         path = request.path_qs
-        if self._daemon.leads:
+        if self._member.leads:
             return await self._operations.answer(request.method, path, body, operator)
         # The leader may hold a wait for a change to come in force.
         waits = request.path == "/admin/v1/in-force"
         timeout_s = FORWARD_TIMEOUT_S + (MAX_IN_FORCE_WAIT_S if waits else 0.0)
         forwarded = ForwardRequest(request.method, path, body, operator)
         try:
-            reply = await self._daemon.forward(forwarded, timeout_s)
+            reply = await self._member.forward(forwarded, timeout_s)
         except PeerError as error:
             if request.method == "GET" or error.code not in _MAY_HAVE_RUN:
                 raise
--- a/src/baobabstream/control/admin_local.py
+++ b/src/baobabstream/control/admin_local.py
@@ -1,26 +1,25 @@
 """Health of one control host, answered without the leader."""
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from baobabstream.control.daemon import ControlDaemon
+from baobabstream.control.group_member import GroupMember
 
 __all__ = ["local_answer"]
 
 
-def local_answer(daemon: "ControlDaemon") -> dict[str, Any]:
+def local_answer(member: GroupMember) -> dict[str, Any]:
     """Return what this host knows about itself."""
     return {
-        "host": daemon.settings.host,
-        "availability_zone": daemon.settings.availability_zone,
-        "leader": daemon.log.leader,
-        "term": daemon.log.term,
-        "leads": daemon.leads,
-        "revision": daemon.state.revision,
-        "ledger_id": daemon.ledger.ledger_id,
-        "bills": len(daemon.ledger),
-        "ledger_digest": f"{daemon.ledger.digest:016x}",
+        "host": member.settings.host,
+        "availability_zone": member.settings.availability_zone,
+        "leader": member.log.leader,
+        "term": member.log.term,
+        "leads": member.leads,
+        "revision": member.state.revision,
+        "ledger_id": member.ledger.ledger_id,
+        "bills": len(member.ledger),
+        "ledger_digest": f"{member.ledger.digest:016x}",
         "ledger_equal_to": {
-            peer: daemon.ledger_exchange.equal_to(peer) for peer in sorted(daemon.peers)
+            peer: member.ledger_exchange.equal_to(peer) for peer in sorted(member.peers)
         },
     }
--- a/src/baobabstream/control/admin_operations.py
+++ b/src/baobabstream/control/admin_operations.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 from inspect import isawaitable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from msgspec import ValidationError as RowError
 from msgspec import convert, json, to_builtins
@@ -31,14 +31,12 @@
     RolloutAction,
     VersionAction,
 )
+from baobabstream.control.group_member import GroupMember
 from baobabstream.errors.codes import CODE_TABLE, ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
 from baobabstream.telemetry.timeline import EventKind
 from baobabstream.wire.rows import BackendRecord, ConfigRow
 
-if TYPE_CHECKING:
-    from baobabstream.control.daemon import ControlDaemon
-
 __all__ = ["AdminOperations"]
 
 _Post = Callable[[bytes, str], Awaitable[Any]]
@@ -50,13 +48,13 @@
 
     Parameters
     ----------
-    daemon
-        The control daemon that the operations act on.
+    member
+        The member of the control group that the operations act on.
     """
 
-    def __init__(self, daemon: "ControlDaemon") -> None:
-        self._daemon = daemon
-        self._views = AdminViews(daemon)
+    def __init__(self, member: GroupMember) -> None:
+        self._member = member
+        self._views = AdminViews(member)
         self._posts: dict[str, _Post] = {
             "/backend/v1/announce": self._announce,
             "/backend/v1/leave": self._leave,
@@ -111,26 +109,26 @@
     async def _announce(self, body: bytes, _: str) -> dict[str, Any]:
         parsed = parse_body(AnnounceBody, body, ResultCode.ANNOUNCEMENT_INVALID)
         record = convert(parsed.model_dump(), BackendRecord)
-        leadership = self._daemon.require_leadership()
+        leadership = self._member.require_leadership()
         version = leadership.registry.urgent_version
         code = leadership.registry.announce(record, time.monotonic())
         if code is not ResultCode.OK:
             raise RequestRefused(code)
         if leadership.registry.urgent_version != version:
-            self._daemon.timeline.emit(EventKind.BACKEND_ANNOUNCED, detail=record.identity)
+            self._member.timeline.emit(EventKind.BACKEND_ANNOUNCED, detail=record.identity)
             leadership.polls.notify_registry()
-        return {"expiry_s": self._daemon.settings.announcement_expiry_s}
+        return {"expiry_s": self._member.settings.announcement_expiry_s}
 
     async def _leave(self, body: bytes, _: str) -> dict[str, Any]:
         parsed = parse_body(LeaveBody, body, ResultCode.ANNOUNCEMENT_INVALID)
-        leadership = self._daemon.require_leadership()
+        leadership = self._member.require_leadership()
         code = leadership.registry.leave(parsed.identity, parsed.incarnation)
         if code is not ResultCode.OK:
             raise RequestRefused(code)
-        self._daemon.timeline.emit(EventKind.BACKEND_GONE, detail=parsed.identity)
+        self._member.timeline.emit(EventKind.BACKEND_GONE, detail=parsed.identity)
         leadership.polls.notify_registry()
         # Recorded, so that the next leader and the entries that turn to it know of it.
-        await self._daemon.propose(BackendLeft(parsed.identity, parsed.incarnation))
+        await self._member.propose(BackendLeft(parsed.identity, parsed.incarnation))
         return {}
 
     async def _change(self, body: bytes, operator: str) -> dict[str, Any]:
@@ -182,22 +180,22 @@
         )
 
     async def _propose(self, command: OperatorCommand) -> dict[str, Any]:
-        outcome = await self._daemon.propose(command)
+        outcome = await self._member.propose(command)
         if outcome.code is not ResultCode.OK:
-            self._daemon.timeline.emit(EventKind.CHANGE_REFUSED, detail=outcome.detail)
+            self._member.timeline.emit(EventKind.CHANGE_REFUSED, detail=outcome.detail)
             raise RequestRefused(outcome.code, outcome.detail)
-        self._daemon.timeline.emit(EventKind.CHANGE_ACCEPTED, revision=outcome.revision)
+        self._member.timeline.emit(EventKind.CHANGE_ACCEPTED, revision=outcome.revision)
         return {"revision": outcome.revision, "operator_revision": outcome.operator_revision}
 
     async def _in_force(self, query: str) -> dict[str, Any]:
         parsed = parse_query(InForceQuery, query)
-        leadership = self._daemon.require_leadership()
-        revision = self._daemon.state.revision if parsed.revision is None else parsed.revision
-        in_force = revision <= self._daemon.state.revision
+        leadership = self._member.require_leadership()
+        revision = self._member.state.revision if parsed.revision is None else parsed.revision
+        in_force = revision <= self._member.state.revision
         if in_force:
             in_force = await leadership.polls.wait_in_force(revision, parsed.wait_s)
         # An answer is only valid if this host still leads.
-        if self._daemon.require_leadership() is not leadership:
+        if self._member.require_leadership() is not leadership:
             raise RequestRefused(ResultCode.NO_LEADER)
         lagging = leadership.leases.lagging(revision, time.monotonic())
         return {"revision": revision, "in_force": in_force, "lagging": lagging}
@@ -207,7 +205,7 @@
 
     async def _bill_page(self, query: str) -> dict[str, Any]:
         parsed = parse_query(BillsQuery, query)
-        page = await self._daemon.ledger.page(
+        page = await self._member.ledger.page(
             parsed.account, parsed.since_ms, parsed.after, parsed.limit
         )
         bills = [to_builtins(bill) for bill in page.bills]
--- a/src/baobabstream/control/admin_views.py
+++ b/src/baobabstream/control/admin_views.py
@@ -1,15 +1,13 @@
 """Reads of the admin interface on the leader."""
 
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from msgspec import to_builtins
 
+from baobabstream.control.group_member import GroupMember
 from baobabstream.wire.rows import BackendKind
 
-if TYPE_CHECKING:
-    from baobabstream.control.daemon import ControlDaemon
-
 __all__ = ["AdminViews"]
 
 _NANO = 1_000_000_000
@@ -20,16 +18,16 @@
 
     Parameters
     ----------
-    daemon
-        The control daemon whose state is shown.
+    member
+        The member of the control group whose state is shown.
     """
 
-    def __init__(self, daemon: "ControlDaemon") -> None:
-        self._daemon = daemon
+    def __init__(self, member: GroupMember) -> None:
+        self._member = member
 
     def config(self) -> dict[str, Any]:
         """Return all rows with the revision that a change must be based on."""
-        state = self._daemon.state
+        state = self._member.state
         rows = [to_builtins(entry) for entry in state.rows.values() if entry.row is not None]
         return {
             "revision": state.revision,
@@ -39,7 +37,7 @@
 
     def rows(self, kind: str) -> list[dict[str, Any]]:
         """Return the rows of one kind with their revisions."""
-        entries = self._daemon.state.rows.values()
+        entries = self._member.state.rows.values()
         return [
             {"revision": entry.revision} | to_builtins(entry.row)
             for entry in entries
@@ -48,17 +46,17 @@
 
     def status(self) -> dict[str, Any]:
         """Return leader, revision, entry hosts and backend servers."""
-        daemon = self._daemon
-        leadership = daemon.require_leadership()
+        member = self._member
+        leadership = member.require_leadership()
         now_s = time.monotonic()
         return {
-            "leader": daemon.log.leader,
-            "term": daemon.log.term,
-            "revision": daemon.state.revision,
+            "leader": member.log.leader,
+            "term": member.log.term,
+            "revision": member.state.revision,
             "entries": [to_builtins(lease) for lease in leadership.leases.live(now_s)],
             "backends": [to_builtins(record) for record in leadership.registry.records()],
             "registry_warm": leadership.registry.warm(now_s),
-            "bills": len(daemon.ledger),
+            "bills": len(member.ledger),
         }
 
     def members(self) -> list[dict[str, Any]]:
@@ -66,13 +64,13 @@
 
         A host has several rows if the log still names the data folder that it lost.
         """
-        daemon = self._daemon
-        zones = {peer.host: peer.availability_zone for peer in daemon.settings.control}
+        member = self._member
+        zones = {peer.host: peer.availability_zone for peer in member.settings.control}
         members: dict[str, list[tuple[str, str]]] = {host: [] for host in zones}
-        membership = daemon.log.membership
+        membership = member.log.membership
         for kind, group in (("voter", membership.voters), ("learner", membership.learners)):
-            for member in group:
-                members.setdefault(member.host, []).append((kind, member.member_id))
+            for listed in group:
+                members.setdefault(listed.host, []).append((kind, listed.member_id))
         return [
             {
                 "host": host,
@@ -80,9 +78,9 @@
                 "membership": kind,
                 "member_id": member_id,
                 "in_settings": host in zones,
-                "leader": host == daemon.log.leader,
-                "ledger_equal": host == daemon.settings.host
-                or (host in daemon.peers and daemon.ledger_exchange.equal_to(host)),
+                "leader": host == member.log.leader,
+                "ledger_equal": host == member.settings.host
+                or (host in member.peers and member.ledger_exchange.equal_to(host)),
             }
             for host, found in members.items()
             for kind, member_id in found or [("none", "")]
@@ -93,8 +91,8 @@
 
         A control host that lost its disk must vote again before a second loss is survived.
         """
-        daemon = self._daemon
-        leadership = daemon.require_leadership()
+        member = self._member
+        leadership = member.require_leadership()
         now_s = time.monotonic()
         records = leadership.registry.records()
         checks = {
@@ -103,20 +101,20 @@
             "registry_warm": leadership.registry.warm(now_s),
             "entries": any(not lease.draining for lease in leadership.leases.live(now_s)),
             "engines": any(record.kind is BackendKind.ENGINE for record in records),
-            "in_force": leadership.leases.in_force(daemon.state.revision, now_s),
-            "ledgers_equal": all(daemon.ledger_exchange.equal_to(peer) for peer in daemon.peers),
+            "in_force": leadership.leases.in_force(member.state.revision, now_s),
+            "ledgers_equal": all(member.ledger_exchange.equal_to(peer) for peer in member.peers),
         }
         return {"ready": all(checks.values()), "checks": checks}
 
     def _all_hosts_vote(self) -> bool:
-        log = self._daemon.log
-        hosts = sorted(peer.host for peer in self._daemon.settings.control)
+        log = self._member.log
+        hosts = sorted(peer.host for peer in self._member.settings.control)
         voters = sorted(member.host for member in log.membership.voters)
         return voters == hosts and not log.membership.learners and log.voters_answer()
 
     def billing(self) -> list[dict[str, Any]]:
         """Return the sums of the bills by client account."""
-        totals = self._daemon.ledger.totals()
+        totals = self._member.ledger.totals()
         return [
             {
                 "client_account": name,
--- a/src/baobabstream/control/peer_service.py
+++ b/src/baobabstream/control/peer_service.py
@@ -1,11 +1,12 @@
 """Answers the messages of other daemons."""
 
 import time
-from typing import TYPE_CHECKING
 
 from msgspec import Struct
 
+from baobabstream.control.admin_api import AdminApi
 from baobabstream.control.commands import EndTrial, RecordLoss, StartTrial, UpdateClaim
+from baobabstream.control.group_member import GroupMember
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.telemetry.timeline import EventKind
@@ -33,9 +34,6 @@
     TrialRequest,
 )
 
-if TYPE_CHECKING:
-    from baobabstream.control.daemon import ControlDaemon
-
 __all__ = ["PeerService"]
 
 
@@ -44,12 +42,15 @@
 
     Parameters
     ----------
-    daemon
-        The control daemon that the handlers act on.
+    member
+        The member of the control group that the handlers act on.
+    admin
+        Answers operators' calls that another control host has authenticated.
     """
 
-    def __init__(self, daemon: "ControlDaemon") -> None:
-        self._daemon = daemon
+    def __init__(self, member: GroupMember, admin: AdminApi) -> None:
+        self._member = member
+        self._admin = admin
 
     async def handle(self, sender: str, message: Struct) -> Struct:
         """Answer one message.
@@ -63,7 +64,7 @@
             case BillRequest():
                 return await self._bill(message)
             case LedgerSyncRequest():
-                return await self._daemon.ledger_exchange.answer(message)
+                return await self._member.ledger_exchange.answer(message)
             case PollRequest():
                 return await self._poll(message)
             case ClaimRequest():
@@ -75,49 +76,49 @@
             case TrialEnd():
                 return await self._end_trial(message)
             case ForwardRequest():
-                self._daemon.require_leadership()
-                return await self._daemon.admin.answer_forwarded(message)
+                self._member.require_leadership()
+                return await self._admin.answer_forwarded(message)
             case VoteRequest() | AppendRequest() | SnapshotRequest() | TransferRequest():
-                return await self._daemon.log.handle(sender, message)
+                return await self._member.log.handle(sender, message)
             case JoinRequest():
-                return await self._daemon.log.handle(sender, message)
+                return await self._member.log.handle(sender, message)
         raise PeerError(ResultCode.MESSAGE_MALFORMED, f"unexpected {type(message).__name__}")
 
     async def _bill(self, request: BillRequest) -> BillReply:
-        new_bills = await self._daemon.ledger.put(request.bills)
-        settings = self._daemon.settings
+        new_bills = await self._member.ledger.put(request.bills)
+        settings = self._member.settings
         return BillReply(settings.host, settings.availability_zone, new_bills)
 
     async def _poll(self, request: PollRequest) -> PollReply:
-        leadership = self._daemon.require_leadership()
+        leadership = self._member.require_leadership()
         reply = await leadership.polls.poll(request, leadership.term)
-        if self._daemon.require_leadership() is not leadership:
+        if self._member.require_leadership() is not leadership:
             raise PeerError(ResultCode.NO_LEADER)
         return reply
 
     async def _claim(self, request: ClaimRequest) -> ClaimReply:
-        outcome = await self._daemon.propose(UpdateClaim(request, _wall_time_ms()))
+        outcome = await self._member.propose(UpdateClaim(request, _wall_time_ms()))
         assert outcome.claim is not None
         state = outcome.claim.state.value
-        self._daemon.timeline.emit(EventKind.CLAIM_CHANGED, request.request_id, detail=state)
+        self._member.timeline.emit(EventKind.CLAIM_CHANGED, request.request_id, detail=state)
         return outcome.claim
 
     async def _suspect(self, request: SuspectRequest) -> SuspectReply:
         command = RecordLoss(
             request.backend_server, request.incarnation, request.fingerprints, _wall_time_ms()
         )
-        outcome = await self._daemon.propose(command)
+        outcome = await self._member.propose(command)
         for fingerprint in outcome.quarantined:
-            self._daemon.timeline.emit(EventKind.REQUEST_QUARANTINED, detail=fingerprint)
+            self._member.timeline.emit(EventKind.REQUEST_QUARANTINED, detail=fingerprint)
         return SuspectReply(outcome.quarantined)
 
     async def _start_trial(self, request: TrialRequest) -> TrialReply:
-        outcome = await self._daemon.propose(StartTrial(request, _wall_time_ms()))
+        outcome = await self._member.propose(StartTrial(request, _wall_time_ms()))
         assert outcome.trial is not None
         return outcome.trial
 
     async def _end_trial(self, request: TrialEnd) -> TrialEndReply:
-        await self._daemon.propose(EndTrial(request))
+        await self._member.propose(EndTrial(request))
         return TrialEndReply()
 
 
--- /dev/null
+++ b/src/baobabstream/entry/caller_access.py
@@ -0,0 +1,72 @@
+"""Whether a caller may be served now: lease, API key and limits of the body."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+from aiohttp import web
+
+from baobabstream.entry.refusals import LEASE_RETRY_S
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.policy.view import ClusterView
+from baobabstream.wire.rows import AccountRow
+
+__all__ = ["CallerAccess"]
+
+
+class CallerAccess:
+    """Checks that every kind of request passes before it is decided.
+
+    Parameters
+    ----------
+    view
+        Configuration as this entry knows it.
+    holds_lease
+        Whether this entry may act on its configuration now.
+    body_timeout_s
+        Longest time that reading a body may take, from the settings.
+    """
+
+    def __init__(
+        self, view: ClusterView, holds_lease: Callable[[], bool], body_timeout_s: float
+    ) -> None:
+        self._view = view
+        self._body_timeout_s = body_timeout_s
+        self.holds_lease = holds_lease
+
+    def require_ready(self) -> None:
+        """Raise RequestRefused if this entry may not take new work."""
+        if not self.holds_lease():
+            raise RequestRefused(ResultCode.LEASE_EXPIRED, retry_after_s=LEASE_RETRY_S)
+
+    def authenticate(self, request: web.Request) -> AccountRow:
+        """Return the client account whose API key a request carries.
+
+        Raises
+        ------
+        RequestRefused
+            ``UNAUTHENTICATED`` if the key is missing or not known.
+        """
+        key = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        account = self._view.accounts_by_key.get(digest)
+        if not key or account is None:
+            raise RequestRefused(ResultCode.UNAUTHENTICATED)
+        return account
+
+    async def read_body(self, request: web.Request) -> bytes:
+        """Return the body of a request.
+
+        Raises
+        ------
+        RequestRefused
+            ``BODY_TOO_LARGE`` or ``BODY_TOO_SLOW`` if it breaks a limit.
+        """
+        try:
+            async with asyncio.timeout(self._body_timeout_s):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            raise RequestRefused(ResultCode.BODY_TOO_LARGE) from error
+        except TimeoutError as error:
+            raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -1,7 +1,6 @@
 """Entry daemon: wires caller interface, policy, control session and billing."""
 
 import asyncio
-import hashlib
 from collections.abc import Callable
 from random import Random
 
@@ -12,16 +11,17 @@
 from baobabstream.backends.rating_client import RatingClient
 from baobabstream.backends.service_client import ServiceClient
 from baobabstream.billing.sender import BillSender
+from baobabstream.entry.caller_access import CallerAccess
 from baobabstream.entry.chat_handler import ChatHandler
 from baobabstream.entry.claims import Claims
 from baobabstream.entry.decision_loop import DecisionLoop
+from baobabstream.entry.entry_parts import EntryParts
 from baobabstream.entry.http_errors import error_response
 from baobabstream.entry.in_flight import InFlightRequests
 from baobabstream.entry.leader_calls import BackgroundCalls
 from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
-from baobabstream.entry.refusals import LEASE_RETRY_S
 from baobabstream.entry.sessions import SessionTokens
 from baobabstream.entry.suspects import SuspectReporter
 from baobabstream.errors.codes import ResultCode
@@ -41,7 +41,6 @@
 from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimeLine
 from baobabstream.wire.peers import peer_codec
-from baobabstream.wire.rows import AccountRow
 
 __all__ = ["EntryDaemon"]
 
@@ -108,7 +107,7 @@
         self.claims = Claims(self.control, settings.host, self.background)
         self.in_flight = InFlightRequests()
         self.load = LoadMeter()
-        self.ratings: RatingClient | None = None
+        self.access = CallerAccess(self.view, self.holds_lease, settings.body_timeout_s)
         self._stopping = False
 
     async def start(self) -> None:
@@ -116,7 +115,7 @@
         settings = self.settings
         listener = settings.listener
         listening_socket = open_listening_socket(listener.ip, listener.port)
-        self._open_clients()
+        self._parts = self._open_clients()
         self.load.start()
         self._poller = asyncio.create_task(self.control.run())
         app = web.Application(
@@ -125,8 +124,8 @@
         app.on_response_prepare.append(self.in_flight.on_prepare)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
-        ChatHandler(self).add_routes(app.router)
-        app.router.add_route("*", "/{path:.*}", PlainHandler(self).handle)
+        ChatHandler(self._parts).add_routes(app.router)
+        app.router.add_route("*", "/{path:.*}", PlainHandler(self._parts).handle)
         measure_requests(app, self.metrics)
         self._observe()
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
@@ -167,9 +166,9 @@
             self._poller.cancel()
             await asyncio.wait({self._poller}, timeout=CANCEL_REPEAT_S)
 
-    def _open_clients(self) -> None:
+    def _open_clients(self) -> EntryParts:
         settings = self.settings
-        self.engines = EngineClient(
+        engines = EngineClient(
             EngineLimits(
                 settings.connect_timeout_s,
                 settings.first_byte_timeout_s,
@@ -179,58 +178,41 @@
             lambda: self.load.block_gap_s,
             (carry_clock(self.hybrid_clock),),
         )
-        self.services = ServiceClient(settings.connect_timeout_s, settings.idle_connection_s)
-        self.prober = Prober(settings.probe_timeout_s)
-        if settings.rating_url is not None:
-            self.ratings = RatingClient(settings.rating_url, settings.rating_timeout_s)
+        ratings = (
+            RatingClient(settings.rating_url, settings.rating_timeout_s)
+            if settings.rating_url is not None
+            else None
+        )
+        return EntryParts(
+            settings=settings,
+            access=self.access,
+            view=self.view,
+            decisions=self.decisions,
+            sessions=self.sessions,
+            bills=self.bills,
+            background=self.background,
+            suspects=self.suspects,
+            claims=self.claims,
+            engines=engines,
+            services=ServiceClient(settings.connect_timeout_s, settings.idle_connection_s),
+            prober=Prober(settings.probe_timeout_s),
+            ratings=ratings,
+            timeline=self.timeline,
+            random=self.random,
+        )
 
     async def _close_clients(self) -> None:
-        await self.engines.close()
-        await self.services.close()
-        await self.prober.close()
-        if self.ratings is not None:
-            await self.ratings.close()
-
-    def require_ready(self) -> None:
-        """Raise RequestRefused if this entry may not take new work."""
-        if not self.holds_lease():
-            raise RequestRefused(ResultCode.LEASE_EXPIRED, retry_after_s=LEASE_RETRY_S)
+        parts = self._parts
+        await parts.engines.close()
+        await parts.services.close()
+        await parts.prober.close()
+        if parts.ratings is not None:
+            await parts.ratings.close()
 
     def holds_lease(self) -> bool:
         """Return whether this entry may act on its configuration now."""
         return self.control.lease.valid(self._clock())
 
-    def authenticate(self, request: web.Request) -> AccountRow:
-        """Return the client account whose API key a request carries.
-
-        Raises
-        ------
-        RequestRefused
-            ``UNAUTHENTICATED`` if the key is missing or not known.
-        """
-        key = request.headers.get("Authorization", "").removeprefix("Bearer ")
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        account = self.view.accounts_by_key.get(digest)
-        if not key or account is None:
-            raise RequestRefused(ResultCode.UNAUTHENTICATED)
-        return account
-
-    async def read_body(self, request: web.Request) -> bytes:
-        """Return the body of a request.
-
-        Raises
-        ------
-        RequestRefused
-            ``BODY_TOO_LARGE`` or ``BODY_TOO_SLOW`` if it breaks a limit.
-        """
-        try:
-            async with asyncio.timeout(self.settings.body_timeout_s):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestRefused(ResultCode.BODY_TOO_LARGE) from error
-        except TimeoutError as error:
-            raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
-
     def _observe(self) -> None:
         observe = self.metrics.observe
         observe(MetricName.CONFIG_REVISION, lambda: self.view.revision)
@@ -247,7 +229,7 @@
         try:
             if self._stopping:
                 raise RequestRefused(ResultCode.STOPPING)
-            self.require_ready()
+            self.access.require_ready()
         except RequestRefused as error:
             return error_response(error)
         return web.json_response({"revision": self.view.revision})
--- a/src/baobabstream/entry/delivery.py
+++ b/src/baobabstream/entry/delivery.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Awaitable
 from random import Random
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -12,6 +11,7 @@
 from baobabstream.entry.answer import Answer, Usage, join_answer, usage_chunk
 from baobabstream.entry.caller_stream import CallerStream
 from baobabstream.entry.chat_request import ChatRequest
+from baobabstream.entry.entry_parts import EntryParts
 from baobabstream.entry.http_errors import error_body
 from baobabstream.entry.refusals import Refused
 from baobabstream.entry.sessions import SessionPin
@@ -20,9 +20,6 @@
 from baobabstream.telemetry.timeline import EventKind
 from baobabstream.wire.messages import Bill
 
-if TYPE_CHECKING:
-    from baobabstream.entry.daemon import EntryDaemon
-
 __all__ = ["Delivery"]
 
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -33,8 +30,8 @@
 
     Parameters
     ----------
-    daemon
-        The entry daemon.
+    parts
+        The parts of the entry host.
     request
         The caller's HTTP request.
     chat
@@ -46,18 +43,18 @@
         Tokens delivered, or collected for a caller that does not stream.
     """
 
-    def __init__(self, daemon: "EntryDaemon", request: web.Request, chat: ChatRequest) -> None:
-        self._daemon = daemon
+    def __init__(self, parts: EntryParts, request: web.Request, chat: ChatRequest) -> None:
+        self._parts = parts
         self._request = request
         self._chat = chat
         self._info = chat.info
-        self._stream = CallerStream(request, daemon.settings.caller_write_timeout_s)
+        self._stream = CallerStream(request, parts.settings.caller_write_timeout_s)
         self._dispatch: Dispatch | None = None
         self._head: list[bytes] = []
-        self._random: Random = daemon.random
+        self._random: Random = parts.random
         # A streamed answer is kept only where it may be rated afterwards.
-        rating = daemon.ratings is not None
-        self._sampled = rating and self._random.random() < daemon.settings.rating_sample
+        rating = parts.ratings is not None
+        self._sampled = rating and self._random.random() < parts.settings.rating_sample
         self._keeps = not self._info.streaming or self._sampled
         self._answer = Answer()
         self.tokens = 0
@@ -110,7 +107,7 @@
         if self._head:
             await self._add(b"", 0)
         bill = self._bill()
-        await self._daemon.bills.store(bill, self._daemon.settings.bill_sync_timeout_s)
+        await self._parts.bills.store(bill, self._parts.settings.bill_sync_timeout_s)
         self._emit(EventKind.BILL_STORED, f"{bill.output_tokens} tokens")
         response = await self._release_last_part()
         self._emit(EventKind.ANSWER_FINISHED)
@@ -122,8 +119,8 @@
         All tokens may have been delivered by then; only the final marker waits for the bill.
         """
         if self._info.streaming and self.tokens and self._dispatch is not None:
-            timeout_s = self._daemon.settings.bill_sync_timeout_s
-            self._daemon.background.start(self._daemon.bills.store(self._bill(), timeout_s))
+            timeout_s = self._parts.settings.bill_sync_timeout_s
+            self._parts.background.start(self._parts.bills.store(self._bill(), timeout_s))
             self._emit(EventKind.BILL_STORED, f"{self.tokens} tokens, the caller has gone")
 
     async def refuse(self, refused: Refused) -> web.StreamResponse:
@@ -141,10 +138,10 @@
 
     async def rate(self, dispatch: Dispatch, answer: Answer) -> bool | None:
         """Return the rating service's judgement of an answer, None if it is not known."""
-        if self._daemon.ratings is None:
+        if self._parts.ratings is None:
             return None
         question = self.engine_body["messages"]
-        good = await self._daemon.ratings.rate(
+        good = await self._parts.ratings.rate(
             RatingQuestion(
                 self._info.request_id, dispatch.model, dispatch.version, question, answer.text()
             )
@@ -155,12 +152,12 @@
     def rate_sample(self) -> None:
         """Rate the delivered answer in the background if it is part of the sample."""
         if self._sampled and self._dispatch is not None:
-            self._daemon.background.start(self._rate_later(self._dispatch, self._answer))
+            self._parts.background.start(self._rate_later(self._dispatch, self._answer))
 
     async def _rate_later(self, dispatch: Dispatch, answer: Answer) -> None:
         good = await self.rate(dispatch, answer)
         if good is not None:
-            self._daemon.decisions.feed(
+            self._parts.decisions.feed(
                 AnswerRated(self._info.request_id, dispatch.model, dispatch.version, good)
             )
 
@@ -184,13 +181,13 @@
         headers = {"X-Request-Id": self._info.request_id, "X-Model-Version": dispatch.version}
         if self._chat.wants_session:
             pin = SessionPin(self._info.client_account, dispatch.model, dispatch.version)
-            headers["X-Session-Token"] = self._daemon.sessions.issue(pin)
+            headers["X-Session-Token"] = self._parts.sessions.issue(pin)
         return headers
 
     def _bill(self) -> Bill:
         dispatch = self._dispatch
         assert dispatch is not None
-        row = self._daemon.view.versions.get((dispatch.model, dispatch.version))
+        row = self._parts.view.versions.get((dispatch.model, dispatch.version))
         price = row.cost_per_1k_tokens if row is not None else 0.0
         return Bill(
             client_account=self._info.client_account,
@@ -201,10 +198,10 @@
             prompt_tokens=self._info.prompt_tokens,
             output_tokens=self.tokens,
             cost=price * self.tokens / 1000,
-            host=self._daemon.settings.host,
+            host=self._parts.settings.host,
             wall_time_ms=time.time_ns() // 1_000_000,
         )
 
     def _emit(self, kind: EventKind, detail: str = "") -> None:
-        view = self._daemon.view
-        self._daemon.timeline.emit(kind, self._info.request_id, view.revision, detail)
+        view = self._parts.view
+        self._parts.timeline.emit(kind, self._info.request_id, view.revision, detail)
--- a/src/baobabstream/entry/plain_handler.py
+++ b/src/baobabstream/entry/plain_handler.py
@@ -3,13 +3,13 @@
 import time
 import uuid
 from collections import Counter
-from typing import TYPE_CHECKING
 
 from aiohttp import hdrs, web
 
 from baobabstream.backends.attempt_error import AttemptError
 from baobabstream.backends.service_client import ServiceAnswer, ServiceCall
 from baobabstream.entry.claims import ClaimKey
+from baobabstream.entry.entry_parts import EntryParts
 from baobabstream.entry.idempotency import bill_identity, body_digest, read_key
 from baobabstream.entry.refusals import Refused
 from baobabstream.entry.retry_budget import RetryBudget
@@ -21,9 +21,6 @@
 from baobabstream.wire.messages import Bill, ClaimAction
 from baobabstream.wire.rows import AccountRow, BackendRecord, RouteRow
 
-if TYPE_CHECKING:
-    from baobabstream.entry.daemon import EntryDaemon
-
 __all__ = ["PlainHandler", "find_route"]
 
 MAX_ATTEMPTS = 3
@@ -54,21 +51,21 @@
 
     Parameters
     ----------
-    daemon
-        The entry daemon whose parts the handler uses.
+    parts
+        The parts of the entry host.
     """
 
-    def __init__(self, daemon: "EntryDaemon") -> None:
-        self._daemon = daemon
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
         self._budget = RetryBudget()
         self._in_flight: Counter[str] = Counter()
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serve one call."""
-        daemon = self._daemon
-        daemon.require_ready()
-        account = daemon.authenticate(request)
-        route = find_route(daemon.view, request.method, request.path)
+        parts = self._parts
+        parts.access.require_ready()
+        account = parts.access.authenticate(request)
+        route = find_route(parts.view, request.method, request.path)
         if route is None:
             raise RequestRefused(ResultCode.UNKNOWN_ROUTE)
         if route.service not in account.services:
@@ -76,10 +73,10 @@
         key = read_key(request)
         if not route.idempotent and not key:
             raise RequestRefused(ResultCode.IDEMPOTENCY_KEY_MISSING)
-        body = await daemon.read_body(request)
+        body = await parts.access.read_body(request)
         request_id = uuid.uuid4().hex
         detail = f"{account.name} {route.service}"
-        daemon.timeline.emit(EventKind.REQUEST_RECEIVED, request_id, daemon.view.revision, detail)
+        parts.timeline.emit(EventKind.REQUEST_RECEIVED, request_id, parts.view.revision, detail)
         digest = body_digest(request.method.encode(), request.path_qs.encode(), body)
         headers: dict[str, str] = {
             name: request.headers[name] for name in FORWARDED_HEADERS if name in request.headers
@@ -93,14 +90,14 @@
         bill = self._bill(account, route, bill_identity(key, digest, request_id))
         if route.idempotent:
             answer = await self._retried(route, call, account.name)
-            await daemon.bills.store(bill, daemon.settings.bill_sync_timeout_s)
+            await parts.bills.store(bill, parts.settings.bill_sync_timeout_s)
         else:
             claim = ClaimKey(account.name, key, digest, request_id)
             # A call that may run only once is brought to its end although its caller goes, so
             # that its outcome is known when the caller asks again.
-            work = daemon.background.start(self._once(route, call, claim, bill))
-            answer = await daemon.background.wait(work)
-        daemon.timeline.emit(EventKind.ANSWER_FINISHED, request_id, daemon.view.revision)
+            work = parts.background.start(self._once(route, call, claim, bill))
+            answer = await parts.background.wait(work)
+        parts.timeline.emit(EventKind.ANSWER_FINISHED, request_id, parts.view.revision)
         return _response(answer, request_id)
 
     async def _retried(self, route: RouteRow, call: ServiceCall, account: str) -> ServiceAnswer:
@@ -131,7 +128,7 @@
     async def _once(
         self, route: RouteRow, call: ServiceCall, claim: ClaimKey, bill: Bill
     ) -> ServiceAnswer:
-        claims = self._daemon.claims
+        claims = self._parts.claims
         stored = await claims.take(claim)
         if stored is not None:
             return stored
@@ -141,9 +138,9 @@
             unsent = refused.run_state is RunState.NO
             await claims.settle(ClaimAction.NOT_RUN if unsent else ClaimAction.UNKNOWN, claim)
             raise
-        settled = self._daemon.background.start(claims.settle(ClaimAction.FINISH, claim, answer))
-        await self._daemon.bills.store(bill, self._daemon.settings.bill_sync_timeout_s)
-        await self._daemon.background.wait(settled, self._daemon.settings.bill_sync_timeout_s)
+        settled = self._parts.background.start(claims.settle(ClaimAction.FINISH, claim, answer))
+        await self._parts.bills.store(bill, self._parts.settings.bill_sync_timeout_s)
+        await self._parts.background.wait(settled, self._parts.settings.bill_sync_timeout_s)
         return answer
 
     async def _first_reached(
@@ -163,25 +160,25 @@
 
     def _check_permission(self, route: RouteRow, account: str, *, sent: bool) -> None:
         """Check lease and allowance again: both may have changed while the call waited."""
-        if not self._daemon.holds_lease():
+        if not self._parts.access.holds_lease():
             raise Refused(ResultCode.LEASE_EXPIRED, "", RETRY_AFTER_S, sent=sent)
-        row = self._daemon.view.accounts.get(account)
+        row = self._parts.view.accounts.get(account)
         if row is None or route.service not in row.services:
             raise Refused(ResultCode.SERVICE_NOT_ALLOWED, sent=sent)
 
     def _choose(self, route: RouteRow, tried: set[str]) -> BackendRecord | None:
         servers = [
             server
-            for server in self._daemon.view.servers_for(route.service)
+            for server in self._parts.view.servers_for(route.service)
             if server.identity not in tried
         ]
-        zone = self._daemon.settings.availability_zone
+        zone = self._parts.settings.availability_zone
         return min(
             servers,
             key=lambda server: (
                 self._in_flight[server.identity],
                 server.availability_zone != zone,
-                self._daemon.random.random(),
+                self._parts.random.random(),
             ),
             default=None,
         )
@@ -189,7 +186,7 @@
     async def _send(self, server: BackendRecord, call: ServiceCall, *, once: bool) -> ServiceAnswer:
         self._in_flight[server.identity] += 1
         try:
-            return await self._daemon.services.call(server.url, call, once=once)
+            return await self._parts.services.call(server.url, call, once=once)
         finally:
             self._in_flight[server.identity] -= 1
 
@@ -203,7 +200,7 @@
             prompt_tokens=0,
             output_tokens=0,
             cost=0.0,
-            host=self._daemon.settings.host,
+            host=self._parts.settings.host,
             wall_time_ms=time.time_ns() // 1_000_000,
         )
 
--- a/src/baobabstream/entry/request_run.py
+++ b/src/baobabstream/entry/request_run.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from math import isfinite
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -14,6 +13,7 @@
 from baobabstream.entry.caller_stream import CallerLost, CallerStalled
 from baobabstream.entry.chat_request import ChatRequest
 from baobabstream.entry.delivery import Delivery
+from baobabstream.entry.entry_parts import EntryParts
 from baobabstream.entry.refusals import LEASE_RETRY_S, Refused
 from baobabstream.errors.codes import ResultCode
 from baobabstream.policy.decisions import (
@@ -39,9 +39,6 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.timeline import EventKind
 
-if TYPE_CHECKING:
-    from baobabstream.entry.daemon import EntryDaemon
-
 __all__ = ["RequestRun"]
 
 # The policy needs token rates over fractions of a second; a call per token would cost more than
@@ -61,19 +58,19 @@
 
     Parameters
     ----------
-    daemon
-        The entry daemon.
+    parts
+        The parts of the entry host.
     request
         The caller's HTTP request.
     chat
         The decoded chat request.
     """
 
-    def __init__(self, daemon: "EntryDaemon", request: web.Request, chat: ChatRequest) -> None:
-        self._daemon = daemon
+    def __init__(self, parts: EntryParts, request: web.Request, chat: ChatRequest) -> None:
+        self._parts = parts
         self._chat = chat
         self._info = chat.info
-        self._delivery = Delivery(daemon, request, chat)
+        self._delivery = Delivery(parts, request, chat)
         self._inbox: asyncio.Queue[_Item] = asyncio.Queue()
         self._attempts: dict[int, Attempt] = {}
         self._owner: Attempt | None = None
@@ -93,7 +90,7 @@
         Refused
             If the request is refused or given up before the head of an answer was sent.
         """
-        decisions = self._daemon.decisions
+        decisions = self._parts.decisions
         decisions.open(self._info.request_id, self._inbox)
         try:
             decisions.feed(RequestArrived(self._info))
@@ -135,9 +132,9 @@
 
     async def _dispatch(self, dispatch: Dispatch) -> web.StreamResponse | None:
         # The lease may have expired while the request waited or the process was frozen.
-        if not self._daemon.holds_lease():
+        if not self._parts.access.holds_lease():
             return await self._refuse_without_lease(dispatch)
-        record = self._daemon.view.backends.get(dispatch.backend_server)
+        record = self._parts.view.backends.get(dispatch.backend_server)
         if record is None:
             self._not_sent(dispatch, "the server has left")
             return None
@@ -173,16 +170,16 @@
             self._not_sent(dispatch, "the control lease has expired")
             return None
         # The policy counts the attempt as sent; this lets it forget the request.
-        self._daemon.decisions.feed(CallerGone(self._info.request_id))
+        self._parts.decisions.feed(CallerGone(self._info.request_id))
         return await self._refuse(
             Refuse(self._info.request_id, ResultCode.LEASE_EXPIRED, LEASE_RETRY_S)
         )
 
     async def _run_attempt(self, attempt: Attempt, request: EngineRequest) -> None:
-        daemon = self._daemon
+        parts = self._parts
         error = None
         try:
-            await stream_attempt(attempt, request, daemon.engines, daemon.prober, self._deliver)
+            await stream_attempt(attempt, request, parts.engines, parts.prober, self._deliver)
         except AttemptError as failure:
             error = failure
         except CallerStalled as stalled:
@@ -192,7 +189,7 @@
             # The handler's task is cancelled when the connection closes.
             return
         if error is not None and error.lost:
-            await daemon.suspects.report(
+            await parts.suspects.report(
                 attempt.dispatch.backend_server, attempt.incarnation, self._info.fingerprint
             )
         self._inbox.put_nowait(AttemptEnded(attempt, error))
@@ -218,7 +215,7 @@
         self._emit(EventKind.FIRST_TOKEN, str(attempt.number))
         if not attempt.dispatch.rate_first:
             self._own(attempt)
-        self._daemon.decisions.feed(FirstToken(self._info.request_id, attempt.number))
+        self._parts.decisions.feed(FirstToken(self._info.request_id, attempt.number))
 
     def _own(self, attempt: Attempt) -> None:
         """Let an attempt deliver the answer from here on, and cancel all others."""
@@ -234,7 +231,7 @@
         if attempt.unreported_tokens:
             event = TokensReceived(self._info.request_id, attempt.number, attempt.unreported_tokens)
             attempt.unreported_tokens = 0
-            self._daemon.decisions.feed(event)
+            self._parts.decisions.feed(event)
 
     async def _attempt_ended(self, ended: AttemptEnded) -> web.StreamResponse | None:
         attempt, error = ended.attempt, ended.error
@@ -259,7 +256,7 @@
         if attempt is self._owner:
             self._owner = None
         self._emit(EventKind.ATTEMPT_FAILED, f"{error.kind.value}: {error.detail}")
-        self._daemon.decisions.feed(
+        self._parts.decisions.feed(
             AttemptFailed(
                 self._info.request_id,
                 attempt.number,
@@ -272,7 +269,7 @@
     async def _whole(self, attempt: Attempt) -> web.StreamResponse | None:
         for number in list(self._attempts):
             self._cancel(number)
-        self._daemon.decisions.feed(
+        self._parts.decisions.feed(
             AttemptFinished(self._info.request_id, attempt.number, attempt.tokens)
         )
         if attempt.dispatch.rate_first:
@@ -295,7 +292,7 @@
         if good is not None:
             self._awaits_rating = False
             event = AnswerRated(request_id, dispatch.model, dispatch.version, good)
-            self._daemon.decisions.feed(event)
+            self._parts.decisions.feed(event)
         # An unknown rating is not bad, and a bad answer is better than none if the policy has
         # nothing else to run.
         if good is not False or self._inbox.empty():
@@ -353,14 +350,14 @@
             attempt.task.cancel()
 
     async def _ask_trial(self, decision: AskTrial) -> None:
-        event = await self._daemon.suspects.ask_trial(
+        event = await self._parts.suspects.ask_trial(
             self._info.fingerprint, self._info.request_id, decision.candidates
         )
         if isinstance(event, TrialGranted):
             self._trial_server = event.backend_server
             if isfinite(event.trial_s):
                 self._start_task(self._bound_trial(event.trial_s))
-        self._daemon.decisions.feed(event)
+        self._parts.decisions.feed(event)
 
     async def _bound_trial(self, trial_s: float) -> None:
         """Give the request up when its trial ends; the leader may then grant another one."""
@@ -372,7 +369,7 @@
         """End the trial; only a backend server that is seen to have survived clears the suspect."""
         if self._trial_server:
             self._trial_server = ""
-            self._daemon.suspects.end_trial(
+            self._parts.suspects.end_trial(
                 self._info.fingerprint, self._info.request_id, lost=not survived
             )
 
@@ -395,5 +392,5 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _emit(self, kind: EventKind, detail: str = "") -> None:
-        view = self._daemon.view
-        self._daemon.timeline.emit(kind, self._info.request_id, view.revision, detail)
+        view = self._parts.view
+        self._parts.timeline.emit(kind, self._info.request_id, view.revision, detail)
--- a/tests/control/local_group.py
+++ b/tests/control/local_group.py
@@ -9,7 +9,7 @@
 from aiohttp import ClientSession
 
 from baobabstream.consensus.command_log import LocalLog
-from baobabstream.control import daemon as daemon_module
+from baobabstream.control import group_member as group_member_module
 from baobabstream.control.daemon import ControlDaemon
 from baobabstream.control.state import ConfigState
 from baobabstream.settings.models import ControlSettings
@@ -118,7 +118,7 @@
 
 @pytest.fixture
 async def group(tmp_path: Path, monkeypatch):
-    monkeypatch.setattr(daemon_module, "open_log", open_local_log)
+    monkeypatch.setattr(group_member_module, "open_log", open_local_log)
     async with ClientSession() as session:
         running = Group(tmp_path, session)
         for daemon in running.daemons:
--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -49,7 +49,7 @@
     status, refused = await client.act("versions/activate", "a", model="m", version="2")
     assert_that((status, refused["error"]["code"]), Equals((400, ResultCode.CHANGE_INVALID)))
     for incarnation in (1, 2):
-        group.daemons[0].state.apply(RecordLoss("e", incarnation, ("f",), 0))
+        group.daemons[0].member.state.apply(RecordLoss("e", incarnation, ("f",), 0))
     assert_that((await client.get("quarantine"))[0]["losses"], Equals(2))
     assert_that((await client.act("quarantine/release", "q", fingerprint="f"))[0], Equals(200))
     assert_that(await client.get("quarantine"), Equals([]))
@@ -94,7 +94,7 @@
     for client in (group.leader, group.follower):
         answer = await client.call(method, path, body)
         assert_that((answer[0], answer[1]["error"]["code"]), Equals((status, code)))
-    assert_that(group.daemons[0].state.revision, Equals(0))
+    assert_that(group.daemons[0].member.state.revision, Equals(0))
 
 
 async def test_backend_bodies_are_limited(group: Group) -> None:
@@ -115,13 +115,13 @@
         await backend("announce", ANNOUNCEMENT),
     ]
     assert_that(statuses, Equals([401, 413, 400, 200, 200, 200, 409]))
-    assert_that(group.daemons[0].state.departed, Equals({"e1": 2}))
+    assert_that(group.daemons[0].member.state.departed, Equals({"e1": 2}))
 
 
 async def test_local_health_needs_no_leader(group: Group, monkeypatch) -> None:
     """Guards against an operator who cannot see a host's state while there is no leader."""
     for daemon in group.daemons:
-        monkeypatch.setattr(daemon.log, "holds_leader_lease", lambda: False)
+        monkeypatch.setattr(daemon.member.log, "holds_leader_lease", lambda: False)
     local = await group.leader.get("local")
     assert_that((local["host"], local["leads"]), Equals(("control-0", False)))
     status, document = await group.leader.call("GET", "status")
@@ -161,8 +161,8 @@
 async def test_bills_are_shown_by_page_and_total(group: Group) -> None:
     """Guards against a billing report that misses bills stored on another control host."""
     bills = tuple(Bill("desk", f"r{n}", "c", "m", "1", 1, 2, 0.5, "e", n) for n in range(10))
-    await group.daemons[1].ledger.put(bills)
-    await group.daemons[0].ledger_exchange.pull("control-1")
+    await group.daemons[1].member.ledger.put(bills)
+    await group.daemons[0].member.ledger_exchange.pull("control-1")
     page = await group.follower.get("bills/pages?account=desk&since_ms=2&limit=5")
     rest = await group.follower.get(f"bills/pages?since_ms=2&after={page['next_after']}")
     names = [bill["request_id"] for bill in page["bills"] + rest["bills"]]
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -54,7 +54,7 @@
 
 
 def poll(group: Group, wait_ms: int, epoch: int = 0) -> PollRequest:
-    revision = group.daemons[0].state.revision
+    revision = group.daemons[0].member.state.revision
     return PollRequest("entry-1", 1, "z0", revision, epoch, 0, wait_ms)
 
 
@@ -62,7 +62,7 @@
     group: Group, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against an entry lease from a host that no longer leads."""
-    leader = group.daemons[0]
+    leader = group.daemons[0].member
     entry = Entry(group, 1)
     first = leader.require_leadership()
     epoch = first.registry.epoch
@@ -82,7 +82,7 @@
 
 async def test_claims_of_a_restarted_entry_become_unknown(group: Group) -> None:
     """Guards against a claim that stays open, or becomes free, when its entry restarts."""
-    leader = group.daemons[0]
+    leader = group.daemons[0].member
     claim = ClaimRequest(ClaimAction.CLAIM, "desk", "key", "b", "r1", "entry-1", incarnation=1)
     async with Entry(group, 1) as old:
         reply = await old.session.call_host("control-0", claim, 1.0)
@@ -99,7 +99,7 @@
 
 async def test_errors_of_an_entry_stop_a_version_within_two_seconds(group: Group) -> None:
     """Guards against a bad version that keeps its traffic until an operator acts."""
-    leader = group.daemons[0]
+    leader = group.daemons[0].member
     rows = (VersionRow("m", "1", 1.0), VersionRow("m", "2", 1.0), RolloutRow("r", "m", "1", "2"))
     leader.state.apply(ConfigChange("c", "op", 0, rows))
     running = AdvanceRollout("r", RolloutState.LOADING, 0, RolloutState.RUNNING, 0, 0.5)
@@ -129,7 +129,7 @@
     group: Group, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against changes whose time in force is recorded only if somebody asks for it."""
-    leader = group.daemons[0]
+    leader = group.daemons[0].member
     events: list[tuple[EventKind, int]] = []
 
     def record(kind: EventKind, request_id: str = "", revision: int = 0, detail: str = "") -> None:
