Gateways listen before they load, and start without work that callers wait for

After the kill of all processes at 36.88 s the gateways listened at 37.79 s; the callers' one retry fell into that gap, also the retries of the streams that the kill had cut. Ruled out: waiting for configuration or servers (25 and 200 ms after the start of the daemon); the restart itself (about 0.55 s, the platform's).

--- a/src/baobabstream/cli/run_daemon.py
+++ b/src/baobabstream/cli/run_daemon.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
+from baobabstream.cli.fast_start import end_start
+
 __all__ = ["Daemon", "run_until_stopped", "stop_event"]
 
 
@@ -57,5 +59,6 @@
     if reload is not None:
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload, daemon)
     await daemon.start()
+    end_start()
     await event.wait()
     await daemon.stop()
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -19,7 +19,7 @@
 from baobabstream.entry.http_errors import error_response
 from baobabstream.entry.in_flight import InFlightRequests
 from baobabstream.entry.leader_calls import BackgroundCalls
-from baobabstream.entry.listening_socket import open_listening_socket
+from baobabstream.entry.listening_socket import ACCEPT_BACKLOG, open_listening_socket
 from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
 from baobabstream.entry.sessions import SessionTokens
@@ -44,7 +44,6 @@
 
 __all__ = ["EntryDaemon"]
 
-ACCEPT_BACKLOG = 1024
 CANCEL_REPEAT_S = 0.1
 
 _log = get_logger("entry")
--- a/src/baobabstream/entry/listening_socket.py
+++ b/src/baobabstream/entry/listening_socket.py
@@ -5,8 +5,10 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 
-__all__ = ["open_listening_socket"]
+__all__ = ["ACCEPT_BACKLOG", "open_listening_socket"]
 
+# Connections that may wait to be accepted; Linux grants at most 4,096 by default.
+ACCEPT_BACKLOG = 1024
 # A vanished caller is noticed after 15 + 3 * 5 = 30 seconds.
 KEEPALIVE_IDLE_S = 15
 KEEPALIVE_INTERVAL_S = 5
@@ -14,7 +16,7 @@
 
 
 def open_listening_socket(ip: str, port: int) -> socket.socket:
-    """Return a bound socket; accepted connections inherit its keepalive options.
+    """Return a listening socket; accepted connections inherit its keepalive options.
 
     Raises
     ------
@@ -30,6 +32,7 @@
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     try:
         listener.bind((ip, port))
+        listener.listen(ACCEPT_BACKLOG)
     except OSError as error:
         listener.close()
         raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, f"{ip}:{port}") from error
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -1,15 +1,16 @@
 """Gateway daemon: wires callers, backend servers and the coordination hosts."""
 
 import asyncio
-import gc
 import time
 from collections.abc import Callable, Iterator
 from random import Random
+from socket import socket
 
 from aiohttp import web
 
 from baobabstream import __version__
 from baobabstream.backends.connection_pool import ConnectionPool
+from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.gateway.control_contact import ControlContact, ExchangeParty
@@ -67,6 +68,8 @@
         Breaks ties.
     decisions
         Log of decisions; by default on standard output.
+    front_socket
+        Listening socket for callers if the process has opened it already.
     """
 
     def __init__(
@@ -77,9 +80,11 @@
         read_document: ReadDocument,
         random: Random,
         decisions: DecisionLog | None = None,
+        front_socket: socket | None = None,
     ) -> None:
         self._settings = settings
         self._read_document = read_document
+        self._front_socket = front_socket
         self._ready_path = ready_path
         self._loop = asyncio.get_running_loop()
         self._incarnation = time.time_ns()
@@ -122,7 +127,9 @@
         await self._ready_runner.setup()
         try:
             await web.TCPSite(self._ready_runner, settings.ip, settings.ready_port).start()
-            await self._front.start(settings.ip, settings.front_port)
+            await self._front.start(
+                self._front_socket or open_listening_socket(settings.ip, settings.front_port)
+            )
             await self._metrics.start(settings.ip)
         except OSError as error:
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
@@ -130,9 +137,6 @@
         self._tasks = [asyncio.create_task(decisions.run())]
         decisions.record(DecisionEvent.DAEMON_STARTED, role="gateway", version=__version__)
         self._show_gauges()
-        # Objects made so far live as long as the process.
-        gc.collect()
-        gc.freeze()
 
     async def stop(self) -> None:
         """Report unready, serve what still comes, finish open requests, and end."""
--- a/src/baobabstream/gateway/front.py
+++ b/src/baobabstream/gateway/front.py
@@ -1,9 +1,11 @@
 """HTTP front of a gateway for callers."""
 
 import asyncio
+from socket import socket
 
 from aiohttp import web
 
+from baobabstream.entry.listening_socket import ACCEPT_BACKLOG
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.refusals import refusal
@@ -53,8 +55,8 @@
         """Requests under way."""
         return self._open
 
-    async def start(self, ip: str, port: int) -> None:
-        """Listen for callers."""
+    async def start(self, listening_socket: socket) -> None:
+        """Take the callers' connections of a listening socket."""
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(
@@ -65,7 +67,7 @@
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, ip, port, backlog=512)
+        self._site = web.SockSite(self._runner, listening_socket, backlog=ACCEPT_BACKLOG)
         await self._site.start()
 
     def set_limits(self, limits: RequestLimits) -> None:
