A rollout's time goes on while there is no leader

Ruled out: storing the time more often; the election itself would still be missing. The time of day, since it jumps. Change: every host of the group counts from the moment at which it applied the rollout.

--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -21,6 +21,7 @@
 )
 from baobabstream.coordination.announcement_feed import AnnouncementFeed
 from baobabstream.coordination.exchange_service import ExchangeService
+from baobabstream.coordination.rollout_clock import RolloutClock
 from baobabstream.coordination.rollout_driver import RolloutDriver
 from baobabstream.coordination.rollout_plan import Exposure
 from baobabstream.coordination.service import ORDER_TIMEOUT_S, CoordinationService
@@ -71,7 +72,9 @@
         self._daemon = daemon
 
     def on_applied(self) -> None:
-        self._daemon.exchange.notify()
+        daemon = self._daemon
+        daemon.rollout_clock.note(daemon.state.rollouts.values(), asyncio.get_running_loop().time())
+        daemon.exchange.notify()
 
     def on_leader_changed(self, change: LeaderChanged) -> None:
         self._daemon.decisions.record(
@@ -108,6 +111,7 @@
         self.settings = settings
         self.decisions = decisions or DecisionLog(settings.host)
         self.state = CoordinationState()
+        self.rollout_clock = RolloutClock()
         self.feed = AnnouncementFeed(SystemRandom().getrandbits(48))
         self.exchange = ExchangeService(self.state, self.feed, self._hosts)
         self._codec = inner_codec(settings.ip)
@@ -229,6 +233,7 @@
                     self._propose,
                     self.decisions,
                     Exposure(self.settings.exposure_share, self.settings.exposure_slack),
+                    self.rollout_clock,
                 )
                 driver = asyncio.create_task(work.run())
             await asyncio.sleep(LEADERSHIP_CHECK_S)
--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 
 from baobabstream.coordination.exchange_service import ExchangeService
+from baobabstream.coordination.rollout_clock import RolloutClock
 from baobabstream.coordination.rollout_judge import AnswerCounts, RolloutJudge
 from baobabstream.coordination.rollout_plan import Exposure, RolloutStep, planned_step
 from baobabstream.coordination.state import (
@@ -40,11 +41,8 @@
         Log of decisions.
     limits
         Limit of the requests that an unproven version may get.
-
-    Notes
-    -----
-    The time of a rollout is the stored time plus what this leader has seen pass, so it does not
-    depend on the time of day. The time without a leader is not counted.
+    clock
+        Time of the rollouts as this host has seen it, also before it led.
     """
 
     def __init__(
@@ -54,13 +52,15 @@
         propose: Callable[[CoordinationCommand], Awaitable[None]],
         decisions: DecisionLog,
         limits: Exposure,
+        clock: RolloutClock,
     ) -> None:
         self._state = state
         self._exchange = exchange
         self._propose = propose
         self._decisions = decisions
         self._judges: dict[str, RolloutJudge] = {}
-        self._learned: dict[tuple[str, str], tuple[float, float]] = {}
+        self._clock = clock
+        self._followed_since_s: dict[tuple[str, str], float] = {}
         self._seen_s: dict[str, float] = {}
         self._began_with: dict[tuple[str, str], int] = {}
         self._limits = limits
@@ -100,10 +100,8 @@
         judge = self._judges.get(row.service)
         if judge is None or judge.target != row.target:
             judge = self._judges[row.service] = RolloutJudge(row.base, row.target)
-        stored_s, since_s = self._learned.setdefault(
-            (row.service, row.target), (row.elapsed_s, now_s)
-        )
-        elapsed_s = stored_s + now_s - since_s
+        since_s = self._followed_since_s.setdefault((row.service, row.target), now_s)
+        elapsed_s = self._clock.elapsed_s(row, now_s)
         totals = self._exchange.evidence.totals(row.service)
         if judge.judge(totals):
             return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, judge)
