Idle limit no longer overflows on hosts that are up for long

Cause: the limit before any loss was infinity doubled once per 30 s of the loop's time, which is the host's uptime; beyond 9 hours that overflows, and each request that looked for a kept connection got status 500. Change: after 20 doublings a loss is forgotten. The test covers long uptimes and failed before.

--- a/src/baobabstream/backends/idle_limit.py
+++ b/src/baobabstream/backends/idle_limit.py
@@ -11,6 +11,8 @@
 LEAST_LIMIT_S = 0.1
 # The limit doubles in this time without a loss, since what was in between may have changed.
 FORGET_S = 30.0
+# From the least limit, this many doublings exceed any idle time that servers grant.
+FORGOTTEN_DOUBLINGS = 20
 
 
 class IdleLimit:
@@ -26,7 +28,8 @@
 
     def limit_s(self, now_s: float) -> float:
         """Return the idle time in seconds up to which a connection is used again."""
-        return self._limit_s * 2 ** ((now_s - self._noted_s) / FORGET_S)
+        doublings = (now_s - self._noted_s) / FORGET_S
+        return inf if doublings > FORGOTTEN_DOUBLINGS else self._limit_s * 2**doublings
 
     def note_loss(self, idle_s: float, now_s: float) -> None:
         """Note that a connection was lost as it was used again after an idle time."""
--- a/tests/backends/test_http_connection.py
+++ b/tests/backends/test_http_connection.py
@@ -212,8 +212,11 @@
     """Guards against connections that are never kept again after one early loss."""
     limit = IdleLimit()
     assert limit.limit_s(0.0) == float("inf")
+    # The loop's time is the host's uptime, which may be years.
+    assert limit.limit_s(1e8) == float("inf")
     limit.note_loss(2.0, 10.0)
     assert limit.limit_s(10.0) == 1.0
     limit.note_loss(0.01, 11.0)
     assert limit.limit_s(11.0) == LEAST_LIMIT_S
     assert limit.limit_s(11.0 + 2 * FORGET_S) == 4 * LEAST_LIMIT_S
+    assert limit.limit_s(1e8) == float("inf")
