--- a/scripts/write_pages.py
+++ b/scripts/write_pages.py
@@ -80,7 +80,8 @@
 
 A secret is a text of 16 to 256 characters, or `{{ file = "PATH" }}` for a file that other users
 cannot open. Secrets are never printed. Annotated examples for both deployments lie under
-`examples/`. A changed file is read at the next start.
+`examples/`. A changed file is read at the next start. On the users' platform the settings file is
+the platform's own; [platform](platform.md#settings) lists the fields that are used.
 
 {NOTE}
 
--- a/src/baobabstream/platform/__main__.py
+++ b/src/baobabstream/platform/__main__.py
@@ -1,4 +1,7 @@
-"""Starts a daemon on the platform: ``python3 -m baobabstream.platform gateway``."""
+"""Starts a daemon on the platform: ``python3 -m baobabstream.platform gateway``.
+
+Imports stand in the functions, in the order in which a start needs them.
+"""
 
 import sys
 from collections.abc import Callable
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -17,7 +17,7 @@
     Platform,
 )
 
-__all__ = ["ProcessPlatform", "Program"]
+__all__ = ["GRACE_S", "ProcessPlatform", "Program"]
 
 SOURCES = Path(__file__).parents[2] / "src"
 # The platform restarts a process that ended after a short pause.
@@ -77,12 +77,14 @@
                 (self.folder / "data").mkdir()
             await asyncio.sleep(RESTART_S)
 
-    def send(self, number: signal.Signals, wipe: bool = False) -> None:
-        """Send a signal to the process if it runs; ``wipe`` empties its disk at the restart."""
+    def send(self, number: signal.Signals, wipe: bool = False) -> bool:
+        """Send a signal if the process runs; ``wipe`` empties its disk at the restart."""
         process = getattr(self, "process", None)
-        if process is not None and process.returncode is None:
-            self._wipe = self._wipe or wipe
-            process.send_signal(number)
+        if process is None or process.returncode is not None:
+            return False
+        self._wipe = self._wipe or wipe
+        process.send_signal(number)
+        return True
 
     def end(self) -> None:
         """Kill the process for good."""
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -12,9 +12,10 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
 from platform_stand_in import FRONT_PORT, HEARTBEAT_S, KEY, Backend, config
-from soak.processes import ProcessPlatform, Program
+from soak.processes import GRACE_S, ProcessPlatform, Program
 from soak.promises import CallerRecord, Excuses, violations_of
 from soak.proxy import Disturbance, FaultyProxy
+from waiting import until
 
 __all__ = ["SoakReport", "run_soak"]
 
@@ -28,6 +29,7 @@
 RECOVERY_S = 12.0
 # A disturbance may still show in this time after its end.
 AFTERMATH_S = 3.0
+LONGEST_PAUSE_S = 3.0
 # Longest time until a new process runs its first line, on a busy machine.
 INTERPRETER_START_S = 0.5
 KINDS = ("sign", "look", "chat")
@@ -198,18 +200,21 @@
         return program.ip
 
     async def _terminate(self) -> str:
-        program, downs = self._gateway(), self._platform.programs
+        program = self._gateway()
         before = program.down_count
-        program.send(signal.SIGTERM)
-        while program.down_count == before and self._calling:  # noqa: ASYNC110 - a counter
-            await asyncio.sleep(0.02)
+        if not program.send(signal.SIGTERM):
+            return "none"
+        try:
+            await until(lambda: program.down_count > before, GRACE_S + LONGEST_PAUSE_S)
+        except TimeoutError:
+            self.report.violations.append(f"{program.ip} did not stop in its grace time")
         # A request that crosses the end of an idle connection was not read.
         self._excuse(program.ip, self._loop.time() - 0.2)
-        return f"{program.ip} of {len(downs)}"
+        return program.ip
 
     async def _pause(self) -> str:
         program = self._random.choice((self._gateway(), self._coordinator()))
-        began_s, pause_s = self._loop.time(), self._random.uniform(0.2, 3.0)
+        began_s, pause_s = self._loop.time(), self._random.uniform(0.2, LONGEST_PAUSE_S)
         program.send(signal.SIGSTOP)
         await asyncio.sleep(pause_s)
         program.send(signal.SIGCONT)
