One piece where two stood: clients by address, disk failures, stable hashes, decoding

Found in a last read of the whole change; behaviour stays. - RpcClients opens a client once. Admission and the coordination daemon built one for each call and dropped it; with TLS that read three files each time. - end_on_disk_failure replaces three copies of the log line and the exit. - stable_hash and hash_place replace two copies of the range and the division. - The adapter's decode replaces four copies of the same except clause. - ExchangeService kept a second copy of the position that each gateway's last report holds. - RolloutClock.note had two branches for one expression. - A request computed the expected time for its server a second time after the choice. - Without users: two header names, a creation time, and an argument of refusal. - Limits without a reason got one.

--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -83,7 +83,6 @@
     """
 
     def __init__(self, id_header: str) -> None:
-        self.created_s = asyncio.get_running_loop().time()
         self.reusable_until_s = float("inf")
         self.idle_s: float | None = None
         self.lost_at_once = False
--- a/src/baobabstream/consensus/admission.py
+++ b/src/baobabstream/consensus/admission.py
@@ -9,7 +9,7 @@
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.consensus_messages import JoinReply, JoinRequest, Member
-from baobabstream.wire.rpc import RpcClient
+from baobabstream.wire.rpc_clients import RpcClients
 
 __all__ = ["Admission"]
 
@@ -36,8 +36,7 @@
     def __init__(self, member: Member, addresses: AddressBook, codec: WireCodec) -> None:
         self._member = member
         self._addresses = addresses
-        self._codec = codec
-        self._clients: dict[str, RpcClient] = {}
+        self._clients = RpcClients(codec)
 
     async def run(
         self,
@@ -67,8 +66,7 @@
                         form_group(founders)
                 await asyncio.sleep(JOIN_INTERVAL_S)
         finally:
-            for client in self._clients.values():
-                client.close()
+            self._clients.close()
 
     async def _ask_all(self, known: set[str]) -> list[JoinReply]:
         hosts = set(self._addresses.contacts(known)) - {self._member.host}
@@ -79,9 +77,8 @@
         url = self._addresses.url(host)
         if url is None:
             return None
-        client = self._clients.setdefault(host, RpcClient(url, self._codec))
         try:
-            return await client.call(JoinRequest(self._member), CALL_TIMEOUT_S)
+            return await self._clients.at(url).call(JoinRequest(self._member), CALL_TIMEOUT_S)
         except PeerError as error:
             _log.debug("Host %s does not answer a request to join: %s.", host, error)
             return None
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -40,10 +40,7 @@
 )
 from baobabstream.wire.rpc import RpcClient
 
-__all__ = ["DISK_FAILED_EXIT_STATUS", "LogListener", "LogOptions", "ReplicatedLog"]
-
-# EX_IOERR of sysexits.h, so that a supervisor can tell a failed disk from other exits.
-DISK_FAILED_EXIT_STATUS = 74
+__all__ = ["LogListener", "LogOptions", "ReplicatedLog"]
 
 # Interval of candidates, which retry votes, and of the wait for a hand-over.
 TICK_S = 0.025
--- a/src/baobabstream/control/group_member.py
+++ b/src/baobabstream/control/group_member.py
@@ -1,12 +1,11 @@
 """One member of the control group: log, configuration, ledger and its term as leader."""
 
 import asyncio
-import os
 from contextlib import suppress
 
 from baobabstream.billing.exchange import LedgerExchange
 from baobabstream.billing.ledger import Ledger
-from baobabstream.consensus.replicated_log import DISK_FAILED_EXIT_STATUS
+from baobabstream.consensus.disk_failure import end_on_disk_failure
 from baobabstream.control.commands import Command
 from baobabstream.control.leadership import Leadership
 from baobabstream.control.log_setup import open_log
@@ -179,6 +178,4 @@
 
 
 def _end_on_disk_failure(error: StorageError) -> None:
-    """End the process: a host whose disk fails must not go on to vote and answer."""
-    _log.critical("The ledger cannot be stored, the daemon ends: %s.", error.detail)
-    os._exit(DISK_FAILED_EXIT_STATUS)
+    end_on_disk_failure(_log, "ledger", f"{error.detail}.")
--- a/src/baobabstream/control/log_setup.py
+++ b/src/baobabstream/control/log_setup.py
@@ -1,14 +1,13 @@
 """Opens the replicated log of a control daemon."""
 
-import os
 from collections.abc import Callable
 from random import SystemRandom
 
 from baobabstream.consensus.address_book import FixedAddresses
+from baobabstream.consensus.disk_failure import end_on_disk_failure
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged
 from baobabstream.consensus.replicated_log import (
-    DISK_FAILED_EXIT_STATUS,
     LogListener,
     LogOptions,
     ReplicatedLog,
@@ -45,8 +44,7 @@
         self._notify()
 
     def on_storage_failed(self, error: StorageError) -> None:
-        _log.critical("The log cannot be stored, the daemon ends: %s", error)
-        os._exit(DISK_FAILED_EXIT_STATUS)
+        end_on_disk_failure(_log, "log", error)
 
 
 def open_log(
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -1,7 +1,6 @@
 """Coordination daemon: wires log, announcements, exchanges and the interface for operators."""
 
 import asyncio
-import os
 from collections.abc import Callable
 from random import SystemRandom
 from typing import Any
@@ -11,10 +10,10 @@
 
 from baobabstream import __version__
 from baobabstream.consensus.address_book import SeededAddresses
+from baobabstream.consensus.disk_failure import end_on_disk_failure
 from baobabstream.consensus.file_storage import FileStorage
 from baobabstream.consensus.records import LeaderChanged, Timing
 from baobabstream.consensus.replicated_log import (
-    DISK_FAILED_EXIT_STATUS,
     LogListener,
     LogOptions,
     ReplicatedLog,
@@ -53,6 +52,7 @@
 )
 from baobabstream.wire.inner_codec import CLUSTER, inner_codec
 from baobabstream.wire.rpc import RpcClient, RpcServer
+from baobabstream.wire.rpc_clients import RpcClients
 
 __all__ = ["CoordinationDaemon"]
 
@@ -85,8 +85,7 @@
         )
 
     def on_storage_failed(self, error: StorageError) -> None:
-        _log.critical("The log cannot be stored, the daemon ends: %s", error)
-        os._exit(DISK_FAILED_EXIT_STATUS)
+        end_on_disk_failure(_log, "log", error)
 
 
 class CoordinationDaemon:
@@ -126,7 +125,7 @@
             SystemRandom(),
             LogOptions(TIMING, SNAPSHOT_ENTRIES, settings.wanted_voters),
         )
-        self._clients: dict[str, RpcClient] = {}
+        self._clients = RpcClients(self._codec)
         self.service = CoordinationService(
             settings.ip,
             self.state,
@@ -170,8 +169,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for client in self._clients.values():
-            client.close()
+        self._clients.close()
         await self._server.close()
         self.decisions.flush()
 
@@ -192,8 +190,7 @@
         return self.log.membership.hosts or (self.settings.ip,)
 
     def _client(self, host: str) -> RpcClient:
-        url = f"tcp://{host}:{self.settings.port}"
-        return self._clients.setdefault(host, RpcClient(url, self._codec))
+        return self._clients.at(f"tcp://{host}:{self.settings.port}")
 
     async def _handle(self, sender: str, message: Any) -> Struct:
         match message:
--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -47,7 +47,6 @@
         self._feed = feed
         self._hosts = hosts
         self._changed = asyncio.Event()
-        self._confirmed: dict[str, tuple[int, int]] = {}
 
     def notify(self) -> None:
         """Wake the gateways that wait: committed state, a quarantine or held sessions changed."""
@@ -62,7 +61,6 @@
     async def answer(self, request: ExchangeRequest) -> ExchangeReply:
         """Keep the report of a gateway and return the news, waiting for some if there are none."""
         loop = asyncio.get_running_loop()
-        self._confirmed[request.host] = (request.epoch, request.position)
         self.evidence.report(request.host, request.incarnation, request.evidence)
         digests = self.held.digests()
         self.held.merge(request.held_sessions)
@@ -89,9 +87,10 @@
         deadline_s = loop.time() + timeout_s
         position = self._feed.position
         while loop.time() < deadline_s:
-            hosts = [item.host for item in self.contacts.active(loop.time())]
-            told = (self._confirmed.get(host, (0, 0)) for host in hosts)
-            if all(epoch == self._feed.epoch and seen >= position for epoch, seen in told):
+            if all(
+                item.epoch == self._feed.epoch and item.position >= position
+                for item in self.contacts.active(loop.time())
+            ):
                 return True
             await asyncio.sleep(TOLD_POLL_S)
         return False
--- a/src/baobabstream/coordination/rollout_clock.py
+++ b/src/baobabstream/coordination/rollout_clock.py
@@ -28,19 +28,11 @@
         now_s
             Time of the event loop.
         """
-        running = {
-            (row.service, row.target): row
+        self._noted = {
+            (row.service, row.target): (self.elapsed_s(row, now_s), now_s)
             for row in rollouts
             if row.state is RolloutState.IN_PROGRESS
         }
-        self._noted = {
-            key: (
-                (self.elapsed_s(row, now_s), now_s)
-                if key in self._noted
-                else (row.elapsed_s, now_s)
-            )
-            for key, row in running.items()
-        }
 
     def elapsed_s(self, row: RolloutRow, now_s: float) -> float:
         """Return the time since a rollout began; at least what the group has stored."""
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -22,6 +22,7 @@
 CONNECT_TIMEOUT_S = 0.6
 # Answers of plain services are kept whole until they are known to be complete.
 MAX_WHOLE_ANSWER_BYTES = 32 * 1024 * 1024
+# Ranks that engines know, 0 to 9.
 URGENCY_RANKS = 10
 # Shorter streams mostly show the time of their first event, and a slow one should show early.
 MIN_PACED_EVENTS = 10
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -47,7 +47,11 @@
 STOP_ACCEPTING_AFTER_S = 2.8
 # What a stop leaves between the end of the last request and the kill.
 STOP_MARGIN_S = 1.2
+# Part of a server's connections that all gateways use together; the rest is for gateways that
+# join, and for connections whose end the server has not seen yet.
 CONNECTION_SHARE = 0.8
+# Connections to a server that a gateway may use however many gateways there are, so that it can
+# serve at all.
 MIN_CONNECTIONS = 4
 
 ReadDocument = Callable[[bytes], RoutingDocument]
--- a/src/baobabstream/gateway/header_names.py
+++ b/src/baobabstream/gateway/header_names.py
@@ -19,8 +19,8 @@
         Key that the caller sends, and the client account that the server gets instead.
     session
         Requests of one conversation carry the same value.
-    model, token_counts, prompt_parts, output_estimate
-        Model asked for, numbers of tokens, shared parts of the prompt, expected output tokens.
+    model, prompt_parts
+        Model asked for, shared parts of the prompt.
     last_event_id
         Event after which a stream goes on.
     expected_server
@@ -43,9 +43,7 @@
     client_account: str
     session: str
     model: str
-    token_counts: str
     prompt_parts: str
-    output_estimate: str
     last_event_id: str
     expected_server: str
     urgency: str
--- a/src/baobabstream/gateway/refusals.py
+++ b/src/baobabstream/gateway/refusals.py
@@ -3,7 +3,7 @@
 from aiohttp import web
 
 from baobabstream.entry.http_errors import error_body
-from baobabstream.errors.codes import CODE_TABLE, RunState
+from baobabstream.errors.codes import CODE_TABLE
 from baobabstream.errors.exceptions import BaobabstreamError
 
 __all__ = ["refusal"]
@@ -14,18 +14,10 @@
 NOT_RUN_STATUSES = frozenset({429, 503})
 
 
-def refusal(error: BaobabstreamError, run_state: RunState | None = None) -> web.Response:
-    """Return the final answer for an error, with the time to come back if nothing has run.
-
-    Parameters
-    ----------
-    error
-        What is answered.
-    run_state
-        Whether the request has run, where more is known than the code's table says.
-    """
+def refusal(error: BaobabstreamError) -> web.Response:
+    """Return the final answer for an error, with the time to come back if nothing has run."""
     status = CODE_TABLE[error.code].http_status
-    response = web.json_response(error_body(error, run_state), status=status)
+    response = web.json_response(error_body(error), status=status)
     if status in NOT_RUN_STATUSES:
         retry_after_s = error.retry_after_s if error.retry_after_s is not None else RETRY_AFTER_S
         response.headers["Retry-After"] = f"{retry_after_s:.2f}"
--- a/src/baobabstream/gateway/request_reader.py
+++ b/src/baobabstream/gateway/request_reader.py
@@ -3,18 +3,19 @@
 from collections.abc import Iterator
 
 from aiohttp import web
-from xxhash import xxh64_hexdigest, xxh64_intdigest
+from xxhash import xxh64_hexdigest
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.routed_request import PromptPart, RoutedRequest
 from baobabstream.routing.document import ClientAccount, Route
+from baobabstream.routing.hash_place import hash_place
 from baobabstream.routing.route_table import RouteTable
 
 __all__ = ["RequestReader"]
 
-HASH_RANGE = 2**64
+# Bounds the work for one header; parts beyond it are left out, as they only help.
 MAX_PROMPT_PARTS = 64
 # Headers of one connection (RFC 9110, section 7.6.1), and the framing that is written anew.
 CONNECTION_HEADERS = frozenset(
@@ -158,7 +159,7 @@
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
-    place = xxh64_intdigest(f"{route.name}/{key}".encode()) / HASH_RANGE * total
+    place = hash_place(f"{route.name}/{key}") * total
     for share in route.shares:
         place -= share.weight
         if place < 0:
--- a/src/baobabstream/gateway/request_run.py
+++ b/src/baobabstream/gateway/request_run.py
@@ -99,8 +99,7 @@
             raise RequestRefused(ResultCode.QUARANTINED)
         context.budget(request.service).note_request(self._loop.time())
         while True:
-            server = self._choose()
-            attempt = self._new_attempt(server, self._resume_id())
+            attempt = self._new_attempt(self._resume_id())
             try:
                 return await self._attempt(attempt)
             except _LargerModel as larger:
@@ -237,9 +236,8 @@
     async def _resume(self, last_event_id: str) -> tuple[Attempt, bytes]:
         """Open the stream at another server after the last event that the caller has."""
         while True:
-            server = self._choose()
-            attempt = self._new_attempt(server, last_event_id)
-            self._server = server
+            attempt = self._new_attempt(last_event_id)
+            self._server = attempt.server
             self._progress.sends += 1
             try:
                 head = await attempt.send()
@@ -257,7 +255,8 @@
     def _resume_id(self) -> str:
         return self._request.last_event_id if self._request.route.resumable else ""
 
-    def _choose(self) -> KnownServer:
+    def _choose(self) -> tuple[KnownServer, float]:
+        """Return the server that fits best, and its expected time to read the prompt."""
         request, context, now_s = self._request, self._context, self._loop.time()
         servers = context.candidates(request.service, request.session, now_s)
         willing = [server for server in servers if server.row.server_id not in self._refused_by]
@@ -274,7 +273,7 @@
         server = next(item for item in usable if item.row.server_id == chosen.server_id)
         self._tried.add(chosen.server_id)
         context.sessions.note(request.service, request.session, now_s)
-        return server
+        return server, chosen.own_s
 
     def _own_s(self, server: KnownServer, model: str) -> float:
         """Return the expected time for a server to read the prompt with a model."""
@@ -282,14 +281,15 @@
             return 0.0
         return self._context.times.expected_s(model, unread_tokens(self._request, server, model))
 
-    def _new_attempt(self, server: KnownServer, last_event_id: str) -> Attempt:
+    def _new_attempt(self, last_event_id: str) -> Attempt:
+        server, own_s = self._choose()
         return Attempt(
             self._request,
             server,
             self._progress.model,
             last_event_id,
             self._context.names,
-            self._own_s(server, self._progress.model),
+            own_s,
         )
 
     def _note_answer(self, attempt: Attempt) -> None:
--- a/src/baobabstream/platform/announcement_format.py
+++ b/src/baobabstream/platform/announcement_format.py
@@ -2,11 +2,12 @@
 
 from ipaddress import AddressValueError, IPv4Address
 
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.json import Decoder
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.platform.decoding import decode
 from baobabstream.wire.coordination_messages import ServerRow, ServerState
 
 __all__ = ["read_announcement", "read_departure"]
@@ -46,10 +47,7 @@
     RequestRefused
         ``ANNOUNCEMENT_INVALID`` if it cannot be read or names no server that could be used.
     """
-    try:
-        beat = _heartbeats.decode(body)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
-        raise RequestRefused(ResultCode.ANNOUNCEMENT_INVALID, str(error)) from error
+    beat = decode(_heartbeats, body, ResultCode.ANNOUNCEMENT_INVALID)
     state = _STATES.get(beat.state)
     if state is None:
         raise RequestRefused(ResultCode.ANNOUNCEMENT_INVALID, f"unknown state {beat.state!r}")
@@ -71,8 +69,8 @@
 def read_departure(body: bytes) -> int | None:
     """Return the start of the server that leaves, if its message names one."""
     try:
-        return _departures.decode(body).born if body else None
-    except (DecodeError, ValidationError, UnicodeDecodeError):
+        return decode(_departures, body, ResultCode.ANNOUNCEMENT_INVALID).born if body else None
+    except RequestRefused:
         # The identity in the path is enough; the body adds nothing that must be known.
         return None
 
--- a/src/baobabstream/platform/config_format.py
+++ b/src/baobabstream/platform/config_format.py
@@ -1,10 +1,10 @@
 """Reads the operator's configuration text into a routing document."""
 
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import Struct, field
 from msgspec.json import Decoder
 
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.platform.decoding import decode
 from baobabstream.routing.document import (
     ClientAccount,
     EngineSpec,
@@ -108,10 +108,7 @@
         ``CHANGE_INVALID`` if it cannot be read in full, a field has another type, or its parts
         contradict each other.
     """
-    try:
-        config = _decoder.decode(text)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
-        raise RequestRefused(ResultCode.CHANGE_INVALID, str(error)) from error
+    config = decode(_decoder, text, ResultCode.CHANGE_INVALID)
     limits = config.limits
     document = RoutingDocument(
         config.version,
--- a/src/baobabstream/platform/names.py
+++ b/src/baobabstream/platform/names.py
@@ -29,10 +29,7 @@
     client_account="X-Tenant",
     session="Session",
     model="X-Model",
-    # Prompt tokens and the most output tokens, joined by a comma.
-    token_counts="X-Token-Count",
     prompt_parts="X-Prompt-Prefix",
-    output_estimate="X-Length-Hint",
     last_event_id="Last-Event-Id",
     expected_server="X-Expect-Replica",
     urgency="X-Request-Urgency",
--- a/src/baobabstream/platform/operator_api.py
+++ b/src/baobabstream/platform/operator_api.py
@@ -4,14 +4,15 @@
 from typing import Any
 
 from aiohttp import web
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.json import Decoder, encode
 
 from baobabstream.coordination.service import CoordinationService
 from baobabstream.errors.codes import CODE_TABLE, ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, RequestRefused
+from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.platform.announcement_format import read_announcement, read_departure
 from baobabstream.platform.config_format import read_document
+from baobabstream.platform.decoding import decode
 from baobabstream.platform.names import (
     CONFIG_GET_PATH,
     CONFIG_PUT_PATH,
@@ -82,10 +83,7 @@
         return web.Response(body=text, content_type="application/json")
 
     async def start_rollout(self, request: web.Request) -> web.Response:
-        try:
-            order = _rollouts.decode(await request.read())
-        except (DecodeError, ValidationError, UnicodeDecodeError) as error:
-            raise RequestRefused(ResultCode.CHANGE_INVALID, str(error)) from error
+        order = decode(_rollouts, await request.read(), ResultCode.CHANGE_INVALID)
         await self._service.start_rollout(order.service, order.target, order.duration_s)
         return _json({})
 
--- a/src/baobabstream/routing/held_sessions.py
+++ b/src/baobabstream/routing/held_sessions.py
@@ -5,21 +5,14 @@
 from functools import reduce
 from operator import xor
 
-from xxhash import xxh64_intdigest
-
-__all__ = ["HeldSessions", "session_hash"]
+__all__ = ["HeldSessions"]
 
 # Sessions of one rollout that are held; enough for some seconds of the busiest deployment.
 MAX_HELD = 100_000
 
 
-def session_hash(session: str) -> int:
-    """Return the number that stands for a session."""
-    return xxh64_intdigest(session.encode())
-
-
 class HeldSessions:
-    """Grow-only sets of session hashes by rollout.
+    """Grow-only sets of the stable hashes of sessions, by rollout.
 
     Notes
     -----
--- a/src/baobabstream/routing/session_versions.py
+++ b/src/baobabstream/routing/session_versions.py
@@ -2,13 +2,14 @@
 
 from collections import OrderedDict
 
-from baobabstream.routing.held_sessions import HeldSessions, session_hash
+from baobabstream.routing.hash_place import hash_place, stable_hash
+from baobabstream.routing.held_sessions import HeldSessions
 from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
 
 __all__ = ["SessionVersions", "rollout_name"]
 
+# Sessions of a service that are remembered; bounds the memory.
 MAX_SESSIONS = 50_000
-HASH_RANGE = 2**64
 
 
 def rollout_name(row: RolloutRow) -> str:
@@ -40,16 +41,16 @@
 
     def on_target(self, row: RolloutRow, session: str) -> bool:
         """Return whether a request of a session runs on the target of a rollout in progress."""
-        hashed = session_hash(session)
+        hashed = stable_hash(session)
         if not row.settled and self.held.holds(rollout_name(row), hashed):
             return False
-        place = session_hash(f"{rollout_name(row)}/{session}") / HASH_RANGE
+        place = hash_place(f"{rollout_name(row)}/{session}")
         return place < row.share
 
     def note(self, service: str, session: str, now_s: float) -> None:
         """Note a request of a session."""
         seen = self._seen.setdefault(service, OrderedDict())
-        hashed = session_hash(session)
+        hashed = stable_hash(session)
         seen[hashed] = now_s
         seen.move_to_end(hashed)
         if len(seen) > MAX_SESSIONS:
