Servers are chosen by what the age of the load reports still says

Cause: each gateway sent to the server with the least expected cost by reports that are up to a second old. With 195 gateways that send about one request each between two reports, all of them choose the few servers that the last report showed as idle.

Change: choose_server fills the servers to a common level of cost with the requests that other gateways have probably sent since their reports (basic load interpretation, Dahlin 2000) and draws by that share. The number of these requests follows from Little's law, so that a gateway with few callers of its own estimates it as well as others. With exact reports the cheapest server is chosen as before.

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -259,6 +259,7 @@
         """
         self.end_prompt_processing()
         self.server.in_flight -= 1
+        self.server.arrivals.record_end(asyncio.get_running_loop().time() - self.sent_s)
         if self._connection is not None:
             self.server.pool.release(self._connection)
             self._connection = None
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -267,7 +267,7 @@
         for row in context.directory.merge(reply.rows, now_s):
             self._log_server_change(row)
         context.directory.refresh(reply.refreshed, now_s)
-        context.directory.set_remote_work(reply.work)
+        context.directory.set_remote_work(reply.work, now_s)
         context.crash_tracker.add_quarantined(reply.quarantined)
         context.gateway_count = max(1, reply.gateways)
         context.session_versions.pinned_sessions.merge(reply.held_sessions)
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -414,9 +414,9 @@
         """Choose the server of the next attempt.
 
         Servers that refused the request or have no free connection are excluded. Servers that have
-        not been tried, and those that are not suspended, are preferred. Of the rest, the server
-        with the least expected time is chosen. The session counts as active at the service from now
-        on.
+        not been tried, and those that are not suspended, are preferred. Of the rest, one with a low
+        expected time is chosen; see `choose_server`. The session counts as active at the service
+        from now on.
 
         Returns
         -------
@@ -451,7 +451,8 @@
             server.load(now_s, zone, self._expected_prompt_s(server, self._progress.model))
             for server in usable_servers
         ]
-        chosen_load = choose_server(loads, context.random)
+        unseen_requests = context.directory.unseen_requests(usable_servers, now_s)
+        chosen_load = choose_server(loads, context.random, unseen_requests)
         chosen_server = next(
             server for server in usable_servers if server.row.server_id == chosen_load.server_id
         )
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -13,10 +13,11 @@
 """
 
 from collections import Counter, OrderedDict, defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.routing.announcements import AnnouncementTable
+from baobabstream.routing.arrival_estimator import ArrivalEstimator
 from baobabstream.routing.server_choice import ServerLoad
 from baobabstream.wire.coordination_messages import ServerRow, ServerState, ServerWork, VersionLoad
 
@@ -42,6 +43,10 @@
 # a server that runs models, holds a few hundred.
 MAX_CACHED_PROMPTS = 400
 
+# Mean age in seconds of the reports of other gateways when a coordination host sums them. Gateways
+# report twice a second.
+MEAN_REPORT_AGE_S = 0.25
+
 # Work of other gateways at a server for which none is reported: 0 requests, 0 ms for their prompts.
 NO_WORK = ServerWork(0, 0)
 
@@ -57,6 +62,8 @@
         Connections to the server.
     now_s
         Time in seconds at which it was first announced here.
+    arrivals
+        Estimate of the arrivals at the server's service, shared by its servers.
 
     Attributes
     ----------
@@ -76,9 +83,12 @@
         service are compared during a rollout, in which one version replaces another.
     """
 
-    def __init__(self, row: ServerRow, pool: ConnectionPool, now_s: float) -> None:
+    def __init__(
+        self, row: ServerRow, pool: ConnectionPool, now_s: float, arrivals: ArrivalEstimator
+    ) -> None:
         self.row = row
         self.pool = pool
+        self.arrivals = arrivals
         self.last_announced_s = now_s
         self.in_flight = 0
         self.queued_prompt_s = 0.0
@@ -210,6 +220,9 @@
         # By identity of the server, and by service and identity.
         self._servers: dict[str, KnownServer] = {}
         self._servers_by_service: dict[str, dict[str, KnownServer]] = defaultdict(dict)
+        self._arrivals: defaultdict[str, ArrivalEstimator] = defaultdict(ArrivalEstimator)
+        # Time in seconds at which the work of the other gateways was last received.
+        self._remote_work_received_s = 0.0
         # Earliest time from which the expiry of any server is counted, in seconds.
         self._expiry_starts_s = 0.0
 
@@ -260,11 +273,29 @@
             if server is not None:
                 server.last_announced_s = now_s
 
-    def set_remote_work(self, work: Mapping[str, ServerWork]) -> None:
-        """Replace the work that other gateways have at the servers, given by server identity."""
+    def set_remote_work(self, work: Mapping[str, ServerWork], now_s: float) -> None:
+        """Replace the work that other gateways have at the servers, given by server identity.
+
+        ``now_s`` is the time in seconds at which it was received.
+        """
+        self._remote_work_received_s = now_s
         for server in self._servers.values():
             server.remote_work = work.get(server.row.server_id, NO_WORK)
 
+    def unseen_requests(self, servers: Sequence[KnownServer], now_s: float) -> float:
+        """Return how many requests other gateways have probably sent since their last reports.
+
+        Parameters
+        ----------
+        servers
+            Servers of one service, at least one.
+        now_s
+            Time in seconds.
+        """
+        open_requests = sum(server.remote_work.in_flight for server in servers)
+        age_s = MEAN_REPORT_AGE_S + now_s - self._remote_work_received_s
+        return servers[0].arrivals.arrivals(open_requests, age_s)
+
     def version_loads(self) -> tuple[VersionLoad, ...]:
         """Return the number of servers and requests of each version of each service.
 
@@ -326,7 +357,7 @@
         if server is not None:
             self._remove(server)
         if row.state is not ServerState.GONE:
-            new_server = KnownServer(row, self._make_pool(row), now_s)
+            new_server = KnownServer(row, self._make_pool(row), now_s, self._arrivals[row.service])
             self._servers[row.server_id] = new_server
             self._servers_by_service[row.service][row.server_id] = new_server
 
--- a/src/baobabstream/routing/server_choice.py
+++ b/src/baobabstream/routing/server_choice.py
@@ -2,7 +2,8 @@
 
 A backend server is either an engine, which runs models and first has to process the prompt of a
 request, or a server of a plain service, which runs no models. Each entry host runs a gateway, which
-chooses servers by its own estimates.
+chooses servers by its own estimates. What it knows of the requests of other gateways comes from
+their reports, which are up to a second old.
 """
 
 from collections.abc import Sequence
@@ -66,20 +67,76 @@
     load
         Estimated load of the server.
     """
-    work_s = (1 + load.in_flight) * RUNNING_REQUEST_COST_S + load.queued_prompt_s + load.prompt_s
-    cost_s = work_s * load.slowdown * (1.0 + FAILURE_RATE_WEIGHT * load.failure_rate)
+    work_s = _added_work_s(load) + load.in_flight * RUNNING_REQUEST_COST_S + load.queued_prompt_s
+    cost_s = work_s * _penalty_factor(load)
     return cost_s if load.is_same_zone else cost_s + CROSS_ZONE_COST_S
 
 
-def choose_server(loads: Sequence[ServerLoad], random: Random) -> ServerLoad:
-    """Return the load of the server with the least expected cost.
+def choose_server(
+    loads: Sequence[ServerLoad], random: Random, unseen_requests: float = 0.0
+) -> ServerLoad:
+    """Return the load of the server that a request is sent to.
 
     Parameters
     ----------
     loads
         Loads of the candidate servers, at least one.
     random
-        Source of random numbers that decides between servers of equal cost, so that gateways with
+        Source of random numbers. It decides between servers of equal cost, so that gateways with
         equal estimates do not all choose the same server.
+    unseen_requests
+        Expected number of requests that other gateways have sent to these servers since the
+        reports that the loads are based on; 0 if the loads are exact.
+
+    Notes
+    -----
+    Without unseen requests the server with the least expected cost is chosen. Otherwise that server
+    would get all requests of all gateways until the next report. Instead, each server is chosen
+    with the probability that spreads the unseen requests so that they fill up the cheapest servers
+    to a common level of cost.
+
+    References
+    ----------
+    .. [1] M. Dahlin, "Interpreting stale load information", IEEE Transactions on Parallel and
+       Distributed Systems 11(10), 2000, section 3.1 (basic load interpretation).
     """
-    return min(loads, key=lambda load: (expected_cost_s(load), random.random()))
+    costs_s = [expected_cost_s(load) for load in loads]
+    if unseen_requests > 0 and len(loads) > 1:
+        weights = _fill_to_common_level(loads, costs_s, unseen_requests)
+        return random.choices(loads, weights)[0]
+    return min(zip(costs_s, loads, strict=True), key=lambda item: (item[0], random.random()))[1]
+
+
+def _fill_to_common_level(
+    loads: Sequence[ServerLoad], costs_s: Sequence[float], request_count: float
+) -> list[float]:
+    """Return for each server how many of some requests raise it to the common level of cost.
+
+    The numbers add up to ``request_count``, which must be positive. Servers whose cost is above the
+    level get none.
+    """
+    # Seconds by which one more request like this one raises the cost of each server.
+    increments_s = [_added_work_s(load) * _penalty_factor(load) for load in loads]
+    # Sums over the servers below the level: requests for each second, and requests that they would
+    # need to rise from 0 to their present cost.
+    requests_per_s = requests_to_cost = level_s = 0.0
+    for cost_s, increment_s in sorted(zip(costs_s, increments_s, strict=True)):
+        if requests_per_s > 0 and cost_s >= level_s:
+            break
+        requests_per_s += 1 / increment_s
+        requests_to_cost += cost_s / increment_s
+        level_s = (request_count + requests_to_cost) / requests_per_s
+    return [
+        max(0.0, level_s - cost_s) / increment_s
+        for cost_s, increment_s in zip(costs_s, increments_s, strict=True)
+    ]
+
+
+def _added_work_s(load: ServerLoad) -> float:
+    """Return the expected seconds of work that this request adds at a server."""
+    return RUNNING_REQUEST_COST_S + load.prompt_s
+
+
+def _penalty_factor(load: ServerLoad) -> float:
+    """Return the factor on the expected seconds of a server for its slowdown and its failures."""
+    return load.slowdown * (1.0 + FAILURE_RATE_WEIGHT * load.failure_rate)
