A second copy of an answer no longer reaches the next caller of the chat front

Cause: the clients of plain services and of the rating service took the next bytes on a pooled connection as the answer to the next call, and the engine client looked at the status before the identity. A server that sends a second copy late, while the connection is in use again, so gave its caller the answer to another call, rated another answer, or made a running request count as refused without a run.

Ruled out: the gateway's HttpConnection, which skips answers with another identity (test_http_connection).

Change: an answer that names another call is an error; servers whose answers name no call get each call on a new connection, as does the rating service; the engine client checks the identity first.

--- a/src/baobabstream/backends/engine_client.py
+++ b/src/baobabstream/backends/engine_client.py
@@ -256,17 +256,21 @@
 def _check_head(request: EngineRequest, response: ClientResponse) -> None:
     """Raise AttemptError unless status and headers are those of an answer to the request.
 
-    The answer must have status 200 and repeat the identity of the attempt. If it names the number
+    The answer must have status 200 and repeat the identity of the attempt. A refusal that names
+    another attempt says nothing about whether this one has run. If the answer names the number
     of tokens after which it was resumed, this must be the requested one. Of ``Retry-After``, only
     the form in whole seconds is used.
     """
+    answered_id = response.headers.get("X-Request-Id")
+    if answered_id is not None and answered_id != request.identity:
+        raise AttemptError(FailureKind.ERROR, "the answer belongs to another request")
     if response.status != 200:
         kind = FailureKind.REFUSED if response.status in _REFUSED_STATUSES else FailureKind.ERROR
         retry_after = response.headers.get("Retry-After", "")
         retry_after_s = float(retry_after) if retry_after.isdecimal() else None
         raise AttemptError(kind, f"status {response.status}", retry_after_s)
-    if response.headers.get("X-Request-Id") != request.identity:
-        raise AttemptError(FailureKind.ERROR, "the answer belongs to another request")
+    if answered_id is None:
+        raise AttemptError(FailureKind.ERROR, "the answer names no request")
     resumed_at_token = response.headers.get("X-Resume-Tokens", str(request.resume_tokens))
     if resumed_at_token != str(request.resume_tokens):
         raise AttemptError(FailureKind.ERROR, "the engine resumed at another token")
--- a/src/baobabstream/backends/service_client.py
+++ b/src/baobabstream/backends/service_client.py
@@ -13,6 +13,7 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientResponse,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
@@ -24,6 +25,9 @@
 
 __all__ = ["ServiceAnswer", "ServiceCall", "ServiceClient"]
 
+# Header with the identity of a call, which its answer repeats.
+REQUEST_ID_HEADER = "X-Request-Id"
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
@@ -72,6 +76,10 @@
     Calls that may run at most once always use a new connection. The peer may already have closed a
     pooled one, and then it would be unknown whether the call ran. The retries of aiohttp for
     idempotent methods are disabled, since a route may declare GET or PUT as not idempotent.
+
+    An answer should repeat the identity of its call, so that a second copy of an earlier answer on
+    the same connection is not taken for it. Servers whose answers name no identity get each call on
+    a new connection.
     """
 
     def __init__(self, connect_timeout_s: float, idle_connection_s: float) -> None:
@@ -87,6 +95,8 @@
         )
         for session in (self._pooled_session, self._unpooled_session):
             session._retry_connection = False  # private attribute of aiohttp
+        # Base addresses of servers whose answers don't repeat the identity of the call.
+        self._urls_without_identity: set[str] = set()
 
     async def call(self, url: str, call: ServiceCall, *, at_most_once: bool) -> ServiceAnswer:
         """Send a call and return its complete answer.
@@ -105,9 +115,11 @@
         AttemptError
             If the answer is missing or incomplete; ``maybe_sent`` is False only if no connection
             was opened, so that the call has certainly not run. The kind is ``CONNECT`` then,
-            ``STALLED`` after the time limit of the call, and ``LOST`` after any other failure.
+            ``STALLED`` after the time limit of the call, ``ERROR`` if the answer belongs to another
+            call, and ``LOST`` after any other failure.
         """
-        session = self._unpooled_session if at_most_once else self._pooled_session
+        is_pooled = not at_most_once and url not in self._urls_without_identity
+        session = self._pooled_session if is_pooled else self._unpooled_session
         timeout = ClientTimeout(total=call.timeout_s, sock_connect=self._connect_timeout_s)
         try:
             async with session.request(
@@ -118,6 +130,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
+                self._check_identity(url, call, response)
                 body = await response.read()
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise AttemptError(FailureKind.CONNECT, maybe_sent=False) from error
@@ -128,6 +141,18 @@
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceAnswer(response.status, content_type, body)
 
+    def _check_identity(self, url: str, call: ServiceCall, response: ClientResponse) -> None:
+        """Raise AttemptError if an answer names another call than the one that was sent.
+
+        ``url`` is the base address of the server, which is remembered if the answer names no call.
+        """
+        answered_id = response.headers.get(REQUEST_ID_HEADER)
+        if answered_id is None:
+            self._urls_without_identity.add(url)
+        elif answered_id != call.headers.get(REQUEST_ID_HEADER):
+            response.close()
+            raise AttemptError(FailureKind.ERROR, "the answer belongs to another call")
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pooled_session.close()
--- a/tests/backends/test_clients.py
+++ b/tests/backends/test_clients.py
@@ -1,17 +1,24 @@
 """Tests of the clients for model engines and the rating service."""
 
 import asyncio
+import json
 from contextlib import AsyncExitStack
 
 import pytest
 from aiohttp import web
 
+from backends.raw_server import encode_answer, raw_server, read_request
+from baobabstream.backends.attempt_error import AttemptError
 from baobabstream.backends.engine_client import EngineClient, EngineRequest, EngineTimeouts
 from baobabstream.backends.event_scanner import StreamPart
 from baobabstream.backends.rating_client import RatingClient, RatingQuestion
 from baobabstream.entry.load_meter import JOINED_BLOCK_GAP_S, LoadMeter
+from baobabstream.policy.events import FailureKind
 from entry_harness import FakeServer, start_app, start_server
 
+# Header line of a JSON body.
+JSON_TYPE = "Content-Type: application/json\r\n"
+
 
 async def count_streamed_tokens(client: EngineClient, url: str) -> int:
     """Stream one answer from the engine at ``url`` and return its number of tokens."""
@@ -59,6 +66,41 @@
         assert await client.rate(RatingQuestion("r", "small", "1", [], "text")) is expected
 
 
+async def test_refusal_of_another_request_is_not_taken_for_this_one() -> None:
+    """Guards against a late copy of a refusal that says that a running request has not run."""
+
+    async def script(reader, writer):
+        await read_request(reader)
+        writer.write(encode_answer("other.1", status=503))
+        await asyncio.sleep(1)
+
+    async with raw_server(script) as address, AsyncExitStack() as stack:
+        client = EngineClient(EngineTimeouts())
+        stack.push_async_callback(client.close)
+        with pytest.raises(AttemptError) as raised:
+            await count_streamed_tokens(client, f"http://{address}")
+        assert raised.value.kind is FailureKind.ERROR
+
+
+async def test_second_copy_of_a_rating_does_not_rate_the_next_answer() -> None:
+    """Guards against a late copy of a rating that counts for another answer."""
+
+    async def script(reader, writer):
+        copy = b""
+        while True:
+            _, _, body = await read_request(reader)
+            is_good = b"right" in body
+            rating = encode_answer("", json.dumps({"good": is_good}).encode(), extra=JSON_TYPE)
+            writer.write(copy + rating)
+            copy = rating
+
+    async with raw_server(script) as address, AsyncExitStack() as stack:
+        client = RatingClient(f"http://{address}", 1.0)
+        stack.push_async_callback(client.close)
+        for text, expected in (("right", True), ("wrong", False)):
+            assert await client.rate(RatingQuestion("r", "small", "1", [], text)) is expected
+
+
 async def test_tokens_are_joined_into_blocks_only_while_the_core_is_busy() -> None:
     """Guards against single-token blocks on a busy core, and against delayed tokens on an idle one.
 
