Bytes without end from a server end its connection

Cause: the client connection of the gateway bounded only the headers that had come complete. A server that sends a reason, a header, interim answers, answers to other requests, a chunk extension or trailers without end kept its request until the deadline, and a single long header filled the memory of the gateway.

Change: bytes that are no body of the expected answer are counted, less an allowance for the framing of each part; beyond 256 KiB the connection is closed and the attempt has failed. Bytes on an idle connection close it at once.

--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -23,6 +23,12 @@
 MAX_READ_AHEAD_BYTES = 256 * 1024
 # Limit on the names and values of the headers of one answer.
 MAX_HEAD_BYTES = 64 * 1024
+# Limit on the received bytes that are no body of the expected answer: its head and trailers, the
+# framing of chunks beyond the allowance for each part of the body, and skipped answers. A faulty
+# server may send such bytes until the connection is closed.
+MAX_OVERHEAD_BYTES = 256 * 1024
+# Framing that each part of a body may have; a chunk usually has less than 10 bytes of it.
+FRAMING_ALLOWANCE_BYTES = 64
 # TCP timeouts that detect a peer that vanished without a reset. The first applies to data that is
 # not acknowledged, the others to keep-alive probes on a connection without traffic: the time before
 # the first probe, the time between two, and the number of unanswered ones that ends the connection.
@@ -124,6 +130,8 @@
         self._received_headers: list[tuple[str, str]] = []
         # Size of the headers received so far.
         self._head_bytes = 0
+        # Bytes received since the request that are no body of its answer.
+        self._overhead_bytes = 0
         # Body bytes that ``read_part`` has not returned, and their number.
         self._body_parts: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -175,6 +183,7 @@
         self._is_answer_pending = True
         self._answer_head = None
         self._head_bytes = 0
+        self._overhead_bytes = 0
         self._is_answer_complete = False
         self._body_ends_at_close = False
         # Unread body bytes belong to the answer to the previous request.
@@ -238,18 +247,20 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading if too many of them wait for ``read_part``.
 
-        Bytes that are not valid HTTP end the connection.
+        Bytes that are not valid HTTP end the connection, and so do too many that are no part of the
+        expected answer.
         """
         if not self._is_answer_pending:
             # This includes a second answer that directly follows the first.
-            self._is_reuse_forbidden = True
+            self.close()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
-            self._mark_ended(f"not an answer: {error}")
-            if self._transport is not None:
-                self._transport.abort()
+            self._end_invalid(f"not an answer: {error}")
+        if self._is_answer_pending and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._end_invalid("too many bytes that are no part of the answer")
         if self._buffered_bytes > MAX_READ_AHEAD_BYTES and self._transport is not None:
             self._transport.pause_reading()
         self._wake_reader()
@@ -292,7 +303,7 @@
         """Store a header, up to the limit on the size of all headers."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self._mark_ended("the head of the answer is too large")
+            self._end_invalid("the head of the answer is too large")
             return
         self._received_headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
@@ -321,6 +332,9 @@
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body."""
         if not self._is_skipping_answer:
+            self._overhead_bytes = max(
+                0, self._overhead_bytes - len(data) - FRAMING_ALLOWANCE_BYTES
+            )
             self._body_parts.append(data)
             self._buffered_bytes += len(data)
 
@@ -347,6 +361,12 @@
         if timeout.isdigit():
             self.reusable_until_s = self._loop.time() + int(timeout)
 
+    def _end_invalid(self, reason: str) -> None:
+        """End the connection because of the bytes that the server sent on it."""
+        self._mark_ended(reason)
+        if self._transport is not None:
+            self._transport.abort()
+
     def _mark_ended(self, reason: str) -> None:
         """Record that no more valid bytes will arrive; the first reason is kept."""
         if not self._has_ended:
--- a/src/baobabstream/backends/rating_client.py
+++ b/src/baobabstream/backends/rating_client.py
@@ -52,8 +52,8 @@
 
     def __init__(self, url: str, timeout_s: float) -> None:
         self._url = f"{url.rstrip('/')}/v1/ratings"
-        # ``force_close`` uses a new connection for each rating. A reply names no request, so a second
-        # copy of one on a pooled connection would be taken for the rating of another answer.
+        # ``force_close`` uses a new connection for each rating. A reply names no request, so on a
+        # pooled connection a second copy of one would be taken for the rating of another answer.
         self._session = ClientSession(
             connector=TCPConnector(limit=MAX_CONNECTIONS, force_close=True),
             timeout=ClientTimeout(total=timeout_s),
