Servers that leave or ask for a pause get no more requests

Cause: a server may say in any answer that it leaves, and may name with a 503 the time for which it wants no requests of this gateway. Neither was read: the gateway went on sending until the announcement came, or with the next retry.

Change: such a server is no candidate any more on this gateway, for all paths (first sends, retries, escalations, resumed streams, sessions). One that leaves is reported to the coordination hosts, which announce it as draining to all gateways. A pause is excluded also from the expected times by which models are chosen; if all servers of a request have asked for one, the request is refused at once with the time that is left.

--- a/src/baobabstream/coordination/announcement_feed.py
+++ b/src/baobabstream/coordination/announcement_feed.py
@@ -87,6 +87,23 @@
         self._announced_positions[row.server_id] = self.position
         return self._record_changes(changed_rows)
 
+    def mark_draining(self, server_id: str, born_ms: int) -> bool:
+        """Mark a server as draining because one of its answers said that it leaves.
+
+        Parameters
+        ----------
+        server_id
+            Identity of the server.
+        born_ms
+            Start time in milliseconds of the incarnation that leaves.
+
+        Returns
+        -------
+        bool
+            Whether the server was ready and is now draining.
+        """
+        return self._record_changes(self.table.mark_draining(server_id, born_ms))
+
     def withdraw(self, server_id: str, born_ms: int | None) -> bool:
         """Mark a server as gone.
 
--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -108,6 +108,8 @@
         """
         loop = asyncio.get_running_loop()
         self.evidence.record_counters(request.host, request.incarnation, request.evidence)
+        for server in request.leaving:
+            self._feed.mark_draining(server.server_id, server.born_ms)
         digests_before = self.pinned_sessions.digests()
         self.pinned_sessions.merge(request.held_sessions)
         # ``record_report`` returns whether the set of quarantined requests has changed.
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -16,6 +16,7 @@
 
 import asyncio
 
+from baobabstream.backends.http_connection import AnswerHead
 from baobabstream.errors.codes import RunState
 from baobabstream.gateway.attempt import MISDIRECTED_STATUS, Attempt, AttemptFailed
 from baobabstream.gateway.gateway_context import GatewayContext
@@ -24,9 +25,18 @@
 from baobabstream.routing.document import RouteKind
 from baobabstream.telemetry.decision_log import DecisionEvent
 from baobabstream.telemetry.statistics import StatisticName
+from baobabstream.wire.coordination_messages import ServerState
 
 __all__ = ["AttemptRecorder"]
 
+# Value of the header by which a server says that it is leaving.
+LEAVING_VALUE = "1"
+# HTTP status (Service Unavailable) with which a server refuses requests for a while.
+UNAVAILABLE_STATUS = 503
+# Longest pause that a server may ask for. A longer one is more likely an error of the server, which
+# would take it out for good.
+MAX_PAUSE_S = 300.0
+
 # A response that takes more than this many times the expected time counts as bad for its server's
 # version. Responses of a healthy server vary at random up to two to three times the expected time.
 BAD_RESPONSE_SLOWDOWN = 4.0
@@ -141,6 +151,37 @@
             self._check_crash(server)
         self._log_failure(attempt, failure, send_count, now_s)
 
+    def record_notices(self, server: KnownServer, head: AnswerHead) -> None:
+        """Record what the head of a response says about the server beside the response itself.
+
+        A server that is leaving gets no more requests, and one that has refused a request and names
+        a time gets none until then. A response from another server at the address says nothing
+        about this one.
+        """
+        if head.status == MISDIRECTED_STATUS:
+            return
+        header_names, now_s = self._context.header_names, self._loop.time()
+        if head.get(header_names.server_leaving) == LEAVING_VALUE and not server.is_leaving:
+            server.is_leaving = True
+            self._context.decisions.record(
+                DecisionEvent.SERVER_CHANGED,
+                server=server.row.server_id,
+                service=server.row.service,
+                address=server.row.address,
+                state=ServerState.DRAINING,
+                version=server.row.version,
+                reason="a response said that the server is leaving",
+            )
+        pause_s = _parse_pause_s(head.get(header_names.retry_after))
+        if head.status == UNAVAILABLE_STATUS and pause_s > 0:
+            server.refuses_until_s = max(server.refuses_until_s, now_s + pause_s)
+            self._context.decisions.record(
+                DecisionEvent.SERVER_SUSPECTED,
+                server=server.row.server_id,
+                reason="the server asked for a pause",
+                hold_ms=int(pause_s * 1000),
+            )
+
     def _suspend(self, server: KnownServer, reason: str, now_s: float) -> None:
         """Prefer other servers to a server for a while, and log the reason.
 
@@ -205,3 +246,16 @@
         task = asyncio.create_task(suspend_if_crashed())
         context.background_tasks.add(task)
         task.add_done_callback(context.background_tasks.discard)
+
+
+def _parse_pause_s(retry_after: str | None) -> float:
+    """Return the seconds in a ``Retry-After`` header, at most ``MAX_PAUSE_S``.
+
+    The result is 0 without the header, or if it is no positive number. The form with a date is not
+    used between servers and gateways.
+    """
+    try:
+        seconds = float(retry_after or 0.0)
+    except ValueError:
+        return 0.0
+    return min(seconds, MAX_PAUSE_S) if seconds > 0 else 0.0
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -234,6 +234,7 @@
                 if server.in_flight
             },
             versions=context.directory.version_loads(),
+            leaving=context.directory.leaving_servers(),
             session_digests=context.session_versions.pinned_sessions.digests(),
             held_sessions=context.session_versions.pinned_sessions.differing_sets(known_digests),
         )
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -124,7 +124,30 @@
         return int(age_s * 1000) if age_s != float("inf") else None
 
     def candidates(self, service: str, session: str, now_s: float) -> list[KnownServer]:
-        """Return the servers that may run a request of a session.
+        """Return the servers that may run a request of a session and take requests now.
+
+        These are the ones of `servers_of_session` that have not asked for a pause.
+        """
+        return [
+            server
+            for server in self.servers_of_session(service, session, now_s)
+            if server.refuses_until_s <= now_s
+        ]
+
+    def pause_left_s(self, service: str, session: str, now_s: float) -> float | None:
+        """Return the seconds until a server that has asked for a pause takes requests again.
+
+        It is that of the first one that may run a request of the session, or None if none of them
+        has asked for a pause. The parameters are those of `candidates`.
+        """
+        pauses_s = (
+            server.refuses_until_s - now_s
+            for server in self.servers_of_session(service, session, now_s)
+        )
+        return min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
+
+    def servers_of_session(self, service: str, session: str, now_s: float) -> list[KnownServer]:
+        """Return the servers whose version may run a request of a session.
 
         Parameters
         ----------
--- a/src/baobabstream/gateway/header_names.py
+++ b/src/baobabstream/gateway/header_names.py
@@ -41,6 +41,10 @@
         that has run or to one that has not.
     server_signature
         Header that only a backend server's own responses carry, not those of a proxy on the way.
+    server_leaving
+        Set to ``1`` on all responses of a server that is about to leave.
+    retry_after
+        Seconds for which a server that refuses a request wants no further ones from this gateway.
     confidence
         Confidence that a model states in its answer, 0 to 100.
     owned_by_system
@@ -59,5 +63,7 @@
     urgency: str
     not_run: str
     server_signature: str
+    server_leaving: str
+    retry_after: str
     confidence: str
     owned_by_system: frozenset[str]
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -183,13 +183,30 @@
         if self._request.route.kind is RouteKind.STREAM:
             return await self._run_stream_attempt(attempt)
         async with self._hang_timeout(attempt):
-            head = await attempt.send()
+            head = await self._send(attempt)
             body = await attempt.read_whole()
         self._record_response(attempt)
         self._outcome = "served"
         response = web.Response(body=body, status=head.status, headers=_forwarded_headers(head))
         return self._respond(response)
 
+    async def _send(self, attempt: Attempt) -> AnswerHead:
+        """Send an attempt, record what the response says about the server, and return its head.
+
+        Raises
+        ------
+        AttemptFailed
+            As `Attempt.send`.
+        """
+        try:
+            head = await attempt.send()
+        except AttemptFailed as failure:
+            if failure.head is not None:
+                self._recorder.record_notices(attempt.server, failure.head)
+            raise
+        self._recorder.record_notices(attempt.server, head)
+        return head
+
     async def _run_stream_attempt(self, attempt: Attempt) -> web.StreamResponse:
         """Send a request for a stream, and relay its events to the caller until the end.
 
@@ -197,7 +214,7 @@
         server or model can still be tried without the caller noticing.
         """
         async with self._hang_timeout(attempt):
-            head = await attempt.send()
+            head = await self._send(attempt)
         # Any status but a success has an ordinary body instead of a stream, and is forwarded whole.
         if head.status >= 300:
             body = await attempt.read_whole()
@@ -390,7 +407,7 @@
             self._server = attempt.server
             self._progress.send_count += 1
             try:
-                head = await attempt.send()
+                head = await self._send(attempt)
                 # Any status but a success has no stream that could continue the previous one.
                 if head.status >= 300:
                     raise AttemptFailed(RunState.YES, f"status {head.status} on a resume", head)
@@ -413,10 +430,10 @@
     def _choose_server(self) -> tuple[KnownServer, float]:
         """Choose the server of the next attempt.
 
-        Servers that refused the request or have no free connection are excluded. Servers that have
-        not been tried, and those that are not suspended, are preferred. Of the rest, one with a low
-        expected time is chosen; see `choose_server`. The session counts as active at the service
-        from now on.
+        Servers that have asked for a pause, refused the request or have no free connection are
+        excluded. Servers that have not been tried, and those that are not suspended, are preferred.
+        Of the rest, one with a low expected time is chosen; see `choose_server`. The session counts
+        as active at the service from now on.
 
         Returns
         -------
@@ -445,7 +462,10 @@
             server for server in connectable_servers if server.suspended_until_s <= now_s
         ] or connectable_servers
         if not usable_servers:
-            raise RequestRefused(ResultCode.NO_BACKEND_SERVER)
+            raise RequestRefused(
+                ResultCode.NO_BACKEND_SERVER,
+                retry_after_s=context.pause_left_s(request.service, request.session, now_s),
+            )
         zone = context.settings.availability_zone
         loads = [
             server.load(now_s, zone, self._expected_prompt_s(server, self._progress.model))
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -19,7 +19,13 @@
 from baobabstream.routing.announcements import AnnouncementTable
 from baobabstream.routing.arrival_estimator import ArrivalEstimator
 from baobabstream.routing.server_choice import ServerLoad
-from baobabstream.wire.coordination_messages import ServerRow, ServerState, ServerWork, VersionLoad
+from baobabstream.wire.coordination_messages import (
+    LeavingServer,
+    ServerRow,
+    ServerState,
+    ServerWork,
+    VersionLoad,
+)
 
 __all__ = ["KnownServer", "ServerDirectory"]
 
@@ -76,6 +82,10 @@
     remote_work
         Number of requests of all other gateways at the server (``in_flight``), and the expected
         milliseconds to process the prompts that wait there (``pending_ms``).
+    is_leaving
+        Whether an answer of the server has said that it is about to leave.
+    refuses_until_s
+        Time in seconds up to which the server has asked for no requests.
     suspended_until_s
         Time in seconds before which requests go to other servers if possible.
     good_responses, bad_responses
@@ -93,6 +103,8 @@
         self.in_flight = 0
         self.queued_prompt_s = 0.0
         self.remote_work = NO_WORK
+        self.is_leaving = False
+        self.refuses_until_s = 0.0
         self.suspended_until_s = 0.0
         self.good_responses = 0
         self.bad_responses = 0
@@ -314,6 +326,17 @@
             for service_version in server_counts
         )
 
+    def leaving_servers(self) -> tuple[LeavingServer, ...]:
+        """Return the servers that have said in an answer that they leave, to be reported.
+
+        Those whose announcements show it already are left out.
+        """
+        return tuple(
+            LeavingServer(server.row.server_id, server.row.born_ms)
+            for server in self._servers.values()
+            if server.is_leaving and server.row.state is ServerState.READY
+        )
+
     def restart_expiry(self, now_s: float) -> None:
         """Restart the expiry of all servers after a time without any coordination host.
 
@@ -328,12 +351,14 @@
     def ready_servers(self, service: str, now_s: float) -> list[KnownServer]:
         """Return the servers of a service that take new requests.
 
-        Servers that have missed too many announcements are left out.
+        Servers that are leaving or have missed too many announcements are left out.
         """
         return [
             server
             for server in self._servers_by_service.get(service, {}).values()
-            if server.row.state is ServerState.READY and not self._is_expired(server, now_s)
+            if server.row.state is ServerState.READY
+            and not server.is_leaving
+            and not self._is_expired(server, now_s)
         ]
 
     def _is_expired(self, server: KnownServer, now_s: float) -> bool:
--- a/src/baobabstream/platform/names.py
+++ b/src/baobabstream/platform/names.py
@@ -52,6 +52,10 @@
     not_run="X-Not-Executed",
     # Signature that only a backend server sets, on its own responses.
     server_signature="X-Replica-Stamp",
+    # Set to 1 on all responses of a server that leaves.
+    server_leaving="Server-Leaving",
+    # Seconds, also fractions of one, for which a server wants no requests from this gateway.
+    retry_after="Retry-After",
     # Confidence that a model states in its answer, 0 to 100.
     confidence="X-Confidence",
     # Lower-case names of further headers that callers may not set; the gateway drops them.
--- a/src/baobabstream/routing/announcements.py
+++ b/src/baobabstream/routing/announcements.py
@@ -76,6 +76,27 @@
         self._store(row)
         return (*withdrawn_rows, row)
 
+    def mark_draining(self, server_id: str, born_ms: int) -> tuple[ServerRow, ...]:
+        """Mark a ready server as draining and return its changed row, or nothing if it is not ready.
+
+        Parameters
+        ----------
+        server_id
+            Identity of the server.
+        born_ms
+            Start time in milliseconds of the process that is leaving; another process is ignored.
+        """
+        known_row = self._rows.get(server_id)
+        if (
+            known_row is None
+            or known_row.born_ms != born_ms
+            or known_row.state is not ServerState.READY
+        ):
+            return ()
+        draining_row = replace(known_row, state=ServerState.DRAINING)
+        self._store(draining_row)
+        return (draining_row,)
+
     def withdraw(self, server_id: str, born_ms: int | None = None) -> tuple[ServerRow, ...]:
         """Mark a server as gone and return its changed row, or nothing if it was not present.
 
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -17,6 +17,7 @@
     "DocumentReply",
     "ExchangeReply",
     "ExchangeRequest",
+    "LeavingServer",
     "RolloutOrder",
     "RolloutQuery",
     "RolloutReply",
@@ -111,6 +112,13 @@
     pending_ms: int
 
 
+class LeavingServer(Struct, frozen=True, array_like=True):
+    """Incarnation of a backend server that has said in an answer that it is about to leave."""
+
+    server_id: str
+    born_ms: int
+
+
 class VersionLoad(Struct, frozen=True, array_like=True):
     """Number of a version's servers that a gateway knows, and of the gateway's requests at them.
 
@@ -135,6 +143,7 @@
     responses, by which the versions of a rollout are compared. ``crash_suspects`` name requests
     that were running at a server when it crashed, as ``fingerprint:server incarnation``; a
     fingerprint is a hash of the request's content. ``work`` is the gateway's load by server id.
+    ``leaving`` are servers that have said so in an answer and whose row does not show it yet.
     ``versions`` are the servers that the gateway knows and its open requests, by version.
     ``held_sessions`` are the pinned sessions, which stay on the base version: by rollout key, the
     hashes of the sessions.
@@ -154,6 +163,7 @@
     crash_suspects: tuple[str, ...] = ()
     work: dict[str, ServerWork] = {}
     versions: tuple[VersionLoad, ...] = ()
+    leaving: tuple[LeavingServer, ...] = ()
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
 
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -101,6 +101,10 @@
         Whether it refuses requests without running them, from the start or after a lost answer.
     unanswered_left
         Number of requests that it will still run without any answer, on an open connection.
+    pause_s
+        Seconds for which it asks for no requests when it refuses one, or 0.
+    is_leaving
+        Whether its answers say that it is leaving.
     answer_delay_s
         Time in seconds until it answers.
     event_gap_s
@@ -122,6 +126,8 @@
         Number of connections that were closed or broke off.
     address
         IP:PORT at which it listens.
+    born_ms
+        Start time that it announces, in milliseconds.
     """
 
     server_id: str
@@ -134,6 +140,8 @@
     refuses: bool = False
     refuses_after_loss: bool = False
     unanswered_left: int = 0
+    pause_s: float = 0.0
+    is_leaving: bool = False
     answer_delay_s: float = 0.0
     event_gap_s: float = 0.0
     confidence: dict[str, str] = field(default_factory=dict)
@@ -143,6 +151,7 @@
     received_headers: list[dict[str, str]] = field(default_factory=list)
     ended_connection_count: int = 0
     address: str = ""
+    born_ms: int = 1
     _sequence: int = 0
 
     async def start(self) -> None:
@@ -162,7 +171,7 @@
             "slots": 8,
             "state": self.state,
             "seq": self._sequence,
-            "born": 1,
+            "born": self.born_ms,
         }
 
     def close(self) -> None:
@@ -190,8 +199,11 @@
         if headers.get("x-expect-replica") != self.server_id:
             writer.write(encode_answer(request_id, status=421))
             return
+        notices = "Server-Leaving: 1\r\n" if self.is_leaving else ""
         if self.refuses:
-            writer.write(encode_answer(request_id, status=503, extra="X-Not-Executed: 1\r\n"))
+            pause = f"Retry-After: {self.pause_s}\r\n" if self.pause_s else ""
+            extra = f"X-Not-Executed: 1\r\n{pause}{notices}"
+            writer.write(encode_answer(request_id, status=503, extra=extra))
             return
         self.run_counts[request_id] += 1
         self.models.append(headers.get("x-model", ""))
@@ -206,7 +218,8 @@
         if "/chat/" in request_line:
             await self._write_stream(headers, writer)
         else:
-            extra_headers = f"X-Replica-Stamp: {self.server_id}\r\nKeep-Alive: timeout=5\r\n"
+            stamp = f"X-Replica-Stamp: {self.server_id}\r\n"
+            extra_headers = f"{stamp}Keep-Alive: timeout=5\r\n{notices}"
             writer.write(encode_answer(request_id, self.server_id.encode(), extra=extra_headers))
 
     async def _write_stream(self, headers: dict[str, str], writer) -> None:
