After a restart, departed servers and withdrawn keys are not in use again

Causes, shown by tests that failed before (tests/coordination/test_exchange_service.py, test_core.py): - A coordination host sent new gateways the state of its disk before it had caught up with a leader, so a gateway that restarted at the same time accepted a key that was withdrawn, or a version rolled back. - A coordination host sent new gateways the rows of servers that had announced themselves there once. If the host that was told of a departure had restarted, a new gateway used the departed server for 4.8 s.

Change: configuration and rollouts are sent once this process has applied all that a leader had committed, or 10 s after its start; ready servers that have been silent here for 5 s are not sent to a new gateway until they announce themselves again.

Ruled out: gateways that run on; they know departures and versions and ignore older ones.

--- a/src/baobabstream/consensus/follower_replication.py
+++ b/src/baobabstream/consensus/follower_replication.py
@@ -75,6 +75,12 @@
         # The log equals the leader's up to here; entries after it may still differ.
         match_index = previous_index + len(entries)
         actions += self._commit_through(min(request.commit_index, match_index))
+        # A leader knows what is committed once it has committed an entry of its own term.
+        if (
+            self.commit_index >= request.commit_index
+            and self.log.term_at(request.commit_index) == self.term
+        ):
+            self.has_caught_up = True
         # True: the append is accepted.
         return [*actions, self._make_answer(AppendReply(self.term, True, match_index))]
 
--- a/src/baobabstream/consensus/raft_state.py
+++ b/src/baobabstream/consensus/raft_state.py
@@ -132,6 +132,9 @@
         Highest index whose entry was handed to the state machine.
     saved_index
         Highest index up to which this member's log is stored durably.
+    has_caught_up
+        Whether this process has applied all that a leader had committed at some time since its
+        start. Until then its state is that of its disk, and may be older than what it was before.
     memberships
         Memberships that the log and the snapshot contain, by index.
 
@@ -175,6 +178,7 @@
         self.commit_index = durable.snapshot.index
         self.applied_index = durable.snapshot.index
         self.saved_index = self.log.last_index
+        self.has_caught_up = False
         self.memberships = MembershipLog(durable.snapshot.index, durable.snapshot.membership)
         # The log may keep entries that the snapshot covers; their memberships are older.
         later_entries = [entry for entry in self.log if entry.index > durable.snapshot.index]
@@ -275,6 +279,9 @@
         if index <= self.commit_index:
             return []
         self.commit_index = index
+        # A leader has applied all earlier entries once it has committed one of its own term.
+        if self.role is Role.LEADER:
+            self.has_caught_up = True
         entries = self.log.entries(self.applied_index + 1, index)
         self.applied_index = index
         return [Apply(entries)]
--- a/src/baobabstream/consensus/replicated_log.py
+++ b/src/baobabstream/consensus/replicated_log.py
@@ -225,6 +225,11 @@
         """Voters and learners of the log."""
         return self.core.membership
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether the state includes all that was committed when this process started."""
+        return self.core.has_caught_up
+
     def holds_leader_lease(self) -> bool:
         """Return whether this member may serve: it leads and its leader lease has not ended.
 
--- a/src/baobabstream/coordination/announcement_feed.py
+++ b/src/baobabstream/coordination/announcement_feed.py
@@ -15,10 +15,14 @@
 from dataclasses import dataclass
 
 from baobabstream.routing.announcements import AnnouncementTable
-from baobabstream.wire.coordination_messages import ServerRow
+from baobabstream.wire.coordination_messages import ServerRow, ServerState
 
 __all__ = ["AnnouncementDelta", "AnnouncementFeed"]
 
+# A ready server that has not announced itself here for this time may have left, or announces itself
+# to another host. Servers announce themselves every second or two.
+MAX_SILENCE_S = 5.0
+
 
 @dataclass(frozen=True, slots=True)
 class AnnouncementDelta:
@@ -68,6 +72,8 @@
         # By server: positions of the last change, and of the last announcement.
         self._changed_positions: dict[str, int] = {}
         self._announced_positions: dict[str, int] = {}
+        # By server: time of the last announcement here, in seconds of the event loop's clock.
+        self._announced_s: dict[str, float] = {}
         self.rows_changed = asyncio.Event()
 
     def announce(self, row: ServerRow) -> bool:
@@ -83,6 +89,11 @@
         """
         # Rows that differ in more than their sequence number; empty for a repeat or an older one.
         changed_rows = self.table.merge(row)
+        known_row = self.table.get(row.server_id)
+        # New gateways have not been sent the row of a server that was silent.
+        if not changed_rows and known_row is not None and self._is_silent(known_row):
+            changed_rows = (known_row,)
+        self._announced_s[row.server_id] = asyncio.get_running_loop().time()
         self.position += 1
         self._announced_positions[row.server_id] = self.position
         return self._record_changes(changed_rows)
@@ -130,7 +141,7 @@
         ----------
         epoch
             Epoch of the instance that gave out the position. If it is another instance, all rows
-            are returned.
+            are returned but those of ready servers that have been silent.
         position
             Last position that the gateway has received from that instance.
         """
@@ -140,6 +151,7 @@
             row
             for row in self.table
             if self._changed_positions.get(row.server_id, 0) > since_position
+            and (since_position > 0 or not self._is_silent(row))
         )
         changed_ids = {row.server_id for row in changed_rows}
         refreshed_ids = tuple(
@@ -161,6 +173,12 @@
             changed_position > position for changed_position in self._changed_positions.values()
         )
 
+    def _is_silent(self, row: ServerRow) -> bool:
+        """Return whether a ready server has not announced itself here for ``MAX_SILENCE_S``."""
+        announced_s = self._announced_s.get(row.server_id, float("-inf"))
+        silence_s = asyncio.get_running_loop().time() - announced_s
+        return row.state is ServerState.READY and silence_s > MAX_SILENCE_S
+
     def _record_changes(self, changed_rows: tuple[ServerRow, ...]) -> bool:
         """Assign the next position to changed rows and wake the tasks that wait for a change.
 
@@ -179,6 +197,7 @@
         for server_id in set(self._changed_positions) - known_ids:
             self._changed_positions.pop(server_id)
             self._announced_positions.pop(server_id, None)
+            self._announced_s.pop(server_id, None)
         self.rows_changed.set()
         self.rows_changed = asyncio.Event()
         return True
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -75,6 +75,10 @@
 # Interval at which the daemon checks whether this host leads.
 LEADERSHIP_CHECK_INTERVAL_S = 0.1
 
+# Time after the start in which a host sends no configuration before it has caught up with a leader.
+# An election takes at most 2 s.
+MAX_CATCH_UP_S = 10.0
+
 # Returns the HTTP interface to the operations of a ``CoordinationService``.
 ApplicationFactory = Callable[[CoordinationService], web.Application]
 
@@ -153,7 +157,10 @@
         self.rollout_clock = RolloutClock()
         # A random epoch of 48 bits: a restarted daemon practically never repeats an earlier one.
         self.feed = AnnouncementFeed(SystemRandom().getrandbits(48))
-        self.exchange = ExchangeService(self.state, self.feed, self._member_hosts)
+        self.exchange = ExchangeService(
+            self.state, self.feed, self._member_hosts, self._may_send_state
+        )
+        self._created_s = asyncio.get_running_loop().time()
         self._codec = fixed_secret_codec(settings.ip)
         # Seeds are the addresses of members through which this host finds the group;
         # ``may_bootstrap`` tells whether it may form a new one.
@@ -257,6 +264,16 @@
         """
         return self.log.membership.hosts or (self.settings.ip,)
 
+    def _may_send_state(self) -> bool:
+        """Return whether gateways may be sent the configuration and the rollouts of this host.
+
+        A host that has not caught up with a leader for a long time sends what it has, since without
+        a majority of the group no change is acknowledged either.
+        """
+        if self.log.has_caught_up:
+            return True
+        return asyncio.get_running_loop().time() - self._created_s > MAX_CATCH_UP_S
+
     def _client_for(self, host: str) -> RpcClient:
         """Return the RPC client for another member, given by its IP address.
 
--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -56,6 +56,9 @@
         Announcements of backend servers that reached this host.
     member_hosts
         Returns the names of all coordination hosts, which are their IP addresses.
+    may_send_state
+        Returns whether the committed state is recent enough to be sent. After a restart it is at
+        first that of the disk, in which a withdrawn key or version may still be valid.
 
     Attributes
     ----------
@@ -72,6 +75,7 @@
         state: CoordinationState,
         feed: AnnouncementFeed,
         member_hosts: Callable[[], tuple[str, ...]],
+        may_send_state: Callable[[], bool] = lambda: True,
     ) -> None:
         self.contacts = GatewayContacts()
         self.evidence = EvidenceLedger()
@@ -79,6 +83,7 @@
         self._state = state
         self._feed = feed
         self._member_hosts = member_hosts
+        self._may_send_state = may_send_state
         # Set at the next call of notify(), then replaced by a new event.
         self._state_changed = asyncio.Event()
 
@@ -158,13 +163,22 @@
 
     def _has_changes(self, request: ExchangeRequest) -> bool:
         """Return whether there is a configuration, rollout or row that the gateway lacks."""
-        state = self._state
         return (
-            request.document_version < state.document_version
-            or request.rollout_revision < state.rollout_revision
+            self._has_newer_document(request)
+            or self._has_newer_rollouts(request)
             or self._feed.has_changes(request.epoch, request.position)
         )
 
+    def _has_newer_document(self, request: ExchangeRequest) -> bool:
+        """Return whether there is a newer configuration than the gateway's, and may be sent."""
+        is_newer = request.document_version < self._state.document_version
+        return is_newer and self._may_send_state()
+
+    def _has_newer_rollouts(self, request: ExchangeRequest) -> bool:
+        """Return whether there are newer rollouts than the gateway's, and may be sent."""
+        is_newer = request.rollout_revision < self._state.rollout_revision
+        return is_newer and self._may_send_state()
+
     def _sessions_differ(self, request: ExchangeRequest) -> bool:
         """Return whether the gateway has other pinned sessions than this host.
 
@@ -211,13 +225,13 @@
         """
         state = self._state
         delta = self._feed.delta(request.epoch, request.position)
-        has_newer_document = request.document_version < state.document_version
-        has_newer_rollouts = request.rollout_revision < state.rollout_revision
+        has_newer_document = self._has_newer_document(request)
+        has_newer_rollouts = self._has_newer_rollouts(request)
         return ExchangeReply(
             hosts=self._member_hosts(),
             document_version=state.document_version,
             document=state.document if has_newer_document else b"",
-            rollout_revision=state.rollout_revision,
+            rollout_revision=state.rollout_revision if has_newer_rollouts else 0,
             rollouts=tuple(state.rollouts.values()) if has_newer_rollouts else (),
             epoch=self._feed.epoch,
             position=delta.position,
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -216,3 +216,32 @@
     # B refuses the append (False), so the leader's first entry is not committed.
     core.handle_reply(request, AppendReply(4, False, 0), 3.0, 3.1)
     assert not core.quorum_confirmed_since(2.9)
+
+
+def test_restarted_member_has_caught_up_only_with_what_was_committed():
+    """Guards against serving the state of the disk, in which a withdrawn key may still be valid.
+
+    Member A restarts with a log up to index 2 of term 3. Its leader B of term 4 has committed index
+    3 in its own term, and at first knows only that index 1 of an earlier term is committed.
+    """
+    core = make_core(
+        term=4, entries=(MEMBERSHIP_ENTRY, LogEntry(2, 3, EntryKind.COMMAND, b"withdraw key"))
+    )
+    own_entry = LogEntry(3, 4, EntryKind.COMMAND, b"")
+    for entries, commit_index, has_caught_up in (
+        ((), 1, False),
+        ((), 3, False),
+        ((own_entry,), 3, True),
+    ):
+        request = AppendRequest(B.member_id, A.member_id, 4, 2, 3, entries, commit_index)
+        save_all(core, core.handle(request, 2.0))
+        assert core.has_caught_up is has_caught_up
+
+
+def test_leader_has_caught_up_with_its_own_first_entry():
+    """Guards against a new leader that serves what it had applied before its election."""
+    core = make_leader()
+    assert not core.has_caught_up
+    request = AppendRequest(A.member_id, B.member_id, 4, 1, 1, (), 0)
+    core.handle_reply(request, AppendReply(4, True, 2), 2.0, 2.0)
+    assert core.has_caught_up
--- a/tests/coordination/test_exchange_service.py
+++ b/tests/coordination/test_exchange_service.py
@@ -5,9 +5,14 @@
 import looptime  # noqa: F401 - the plugin advances the clock of these tests
 import pytest
 
-from baobabstream.coordination.announcement_feed import AnnouncementFeed
+from baobabstream.coordination.announcement_feed import MAX_SILENCE_S, AnnouncementFeed
 from baobabstream.coordination.exchange_service import ExchangeService
-from baobabstream.coordination.state import CoordinationState
+from baobabstream.coordination.state import (
+    CoordinationMachine,
+    CoordinationState,
+    StartRollout,
+    StoreDocument,
+)
 from baobabstream.wire.coordination_messages import ExchangeRequest, ServerState
 from routing.routing_fixtures import make_announcement
 
@@ -110,3 +115,46 @@
     started_s = asyncio.get_running_loop().time()
     await service.answer(request(rollout_revision=4))
     assert asyncio.get_running_loop().time() - started_s == pytest.approx(0.5, abs=0.01)
+
+
+async def test_restarted_host_sends_no_configuration_before_it_has_caught_up(feed):
+    """Guards against a restarted gateway that accepts a key that was withdrawn.
+
+    The host's disk has an older configuration and a rollout that has been rolled back since.
+    """
+    state = CoordinationState()
+    machine = CoordinationMachine(state)
+    machine.apply(StoreDocument(4, b"with the withdrawn key"))
+    machine.apply(StartRollout("engine", "v2", 10.0))
+    has_caught_up = False
+    service = ExchangeService(state, feed, lambda: ("a",), lambda: has_caught_up)
+    reply = await service.answer(request())
+    assert (reply.document, reply.rollout_revision, reply.rollouts) == (b"", 0, ())
+    has_caught_up = True
+    reply = await service.answer(request())
+    assert reply.document == b"with the withdrawn key"
+    assert len(reply.rollouts) == 1
+
+
+async def test_server_that_was_silent_is_not_sent_to_a_new_gateway(service, feed):
+    """Guards against a restarted gateway that uses a server that has left or crashed.
+
+    The server announced itself here once and later to another host, which has restarted since.
+    """
+    feed.announce(make_announcement())
+    known_position = feed.position
+    await asyncio.sleep(MAX_SILENCE_S + 0.1)
+    assert (await service.answer(request(epoch=0))).rows == ()
+    feed.announce(make_announcement(sequence=9))
+    reply = await service.answer(request(position=known_position, wait_s=0.0))
+    assert [row.server_id for row in reply.rows] == ["i-1"]
+
+
+async def test_departed_server_stays_known_after_a_long_time(service, feed):
+    """Guards against a late announcement that a new gateway takes for that of a ready server."""
+    feed.announce(make_announcement())
+    feed.withdraw("i-1", None)
+    await asyncio.sleep(MAX_SILENCE_S + 0.1)
+    assert [row.state for row in (await service.answer(request(epoch=0))).rows] == [
+        ServerState.GONE
+    ]
