A malformed message or unexpected error ends only its own request

Change: identities, names and numbers of announcements and orders have limits; a reply that cannot be encoded becomes an error reply; a failed reply is logged and the exchanges go on; undecodable headers are refused with 1031, unexpected errors with 1034, and the log escapes what is no text.

--- a/src/baobabstream/gateway/coordination_client.py
+++ b/src/baobabstream/gateway/coordination_client.py
@@ -16,12 +16,15 @@
 
 from baobabstream.errors.exceptions import PeerError
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.coordination_messages import ExchangeReply, ExchangeRequest
 from baobabstream.wire.rpc import RpcClient
 
 __all__ = ["CoordinationClient", "ExchangeHandler"]
 
+_log = get_logger("coordination_client")
+
 # Longest time in seconds for which a coordination host waits for a change before it replies.
 # Reports of the load are half this old on average. A shorter wait makes more exchanges, each of
 # which costs a quarter of a millisecond.
@@ -172,12 +175,18 @@
                     await asyncio.sleep(RETRY_DELAY_S)
                     continue
                 now_s = self._clock()
+                try:
+                    self._handle_reply(host, reply, now_s)
+                except Exception:
+                    # Whatever is wrong with this reply, later changes must still arrive.
+                    _log.exception("The reply of coordination host %s cannot be applied.", host)
+                    await asyncio.sleep(RETRY_DELAY_S)
+                    continue
                 if is_lost:
                     self._log_regained(host, now_s - last_reply_s)
                 is_lost = False
                 last_reply_s = now_s
                 epoch, position, known_digests = reply.epoch, reply.position, reply.session_digests
-                self._handle_reply(host, reply, now_s)
         finally:
             client.close()
             self._tasks.pop(host, None)
--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -18,9 +18,12 @@
 from baobabstream.gateway.request_reader import RequestReader
 from baobabstream.routing.document import RequestLimits
 from baobabstream.telemetry.decision_log import DecisionEvent
+from baobabstream.telemetry.logs import get_logger
 
 __all__ = ["HttpFrontend"]
 
+_log = get_logger("http_frontend")
+
 # Seconds after which the gateway closes an idle connection. It is longer than callers keep one, so
 # that a caller never sends a request on a connection that the gateway is closing.
 CALLER_KEEPALIVE_S = 75.0
@@ -139,6 +142,11 @@
                 error.retry_after_s = NO_CONFIGURATION_RETRY_S
             self._log_refusal(http_request, error, arrived_s)
             return error_response(error)
+        except Exception:
+            _log.exception("A request could not be read.")
+            refusal = RequestRefused(ResultCode.INTERNAL_ERROR)
+            self._log_refusal(http_request, refusal, arrived_s)
+            return error_response(refusal)
         return await RequestExecution(request, http_request, context).run()
 
     async def _wait_for_startup(self, arrived_s: float) -> None:
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -38,10 +38,13 @@
 from baobabstream.routing.model_cascade import escalation_model, initial_model
 from baobabstream.routing.server_choice import choose_server
 from baobabstream.telemetry.decision_log import DecisionEvent
+from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.statistics import StatisticName
 
 __all__ = ["RequestExecution"]
 
+_log = get_logger("request_execution")
+
 # Most sends of one request, counting those that servers refuse without running it. Only runs count
 # for the route's own limit, ``max_attempts``.
 MAX_SENDS = 5
@@ -137,6 +140,15 @@
             if self._response is not None and self._response.prepared:
                 return self._abort_stream()
             return self._respond(error_response(self._with_true_run_state(error)))
+        except ConnectionError:
+            # The caller has closed the connection while the response was being written.
+            raise
+        except Exception:
+            self._outcome = "failed unexpectedly"
+            _log.exception("Request %s failed unexpectedly.", self._request.request_id)
+            if self._response is not None and self._response.prepared:
+                return self._abort_stream()
+            return self._respond(error_response(RequestRefused(ResultCode.INTERNAL_ERROR)))
         finally:
             self._log_end()
 
--- a/src/baobabstream/gateway/request_reader.py
+++ b/src/baobabstream/gateway/request_reader.py
@@ -72,6 +72,14 @@
             }
         )
 
+        self._text_headers = (
+            header_names.request_id,
+            header_names.session,
+            header_names.model,
+            header_names.last_event_id,
+            header_names.prompt_parts,
+        )
+
     def find_route(self, request: web.Request, route_table: RouteTable | None) -> Route:
         """Return the route of a request, by its ``Host`` header and path.
 
@@ -125,10 +133,12 @@
         Raises
         ------
         RequestRefused
-            ``MALFORMED_HEADER`` if the request has no identity or an invalid time that is left,
+            ``MALFORMED_HEADER`` if the request has no identity, an invalid time that is left, or
+            bytes that are no text in a header that the gateway reads,
             ``BODY_TOO_LARGE`` if the body exceeds the limit of the HTTP server.
         """
         header_names, headers = self._header_names, request.headers
+        self._require_text(request)
         request_id = headers.get(header_names.request_id, "")
         if not request_id:
             raise RequestRefused(ResultCode.MALFORMED_HEADER, "the request has no identity")
@@ -162,6 +172,18 @@
             fingerprint=xxh64_hexdigest(content_head + body),
         )
 
+    def _require_text(self, request: web.Request) -> None:
+        """Raise ``MALFORMED_HEADER`` if a header that the gateway reads is not UTF-8.
+
+        The HTTP server decodes other bytes as surrogates, which cannot be hashed or logged.
+        """
+        for name in self._text_headers:
+            try:
+                request.headers.get(name, "").encode()
+            except UnicodeEncodeError as error:
+                detail = f"{name} is not UTF-8"
+                raise RequestRefused(ResultCode.MALFORMED_HEADER, detail) from error
+
     def _forwarded_headers(self, request: web.Request) -> Iterator[tuple[str, str]]:
         """Yield the name and value of each of the caller's headers that is sent on to a server.
 
--- a/src/baobabstream/platform/announcement_format.py
+++ b/src/baobabstream/platform/announcement_format.py
@@ -7,13 +7,19 @@
 """
 
 from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.json import Decoder
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
-from baobabstream.platform.decoding import decode
+from baobabstream.platform.decoding import (
+    MAX_IDENTIFIER_LENGTH,
+    Identifier,
+    NaturalNumber,
+    decode,
+)
 from baobabstream.wire.coordination_messages import ServerRow, ServerState
 
 __all__ = ["read_announcement", "read_departure"]
@@ -28,29 +34,29 @@
 class _Heartbeat(Struct):
     """JSON body of a heartbeat."""
 
-    service: str
+    service: Identifier
     # IP:PORT at which the server takes requests.
     address: str
     # Availability zone.
-    zone: str
+    zone: Annotated[str, Meta(max_length=MAX_IDENTIFIER_LENGTH)]
     # Version of the server's software, which rollouts replace.
-    version: str
+    version: Annotated[str, Meta(max_length=MAX_IDENTIFIER_LENGTH)]
     # Requests that the server runs at once.
-    slots: int
+    slots: NaturalNumber
     # A key of _SERVER_STATES.
     state: str
     # Rises with each heartbeat of one incarnation.
-    seq: int
+    seq: NaturalNumber
     # Start time in Unix milliseconds, which distinguishes incarnations with the same identity; 0 if
     # the server does not tell it.
-    born: int = 0
+    born: NaturalNumber = 0
 
 
 class _Departure(Struct):
     """JSON body of the call by which a server leaves."""
 
     # Start time of the incarnation that leaves, in Unix milliseconds; None if it is not told.
-    born: int | None = None
+    born: NaturalNumber | None = None
 
 
 _heartbeat_decoder = Decoder(_Heartbeat)
@@ -71,16 +77,15 @@
     ------
     RequestRefused
         ``ANNOUNCEMENT_INVALID`` if the body cannot be decoded, the state is unknown, identity or
-        service is empty, the address is not IPv4:PORT, or the number of slots is not positive.
-        Other fields may have any value of their type.
+        service is empty, a name is too long, the address is not IPv4:PORT, the number of slots is
+        not positive, or a number is negative or does not fit into 64 bits.
     """
     heartbeat = decode(_heartbeat_decoder, body, ResultCode.ANNOUNCEMENT_INVALID)
     state = _SERVER_STATES.get(heartbeat.state)
     if state is None:
         raise RequestRefused(ResultCode.ANNOUNCEMENT_INVALID, f"unknown state {heartbeat.state!r}")
     if (
-        not server_id
-        or not heartbeat.service
+        not _is_identity(server_id)
         or not _is_ipv4_with_port(heartbeat.address)
         or heartbeat.slots <= 0
     ):
@@ -113,6 +118,14 @@
         return None
 
 
+def _is_identity(text: str) -> bool:
+    """Return whether a text from a path can be the identity of a server.
+
+    Bytes of a path that are not UTF-8 are no printable characters.
+    """
+    return 0 < len(text) <= MAX_IDENTIFIER_LENGTH and text.isprintable()
+
+
 def _is_ipv4_with_port(text: str) -> bool:
     """Return whether a text is an IPv4 address and a port, separated by a colon."""
     ip, _, port = text.partition(":")
--- a/src/baobabstream/platform/config_format.py
+++ b/src/baobabstream/platform/config_format.py
@@ -11,7 +11,7 @@
 from msgspec.json import Decoder
 
 from baobabstream.errors.codes import ResultCode
-from baobabstream.platform.decoding import decode
+from baobabstream.platform.decoding import NaturalNumber, decode
 from baobabstream.routing.document import (
     ClientAccount,
     EngineSpec,
@@ -136,7 +136,7 @@
     """The whole configuration."""
 
     # Rises with each change of the configuration.
-    version: int
+    version: NaturalNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = field(default_factory=_Limits)
--- a/src/baobabstream/platform/operator_api.py
+++ b/src/baobabstream/platform/operator_api.py
@@ -8,10 +8,10 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Annotated, Any
 
 from aiohttp import web
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.json import Decoder, encode
 
 from baobabstream.coordination.service import CoordinationService
@@ -19,7 +19,7 @@
 from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.platform.announcement_format import read_announcement, read_departure
 from baobabstream.platform.config_format import read_document
-from baobabstream.platform.decoding import decode
+from baobabstream.platform.decoding import Identifier, decode
 from baobabstream.platform.names import (
     CONFIG_GET_PATH,
     CONFIG_PUT_PATH,
@@ -34,17 +34,20 @@
 # Limit of request bodies, twice what is needed: the platform sends configurations of up to 4 MiB.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
+# Longest rollout, a week in seconds.
+MAX_ROLLOUT_S = 7 * 24 * 3600.0
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class _RolloutStart(Struct):
     """JSON body of the call that starts a rollout."""
 
-    service: str
+    service: Identifier
     # Version that the service moves to.
-    target: str
+    target: Identifier
     # Planned length of the rollout in seconds.
-    duration_s: float
+    duration_s: Annotated[float, Meta(ge=0, le=MAX_ROLLOUT_S)]
 
 
 _rollout_start_decoder = Decoder(_RolloutStart)
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -199,7 +199,11 @@
             return
         # The time is in milliseconds since the Unix epoch.
         line = {"time_ms": int(time.time() * 1000), "host": self._host, "event": event, **fields}
-        self._lines.append(self._encoder.encode(line))
+        try:
+            self._lines.append(self._encoder.encode(line))
+        except UnicodeEncodeError:
+            # Header bytes that are not UTF-8 were decoded as surrogates.
+            self._lines.append(self._encoder.encode(_escape_surrogates(line)))
 
     async def run(self) -> None:
         """Flush every ``FLUSH_INTERVAL_S`` until cancelled."""
@@ -251,3 +255,11 @@
                 except OSError:
                     # The reader of the output has ended; the daemon must continue without it.
                     break
+
+
+def _escape_surrogates(line: dict[str, Any]) -> dict[str, Any]:
+    """Return a line whose texts have escape sequences in place of surrogates."""
+    return {
+        name: value.encode(errors="backslashreplace").decode() if isinstance(value, str) else value
+        for name, value in line.items()
+    }
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -292,8 +292,8 @@
                 self._idle_worker_count -= 1
                 is_idle = False
                 self._add_workers()
-                reply = await self._handle_frame(frame)
-                await await_operation(context.asend(self._codec.encode(reply)))
+                reply_frame = self._encode_reply(await self._handle_frame(frame))
+                await await_operation(context.asend(reply_frame))
                 self._idle_worker_count += 1
                 is_idle = True
         except NNGException as error:
@@ -331,6 +331,19 @@
             _log.exception("The handler of a peer's call failed.")
             return ErrorReply(int(ResultCode.PEER_FAILED), "the handler failed")
 
+    def _encode_reply(self, reply: Struct) -> bytes:
+        """Return the frame of a reply, or of an ``ErrorReply`` if it cannot be encoded.
+
+        That is the case for text with undecoded bytes, and for integers over 64 bits.
+        """
+        try:
+            return self._codec.encode(reply)
+        except (ValueError, OverflowError, TypeError):
+            _log.exception("A reply to a peer cannot be encoded.")
+            return self._codec.encode(
+                ErrorReply(int(ResultCode.PEER_FAILED), "the reply cannot be encoded")
+            )
+
     def _log_refusal(self, error: PeerError) -> None:
         """Log why a frame was refused, at most once per result code and interval."""
         # The default of minus infinity lets the first refusal with a code be logged.
--- /dev/null
+++ b/tests/platform/test_malformed_input.py
@@ -0,0 +1,151 @@
+"""Tests that one malformed message or unexpected error ends at most its own request.
+
+Text that cannot be encoded, and numbers over 64 bits, may be decoded from a message but not be sent
+on in a message between the daemons.
+"""
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from baobabstream.wire.coordination_messages import ServerState
+from platform_stand_in import FRONT_PORT, HTTP_PORT, FakeBackendServer, PlatformHarness
+from waiting import until
+
+HUGE_NUMBER = 10**30
+
+
+@pytest.fixture
+async def platform(tmp_path):
+    """One coordination host and a gateway with a plain service and an engine."""
+    async with PlatformHarness(tmp_path, coordinators=1) as platform:
+        await platform.start_with_backends(
+            FakeBackendServer("i-app", "app"), FakeBackendServer("i-engine", "engine")
+        )
+        yield platform
+
+
+async def send_raw(ip: str, port: int, request: bytes) -> bytes:
+    """Send bytes on a new connection and return the first part of the response."""
+    reader, writer = await asyncio.open_connection(ip, port)
+    try:
+        writer.write(request)
+        async with asyncio.timeout(5):
+            return await reader.read(65536)
+    finally:
+        writer.close()
+
+
+async def post_raw(platform, path: bytes, body: dict) -> bytes:
+    """Post a body to a raw path of the coordination host and return the status line."""
+    text = json.dumps(body).encode()
+    head = b"POST %b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (path, len(text))
+    response = await send_raw(platform.coordinator_ips[0], HTTP_PORT, head + text)
+    return response.split(b"\r\n")[0]
+
+
+async def assert_changes_still_arrive(platform) -> None:
+    """Check that an announcement after the malformed message reaches the gateway."""
+    server = platform.backends["i-app"]
+    server.state = "draining"
+    assert await platform.send_heartbeat(server)
+    gateway = next(iter(platform.gateways.values()))
+    directory = gateway.context.directory
+    await until(lambda: directory.get("i-app").row.state is ServerState.DRAINING, 5.0)
+
+
+@pytest.mark.parametrize("field", ["seq", "born", "slots"])
+async def test_announcement_with_a_huge_number_is_refused(platform, field):
+    """Guards against an announcement that no coordination host can pass on to any gateway."""
+    body = FakeBackendServer("i-9", "app", address="10.0.0.9:80").next_heartbeat()
+    path = b"/baobabstream/replicas/i-9/heartbeat"
+    assert b" 400 " in await post_raw(platform, path, body | {field: HUGE_NUMBER})
+    await assert_changes_still_arrive(platform)
+
+
+@pytest.mark.parametrize("server_id", [b"i-\xff", b"i-" + b"9" * 5000])
+async def test_announcement_with_an_unusable_identity_is_refused(platform, server_id):
+    """Guards against an identity that no coordination host can pass on to any gateway."""
+    body = FakeBackendServer("i-9", "app", address="10.0.0.9:80").next_heartbeat()
+    path = b"/baobabstream/replicas/%b/heartbeat" % server_id
+    assert b" 400 " in await post_raw(platform, path, body)
+    await assert_changes_still_arrive(platform)
+
+
+async def test_departure_with_a_huge_start_time_does_not_stop_the_exchanges(platform):
+    """Guards against a departure that no coordination host can pass on to any gateway."""
+    path = b"/baobabstream/replicas/i-engine/deregister"
+    await post_raw(platform, path, {"born": HUGE_NUMBER})
+    await assert_changes_still_arrive(platform)
+
+
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [
+        (b"/baobabstream/config/put", {"version": HUGE_NUMBER, "routes": [], "services": []}),
+        (
+            b"/baobabstream/rollouts/start",
+            {"service": "app", "target": "v2", "duration_s": -HUGE_NUMBER},
+        ),
+    ],
+)
+async def test_order_with_an_unusable_number_is_refused(platform, path, body):
+    """Guards against an order that fails without a code, or changes the state before it fails."""
+    assert b" 400 " in await post_raw(platform, path, body)
+    await assert_changes_still_arrive(platform)
+
+
+@pytest.mark.parametrize("name", [b"X-Request-Id", b"Session", b"X-Model", b"Last-Event-Id"])
+async def test_request_with_undecodable_header_is_refused_with_a_code(platform, name):
+    """Guards against an unexpected error, without a code, for bytes that are no text."""
+    headers = {
+        b"Host": b"desk.example",
+        b"X-Request-Id": b"r1",
+        b"X-Api-Key": b"desk-key",
+        b"X-Model": b"*",
+    }
+    headers[name] = b"\xff\xfe"
+    lines = b"".join(b"%b: %b\r\n" % item for item in headers.items())
+    head = b"POST /chat/1 HTTP/1.1\r\n%bContent-Length: 0\r\n\r\n" % lines
+    response = await send_raw(platform.gateway_ips[0], FRONT_PORT, head)
+    assert response.startswith(b"HTTP/1.1 400 ")
+    assert b'"code":1031' in response.replace(b" ", b"")
+
+
+async def test_unexpected_error_of_a_request_has_a_code(platform, monkeypatch):
+    """Guards against a caller and an engineer on call who learn nothing about an error."""
+    gateway = next(iter(platform.gateways.values()))
+
+    def fail(*_):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(gateway.context.crash_tracker, "is_quarantined", fail)
+    status, _, body = await platform.send_request("/look/1", "r1", "GET")
+    assert (status, json.loads(body)["error"]["code"]) == (500, 1034)
+    monkeypatch.undo()
+    assert (await platform.send_request("/look/1", "r2", "GET"))[0] == 200
+
+
+async def test_reply_that_cannot_be_applied_does_not_end_the_exchanges(platform, monkeypatch):
+    """Guards against a gateway that learns nothing more after one unexpected error."""
+    gateway = next(iter(platform.gateways.values()))
+    apply_reply, failures = gateway.apply_reply, []
+
+    def fail_once(reply):
+        if not failures:
+            failures.append(reply)
+            raise ZeroDivisionError
+        apply_reply(reply)
+
+    monkeypatch.setattr(gateway, "apply_reply", fail_once)
+    await until(lambda: failures, 5.0)
+    await assert_changes_still_arrive(platform)
+
+
+async def test_half_a_request_does_not_occupy_a_gateway(platform):
+    """Guards against a connection that ends within a request and takes the process down."""
+    with socket.create_connection((platform.gateway_ips[0], FRONT_PORT)) as connection:
+        connection.sendall(b"POST /chat/1 HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf")
+    assert (await platform.send_request("/look/1", "r2", "GET"))[0] == 200
