--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -471,7 +471,8 @@
             ``NO_BACKEND_SERVER`` if no server is left.
         """
         request, context, now_s = self._request, self._context, self._loop.time()
-        servers = context.candidates(request.service, request.session, now_s)
+        is_retry = self._progress.send_count > 0
+        servers = context.candidates(request.service, request.session, now_s, is_retry)
         accepting_servers = [
             server for server in servers if server.row.server_id not in self._refusing_server_ids
         ]
