A planned stop answers the connections that wait to be accepted

Cause: the listening socket was closed while connections waited in its queue, which the kernel then resets, or were on their way to a protocol, which asyncio then forgets without closing them. Their callers had sent requests and got no answer, or waited in vain.

Ruled out: requests on accepted connections, new or kept; 30 callers through a whole stop got 200 or 503 (tests/platform/test_planned_stop.py, passed before).

Change: both fronts close the listening socket once its queue has been empty for as many iterations of the event loop as an accept takes, and then leave time to read the last requests.

--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -31,7 +31,11 @@
 from baobabstream.entry.http_errors import error_response
 from baobabstream.entry.in_flight import InFlightRequests
 from baobabstream.entry.leader_calls import BackgroundTasks
-from baobabstream.entry.listening_socket import ACCEPT_BACKLOG, open_listening_socket
+from baobabstream.entry.listening_socket import (
+    ACCEPT_BACKLOG,
+    open_listening_socket,
+    stop_listening,
+)
 from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
 from baobabstream.entry.sessions import SessionTokens
@@ -130,7 +134,7 @@
         """Open the listener and start to poll the control hosts."""
         settings = self.settings
         listener = settings.listener
-        listening_socket = open_listening_socket(listener.ip, listener.port)
+        self._listening_socket = open_listening_socket(listener.ip, listener.port)
         self._context = self._open_clients()
         self.load_meter.start()
         self._poll_task = asyncio.create_task(self.control.run())
@@ -151,7 +155,7 @@
         await self._runner.setup()
         self._site = web.SockSite(
             self._runner,
-            listening_socket,
+            self._listening_socket,
             backlog=ACCEPT_BACKLOG,
             ssl_context=listener.tls.server_context() if listener.tls is not None else None,
         )
@@ -171,7 +175,7 @@
         # Tells the control session that this entry is about to stop.
         self.control.draining = True
         await asyncio.sleep(self.settings.drain_notice_s)
-        await self._site.stop()
+        await stop_listening(self._site, self._listening_socket)
         await self.in_flight_requests.wait_until_idle()
         await self._runner.cleanup()
         await self.background_tasks.drain()
--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from baobabstream.entry.listening_socket import ACCEPT_BACKLOG
+from baobabstream.entry.listening_socket import ACCEPT_BACKLOG, stop_listening
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.error_responses import error_response
@@ -89,6 +89,7 @@
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
+        self._listening_socket = listening_socket
         self._site = web.SockSite(self._runner, listening_socket, backlog=ACCEPT_BACKLOG)
         await self._site.start()
 
@@ -103,7 +104,7 @@
         callers have just sent on them would get no response; so they are refused with one.
         """
         self._is_accepting = False
-        await self._site.stop()
+        await stop_listening(self._site, self._listening_socket)
 
     async def finish(self, end_s: float) -> None:
         """Wait for open requests until a time in seconds, then close all connections."""
