Exchanges send evidence that changed, and the load from one host

Cause: every gateway got the load of all servers from each of five coordination hosts twice a second, and during a rollout sent the counts of all servers to each of them each time; four of five hosts are in other zones, where bytes are charged.

--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -158,7 +158,11 @@
         # A random epoch of 48 bits: a restarted daemon practically never repeats an earlier one.
         self.feed = AnnouncementFeed(SystemRandom().getrandbits(48))
         self.exchange = ExchangeService(
-            self.state, self.feed, self._member_hosts, self._may_send_state
+            self.state,
+            self.feed,
+            self._member_hosts,
+            self._may_send_state,
+            settings.availability_zone,
         )
         self._created_s = asyncio.get_running_loop().time()
         self._codec = fixed_secret_codec(settings.ip)
--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -59,6 +59,8 @@
     may_send_state
         Returns whether the committed state is recent enough to be sent. After a restart it is at
         first that of the disk, in which a withdrawn key or version may still be valid.
+    availability_zone
+        Availability zone of this host, by which gateways choose where they get the load from.
 
     Attributes
     ----------
@@ -76,6 +78,7 @@
         feed: AnnouncementFeed,
         member_hosts: Callable[[], tuple[str, ...]],
         may_send_state: Callable[[], bool] = lambda: True,
+        availability_zone: str = "",
     ) -> None:
         self.contacts = GatewayContacts()
         self.evidence = EvidenceLedger()
@@ -84,6 +87,7 @@
         self._feed = feed
         self._member_hosts = member_hosts
         self._may_send_state = may_send_state
+        self._availability_zone = availability_zone
         # Set at the next call of notify(), then replaced by a new event.
         self._state_changed = asyncio.Event()
 
@@ -240,7 +244,10 @@
             gateways=len(self.contacts.active_reports(now_s)),
             quarantined=self.contacts.quarantined_fingerprints(now_s),
             # The work of all gateways but the one on ``request.host``, which asks.
-            work=self.contacts.work_by_server(now_s, request.host),
+            work=(
+                self.contacts.work_by_server(now_s, request.host) if request.wants_work else None
+            ),
+            availability_zone=self._availability_zone,
             session_digests=self.pinned_sessions.digests(),
             held_sessions=self.pinned_sessions.differing_sets(request.session_digests),
         )
--- a/src/baobabstream/coordination/settings.py
+++ b/src/baobabstream/coordination/settings.py
@@ -35,6 +35,8 @@
     exposure_share, exposure_extra_requests
         Limit of the requests that a new version may get during its rollout, since it may be bad: a
         share (0 to 1) of its service's requests, plus a fixed number of requests.
+    availability_zone
+        Availability zone of the host, or empty if it is not known.
     """
 
     host: str
@@ -47,6 +49,7 @@
     data_folder: Path
     exposure_share: float = 0.15
     exposure_extra_requests: float = 30.0
+    availability_zone: str = ""
 
     @property
     def wanted_voters(self) -> int:
--- a/src/baobabstream/gateway/coordination_client.py
+++ b/src/baobabstream/gateway/coordination_client.py
@@ -14,7 +14,11 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 
+from msgspec.structs import replace
+
 from baobabstream.errors.exceptions import PeerError
+from baobabstream.gateway.load_source import LoadSource
+from baobabstream.gateway.sent_evidence import SentEvidence
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.wire.codec import WireCodec
@@ -99,6 +103,8 @@
         Gives reports and receives replies.
     decisions
         Log of decisions.
+    load_source
+        Chooses the host that sends the load of the other gateways.
 
     Attributes
     ----------
@@ -113,7 +119,9 @@
         codec: WireCodec,
         handler: ExchangeHandler,
         decisions: DecisionLog,
+        load_source: LoadSource,
     ) -> None:
+        self._load_source = load_source
         self._seeds = set(seeds)
         self._port = port
         self._codec = codec
@@ -160,12 +168,18 @@
         client = RpcClient(f"tcp://{host}:{self._port}", self._codec)
         epoch = position = 0
         known_digests: dict[str, int] = {}
+        sent_evidence = SentEvidence()
         last_reply_s = self._clock()
         is_lost = False
         try:
             while not is_lost or self._is_needed(host, last_reply_s):
                 wait_s = 0.0 if epoch == 0 else EXCHANGE_WAIT_S
-                request = self._handler.report(epoch, position, wait_s, known_digests)
+                report = self._handler.report(epoch, position, wait_s, known_digests)
+                request = replace(
+                    report,
+                    evidence=sent_evidence.unsent(report.evidence),
+                    wants_work=self._load_source.is_source(host, self._clock()),
+                )
                 try:
                     reply: ExchangeReply = await client.call(request, CALL_TIMEOUT_S)
                 except PeerError as error:
@@ -186,6 +200,12 @@
                     self._log_regained(host, now_s - last_reply_s)
                 is_lost = False
                 last_reply_s = now_s
+                if reply.epoch != epoch:
+                    # Another process of the host, which has none of the evidence.
+                    sent_evidence = SentEvidence()
+                else:
+                    sent_evidence.record_sent(request.evidence)
+                self._load_source.record_reply(host, reply.availability_zone, now_s)
                 epoch, position, known_digests = reply.epoch, reply.position, reply.session_digests
         finally:
             client.close()
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -30,6 +30,7 @@
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.http_frontend import HttpFrontend
+from baobabstream.gateway.load_source import LoadSource
 from baobabstream.gateway.server_directory import ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.routing.document import RoutingDocument
@@ -127,7 +128,12 @@
             random,
         )
         self._coordination_client = CoordinationClient(
-            settings.seeds, settings.inner_port, fixed_secret_codec(settings.host), self, decisions
+            settings.seeds,
+            settings.inner_port,
+            fixed_secret_codec(settings.host),
+            self,
+            decisions,
+            LoadSource(settings.host, settings.availability_zone),
         )
         self.context.control_age_s = self._coordination_client.age_s
         self._frontend = HttpFrontend(self.context)
@@ -268,7 +274,8 @@
         for row in context.directory.merge(reply.rows, now_s):
             self._log_server_change(row)
         context.directory.refresh(reply.refreshed, now_s)
-        context.directory.set_remote_work(reply.work, now_s)
+        if reply.work is not None:
+            context.directory.set_remote_work(reply.work, now_s)
         context.crash_tracker.add_quarantined(reply.quarantined)
         context.gateway_count = max(1, reply.gateways)
         context.session_versions.pinned_sessions.merge(reply.held_sessions)
--- a/src/baobabstream/platform/settings.py
+++ b/src/baobabstream/platform/settings.py
@@ -97,8 +97,6 @@
         ------
         SettingsError
             ``SETTINGS_INVALID`` if ``listen`` lacks an address of a gateway.
-        IndexError
-            If ``internal_ports`` is empty.
         """
         bounds = self.bounds
         return GatewaySettings(
@@ -107,7 +105,7 @@
             availability_zone=self.zone,
             front_port=_listen_port(self.listen, "frontend"),
             ready_port=_listen_port(self.listen, "readiness"),
-            inner_port=self.internal_ports[0],
+            inner_port=self._inner_port(),
             seeds=_ip_addresses(self.seeds),
             heartbeat_s=self.heartbeat_ms * SECONDS_PER_MS,
             stop_grace_s=bounds.grace_s,
@@ -117,22 +115,27 @@
             session_s=bounds.session_s,
         )
 
+    def _inner_port(self) -> int:
+        """Return the port of the protocol between the daemons, the first of ``internal_ports``."""
+        if not self.internal_ports:
+            raise SettingsError(ResultCode.SETTINGS_INVALID, "internal_ports: a port is required")
+        return self.internal_ports[0]
+
     def coordination(self) -> CoordinationSettings:
         """Return the settings of a coordination daemon.
 
         Raises
         ------
         SettingsError
-            ``SETTINGS_INVALID`` if ``data_dir`` or the address ``control_plane`` is missing.
-        IndexError
-            If ``internal_ports`` is empty.
+            ``SETTINGS_INVALID`` if ``data_dir``, ``internal_ports`` or the address
+            ``control_plane`` is missing.
         """
         if not self.data_dir:
             raise SettingsError(ResultCode.SETTINGS_INVALID, "data_dir: the key is required")
         return CoordinationSettings(
             host=self.node_name,
             ip=self.ip,
-            port=self.internal_ports[0],
+            port=self._inner_port(),
             http_port=_listen_port(self.listen, "control_plane"),
             seeds=_ip_addresses(self.seeds),
             may_bootstrap=self.bootstrap,
@@ -140,6 +143,7 @@
             data_folder=Path(self.data_dir),
             exposure_share=self.bounds.exposure_share,
             exposure_extra_requests=self.bounds.exposure_slack,
+            availability_zone=self.zone,
         )
 
 
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -147,6 +147,8 @@
     ``versions`` are the servers that the gateway knows and its open requests, by version.
     ``held_sessions`` are the pinned sessions, which stay on the base version: by rollout key, the
     hashes of the sessions.
+    ``wants_work`` tells whether the reply shall contain the load of the other gateways; one
+    coordination host is enough for that.
     They are sent only while ``session_digests``, the digests of these hashes by rollout key, differ
     between gateway and coordination host. A rollout key is made of service and target version; a
     digest is the XOR (bitwise exclusive or) of the hashes.
@@ -164,6 +166,7 @@
     work: dict[str, ServerWork] = {}
     versions: tuple[VersionLoad, ...] = ()
     leaving: tuple[LeavingServer, ...] = ()
+    wants_work: bool = True
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
 
@@ -175,8 +178,10 @@
     the gateway has this version already. ``rows`` are the announcements that changed; ``refreshed``
     are the ids of servers that announced again without a change. ``gateways`` is the number of
     active gateways, ``quarantined`` the fingerprints of requests that must not run, and ``work``
-    the summed load of the other gateways by server id. ``session_digests`` and ``held_sessions``
-    are those of the coordination host, with the meaning that they have in an exchange request.
+    the summed load of the other gateways by server id, or None if it was not asked for.
+    ``availability_zone`` is that of the coordination host, or empty if it is not known.
+    ``session_digests`` and ``held_sessions`` are those of the coordination host, with the meaning
+    that they have in an exchange request.
     """
 
     hosts: tuple[str, ...]
@@ -190,7 +195,8 @@
     refreshed: tuple[str, ...]
     gateways: int
     quarantined: tuple[str, ...] = ()
-    work: dict[str, ServerWork] = {}
+    work: dict[str, ServerWork] | None = None
+    availability_zone: str = ""
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
 
