Gateways prefer a few servers of their zone while those are not busier

Change: a gateway prefers as many servers as it sends requests within the 2 s for which a connection stays usable, three at least, those of its zone first and then by rendezvous hashing. All servers are considered once the cheapest preferred one costs 0.1 s more than the median. A gateway with many requests uses all of them.

--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -117,7 +117,9 @@
         self._started_ns = time.time_ns()
         self._first_reply_s: float | None = None
         decisions = decisions or DecisionLog(settings.host)
-        directory = ServerDirectory(self._make_pool, settings.heartbeat_s)
+        directory = ServerDirectory(
+            self._make_pool, settings.heartbeat_s, settings.host, settings.availability_zone
+        )
         self.context = GatewayContext(
             settings,
             header_names,
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -498,7 +498,9 @@
             for server in usable_servers
         ]
         unseen_requests = context.directory.unseen_requests(usable_servers, now_s)
-        chosen_load = choose_server(loads, context.random, unseen_requests)
+        usable_servers[0].arrivals.record_send(now_s)
+        preferred_ids = context.directory.preferred_ids(usable_servers, now_s)
+        chosen_load = choose_server(loads, context.random, unseen_requests, preferred_ids)
         chosen_server = next(
             server for server in usable_servers if server.row.server_id == chosen_load.server_id
         )
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -18,7 +18,9 @@
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.routing.announcements import AnnouncementTable
 from baobabstream.routing.arrival_estimator import ArrivalEstimator
+from baobabstream.routing.preferred_servers import PreferenceKey, preferred_server_ids
 from baobabstream.routing.server_choice import ServerLoad
+from baobabstream.routing.stable_hashing import hash_fraction
 from baobabstream.wire.coordination_messages import (
     LeavingServer,
     ServerRow,
@@ -70,6 +72,8 @@
         Time in seconds at which it was first announced here.
     arrivals
         Estimate of the arrivals at the server's service, shared by its servers.
+    preference
+        Rank of the server among those that this gateway prefers.
 
     Attributes
     ----------
@@ -94,8 +98,14 @@
     """
 
     def __init__(
-        self, row: ServerRow, pool: ConnectionPool, now_s: float, arrivals: ArrivalEstimator
+        self,
+        row: ServerRow,
+        pool: ConnectionPool,
+        now_s: float,
+        arrivals: ArrivalEstimator,
+        preference: PreferenceKey,
     ) -> None:
+        self.preference = preference
         self.row = row
         self.pool = pool
         self.arrivals = arrivals
@@ -221,11 +231,19 @@
         Returns a new connection pool for a server.
     heartbeat_s
         Seconds between two announcements of a server.
+    gateway, availability_zone
+        Name and availability zone of this gateway, by which it prefers some servers.
     """
 
     def __init__(
-        self, make_pool: Callable[[ServerRow], ConnectionPool], heartbeat_s: float
+        self,
+        make_pool: Callable[[ServerRow], ConnectionPool],
+        heartbeat_s: float,
+        gateway: str = "",
+        availability_zone: str = "",
     ) -> None:
+        self._gateway = gateway
+        self._availability_zone = availability_zone
         self._make_pool = make_pool
         self._expiry_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._announcements = AnnouncementTable()
@@ -294,6 +312,14 @@
         for server in self._servers.values():
             server.remote_work = work.get(server.row.server_id, NO_WORK)
 
+    def preferred_ids(self, servers: Sequence[KnownServer], now_s: float) -> frozenset[str]:
+        """Return which of some servers of one service this gateway prefers, by identity.
+
+        ``now_s`` is the time in seconds; there must be at least one server.
+        """
+        own_rate_per_s = servers[0].arrivals.own_rate_per_s(now_s)
+        return preferred_server_ids((server.preference for server in servers), own_rate_per_s)
+
     def unseen_requests(self, servers: Sequence[KnownServer], now_s: float) -> float:
         """Return how many requests other gateways have probably sent since their last reports.
 
@@ -382,7 +408,17 @@
         if server is not None:
             self._remove(server)
         if row.state is not ServerState.GONE:
-            new_server = KnownServer(row, self._make_pool(row), now_s, self._arrivals[row.service])
+            new_server = KnownServer(
+                row,
+                self._make_pool(row),
+                now_s,
+                self._arrivals[row.service],
+                PreferenceKey(
+                    row.availability_zone != self._availability_zone,
+                    hash_fraction(f"{self._gateway}/{row.server_id}"),
+                    row.server_id,
+                ),
+            )
             self._servers[row.server_id] = new_server
             self._servers_by_service[row.service][row.server_id] = new_server
 
--- a/src/baobabstream/routing/server_choice.py
+++ b/src/baobabstream/routing/server_choice.py
@@ -7,8 +7,10 @@
 """
 
 from collections.abc import Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from random import Random
+from statistics import median_low
 
 __all__ = ["ServerLoad", "choose_server", "expected_cost_s"]
 
@@ -22,6 +24,10 @@
 # Multiple of its expected time that is added for a server that fails all requests; for others, in
 # proportion to the failure rate.
 FAILURE_RATE_WEIGHT = 6.0
+# Seconds by which the cheapest preferred server may exceed the median of all servers before all are
+# taken into account. It is the cost of two running requests, about the difference that remains
+# between servers if each gateway balances over a few of them.
+MAX_PREFERRED_EXCESS_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +79,10 @@
 
 
 def choose_server(
-    loads: Sequence[ServerLoad], random: Random, unseen_requests: float = 0.0
+    loads: Sequence[ServerLoad],
+    random: Random,
+    unseen_requests: float = 0.0,
+    preferred_ids: AbstractSet[str] = frozenset(),
 ) -> ServerLoad:
     """Return the load of the server that a request is sent to.
 
@@ -87,6 +96,9 @@
     unseen_requests
         Expected number of requests that other gateways have sent to these servers since the
         reports that the loads are based on; 0 if the loads are exact.
+    preferred_ids
+        Identities of the servers that are chosen while they are not much more loaded than the
+        others; empty if none are preferred.
 
     Notes
     -----
@@ -101,6 +113,17 @@
        Distributed Systems 11(10), 2000, section 3.1 (basic load interpretation).
     """
     costs_s = [expected_cost_s(load) for load in loads]
+    preferred = [
+        (load, cost_s)
+        for load, cost_s in zip(loads, costs_s, strict=True)
+        if load.server_id in preferred_ids
+    ]
+    if preferred:
+        max_cost_s = median_low(costs_s) + MAX_PREFERRED_EXCESS_S
+        if min(cost_s for _, cost_s in preferred) <= max_cost_s:
+            unseen_requests *= len(preferred) / len(loads)
+            loads = [load for load, _ in preferred]
+            costs_s = [cost_s for _, cost_s in preferred]
     if unseen_requests > 0 and len(loads) > 1:
         weights = _fill_to_common_level(loads, costs_s, unseen_requests)
         return random.choices(loads, weights)[0]
