--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -347,3 +347,19 @@
 
     def nng_aio_cancel(self, _) -> None:
         return
+
+
+@pytest.mark.parametrize("bad_reply", [BillReply("c", "z", 2**70), BillReply("\udcff", "z", 0)])
+async def test_reply_that_cannot_be_encoded_fails_only_its_call(bad_reply):
+    """Guards against workers that end one by one, until the server answers nobody."""
+    replies = [bad_reply] * 40
+
+    async def handle(_sender, _message):
+        return replies.pop() if replies else REPLY
+
+    async with running_server(handle) as url, open_client(url) as client:
+        for _ in range(40):
+            with pytest.raises(PeerError) as raised:
+                await client.call(BillRequest(()), 2.0)
+            assert raised.value.code is ResultCode.PEER_FAILED
+        assert await client.call(BillRequest(()), 2.0) == REPLY
