The web server is not imported before a restarted gateway listens

Cause: the function that closes a listening socket brought aiohttp into the module that a gateway imports before it opens its socket.

Change: a module of its own; a test checks what is imported before the socket is open (it printed aiohttp and asyncio before).

--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -31,11 +31,8 @@
 from baobabstream.entry.http_errors import error_response
 from baobabstream.entry.in_flight import InFlightRequests
 from baobabstream.entry.leader_calls import BackgroundTasks
-from baobabstream.entry.listening_socket import (
-    ACCEPT_BACKLOG,
-    open_listening_socket,
-    stop_listening,
-)
+from baobabstream.entry.listening_socket import ACCEPT_BACKLOG, open_listening_socket
+from baobabstream.entry.listening_stop import stop_listening
 from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
 from baobabstream.entry.sessions import SessionTokens
--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -9,7 +9,8 @@
 
 from aiohttp import web
 
-from baobabstream.entry.listening_socket import ACCEPT_BACKLOG, stop_listening
+from baobabstream.entry.listening_socket import ACCEPT_BACKLOG
+from baobabstream.entry.listening_stop import stop_listening
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.error_responses import error_response
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -131,7 +131,7 @@
     in_flight: int
 
 
-class ExchangeRequest(Struct, frozen=True, tag="exchange"):
+class ExchangeRequest(Struct, frozen=True, omit_defaults=True, tag="exchange"):
     """Report of a gateway, and long poll for changes.
 
     The coordination host answers after a change, at the latest after ``wait_s`` seconds.
@@ -171,7 +171,7 @@
     held_sessions: dict[str, tuple[int, ...]] = {}
 
 
-class ExchangeReply(Struct, frozen=True, tag="exchange_reply"):
+class ExchangeReply(Struct, frozen=True, omit_defaults=True, tag="exchange_reply"):
     """Changes since the versions and the position of an exchange request.
 
     ``hosts`` are the coordination hosts. ``document`` is the compressed configuration, or empty if
@@ -186,6 +186,7 @@
 
     hosts: tuple[str, ...]
     document_version: int
+    # Older gateways require the fields without a default.
     document: bytes
     rollout_revision: int
     rollouts: tuple[RolloutRow, ...]
--- a/tests/entry/test_listening_socket.py
+++ b/tests/entry/test_listening_stop.py
@@ -5,7 +5,8 @@
 
 from aiohttp import web
 
-from baobabstream.entry.listening_socket import open_listening_socket, stop_listening
+from baobabstream.entry.listening_socket import open_listening_socket
+from baobabstream.entry.listening_stop import stop_listening
 
 
 async def test_waiting_connections_are_served_before_the_socket_closes():
--- a/tests/platform/test_platform_start.py
+++ b/tests/platform/test_platform_start.py
@@ -1,6 +1,9 @@
 """Tests the start of a daemon on the platform."""
 
+import os
 import socket
+import subprocess
+import sys
 
 import pytest
 from msgspec import convert
@@ -34,3 +37,17 @@
     monkeypatch.setattr(program, "_configure_process", connect)
     with pytest.raises(_ConnectionAccepted):
         program._run_gateway(convert(settings_values, PlatformSettings))
+
+
+def test_web_server_is_not_imported_before_callers_can_connect() -> None:
+    """Guards against a slow import before the socket listens, which refuses callers meanwhile."""
+    code = (
+        "import sys, baobabstream.platform.__main__, baobabstream.platform.settings, "
+        "baobabstream.entry.listening_socket; "
+        "print(sorted({'aiohttp', 'asyncio', 'pydantic', 'pynng'} & set(sys.modules)))"
+    )
+    environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+    output = subprocess.run(
+        [sys.executable, "-c", code], env=environment, capture_output=True, check=True, timeout=60
+    )
+    assert output.stdout.strip() == b"[]"
