--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -140,16 +140,16 @@
             if len(request.body) > self._max_body_bytes:
                 raise RequestRefused(ResultCode.BODY_TOO_LARGE)
         except RequestRefused as error:
-            if error.code is ResultCode.NO_CONFIGURATION:
-                error.retry_after_s = NO_CONFIGURATION_RETRY_S
-            self._log_refusal(http_request, error, arrived_s)
-            return error_response(error)
+            refusal = error
         except Exception:
             _log.exception("A request could not be read.")
             refusal = RequestRefused(ResultCode.INTERNAL_ERROR)
-            self._log_refusal(http_request, refusal, arrived_s)
-            return error_response(refusal)
-        return await RequestExecution(request, http_request, context).run()
+        else:
+            return await RequestExecution(request, http_request, context).run()
+        if refusal.code is ResultCode.NO_CONFIGURATION:
+            refusal.retry_after_s = NO_CONFIGURATION_RETRY_S
+        self._log_refusal(http_request, refusal, arrived_s)
+        return error_response(refusal)
 
     async def _wait_for_startup(self, arrived_s: float) -> None:
         """Delay a request that arrives while this host learns its configuration and servers.
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -260,11 +260,10 @@
             If the server counts as hung.
         """
         route, progress, context = self._request.route, self._progress, self._context
-        budget = context.retry_budget(self._request.service)
         may_retry = (
             route.is_repeatable
             and progress.run_count + 1 < route.max_attempts
-            and budget.allows_retry(self._loop.time(), context.gateway_count)
+            and self._budget_allows_retry()
         )
         if not may_retry:
             yield
@@ -575,18 +574,14 @@
 
     def _may_resume(self, attempt: Attempt, last_event_id: str) -> bool:
         """Return whether a stream that has stalled at an attempt may continue at another server."""
-        context, now_s = self._context, self._loop.time()
+        request = self._request
+        candidates = self._context.candidates(
+            request.service, request.session, self._loop.time(), is_retry=True
+        )
         return (
             self._has_resumable_stream(last_event_id, uncounted_runs=not attempt.is_counted_as_run)
-            and context.retry_budget(self._request.service).allows_retry(
-                now_s, context.gateway_count
-            )
-            and any(
-                server is not attempt.server
-                for server in context.candidates(
-                    self._request.service, self._request.session, now_s
-                )
-            )
+            and self._budget_allows_retry()
+            and any(server is not attempt.server for server in candidates)
         )
 
     def _has_resumable_stream(self, last_event_id: str, uncounted_runs: int = 0) -> bool:
@@ -603,6 +598,12 @@
             and progress.send_count < MAX_SENDS
         )
 
+    def _budget_allows_retry(self) -> bool:
+        """Return whether the service's budget allows one more retry, without using it."""
+        context = self._context
+        budget = context.retry_budget(self._request.service)
+        return budget.allows_retry(self._loop.time(), context.gateway_count)
+
     def _try_acquire_retry(self) -> bool:
         """Use one retry of the service's budget, and return whether the budget allows it."""
         context = self._context
