Revert: the trial of a version no longer goes to a few of its servers

Cause of the try: a version that is slow under load got few requests on each of its servers. Change that was tried: its share went to as many servers as are then loaded like the others, another group every 3 s.

The trace shows another cause: the pace of the version's streams is 1.5 times the expected, that of the base 0.4 to 1.0, but a stream counts as bad only from 2.0 on.

--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -20,7 +20,6 @@
 from baobabstream.gateway.response_memory import ResponseMemory
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
-from baobabstream.routing.canary_servers import canary_server_ids
 from baobabstream.routing.response_time_estimator import ResponseTimeEstimator
 from baobabstream.routing.retry_budget import RetryBudget
 from baobabstream.routing.route_table import RouteTable
@@ -128,32 +127,16 @@
         age_s = self.control_age_s()
         return int(age_s * 1000) if age_s != float("inf") else None
 
-    def candidates(
-        self, service: str, session: str, now_s: float, is_retry: bool = False
-    ) -> list[KnownServer]:
+    def candidates(self, service: str, session: str, now_s: float) -> list[KnownServer]:
         """Return the servers that may run a request of a session and take requests now.
 
-        These are the ones of `servers_of_session` that have not asked for a pause. While the target
-        of a rollout is tried, its first sends go to a few of its servers.
-
-        Parameters
-        ----------
-        service, session, now_s
-            As for `servers_of_session`.
-        is_retry
-            Whether the request has been sent before, so that any server of its version may run it.
+        These are the ones of `servers_of_session` that have not asked for a pause.
         """
-        servers = [
+        return [
             server
             for server in self.servers_of_session(service, session, now_s)
             if server.refuses_until_s <= now_s
         ]
-        if is_retry or not servers or not self.runs_rollout_target(servers[0]):
-            return servers
-        canary_ids = canary_server_ids(
-            self.rollouts[service], (server.row.server_id for server in servers)
-        )
-        return [server for server in servers if server.row.server_id in canary_ids]
 
     def pause_left_s(self, service: str, session: str, now_s: float) -> float | None:
         """Return the seconds until a server that has asked for a pause takes requests again.
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -470,8 +470,7 @@
             ``NO_BACKEND_SERVER`` if no server is left.
         """
         request, context, now_s = self._request, self._context, self._loop.time()
-        is_retry = self._progress.send_count > 0
-        servers = context.candidates(request.service, request.session, now_s, is_retry)
+        servers = context.candidates(request.service, request.session, now_s)
         accepting_servers = [
             server for server in servers if server.row.server_id not in self._refusing_server_ids
         ]
@@ -575,9 +574,7 @@
     def _may_resume(self, attempt: Attempt, last_event_id: str) -> bool:
         """Return whether a stream that has stalled at an attempt may continue at another server."""
         request = self._request
-        candidates = self._context.candidates(
-            request.service, request.session, self._loop.time(), is_retry=True
-        )
+        candidates = self._context.candidates(request.service, request.session, self._loop.time())
         return (
             self._has_resumable_stream(last_event_id, uncounted_runs=not attempt.is_counted_as_run)
             and self._budget_allows_retry()
