The judge of a rollout compares the pace of streams

Change: gateways report number, sum and squares of the logarithm of the pace; the judge adds the likelihood ratio that the target's mean is higher, from 5 streams of each version and a difference of 1.4 times on.

--- a/src/baobabstream/coordination/regression_detector.py
+++ b/src/baobabstream/coordination/regression_detector.py
@@ -29,6 +29,11 @@
 PRIOR_BAD_ANSWERS, PRIOR_ANSWERS = 0.5, 15.0
 # Upper bound of the bad share that the test looks for; at 1 the logarithm is undefined.
 MAX_BAD_SHARE = 0.95
+# Least number of measured streams of each version before their paces are compared, and the least
+# difference of the mean logarithms that counts: streams that take 1.4 times as long.
+MIN_PACES, MIN_LOG_PACE_DIFFERENCE = 5, log(1.4)
+# Lower bound of the variance of the logarithms of the pace. Few streams may be equal by chance.
+MIN_LOG_PACE_VARIANCE = 0.1
 # Number of servers of the target version that must have given bad answers, so that a single faulty
 # server does not roll back its version. If the version has only one server, that one is enough.
 MIN_BAD_SERVERS = 2
@@ -36,10 +41,17 @@
 
 @dataclass(slots=True)
 class AnswerCounts:
-    """Numbers of good and bad answers."""
+    """Numbers of good and bad answers, and the measured paces of streams.
+
+    ``paces`` is the number of measured streams, ``log_pace_sum`` and ``log_pace_squares`` the sums
+    of the natural logarithms of their pace and of their squares; see ``ServerEvidence``.
+    """
 
     good: int = 0
     bad: int = 0
+    paces: int = 0
+    log_pace_sum: float = 0.0
+    log_pace_squares: float = 0.0
 
 
 class EvidenceLedger:
@@ -82,6 +94,9 @@
                     counts = totals[counter.version][counter.server_id]
                     counts.good += counter.good
                     counts.bad += counter.bad
+                    counts.paces += counter.paces
+                    counts.log_pace_sum += counter.log_pace_sum
+                    counts.log_pace_squares += counter.log_pace_squares
         return totals
 
 
@@ -96,12 +111,14 @@
     log_ratio
         Natural logarithm of a likelihood ratio: how much more likely the target's answers are if
         its share of bad answers is that of the base version plus ``DETECTED_INCREASE`` than if
-        both shares are equal.
+        both shares are equal; or how much more likely the paces of its streams are if they differ
+        from those of the base version as measured than if they don't, whichever is higher.
 
     Notes
     -----
-    Each bad answer raises ``log_ratio`` and each good one lowers it. It never falls below zero, so
-    that a version that turns bad late is detected as fast as one that was bad from the start.
+    Each bad answer raises the ratio of the answers and each good one lowers it. It never falls
+    below zero, so that a version that turns bad late is detected as fast as one that was bad from
+    the start.
 
     References
     ----------
@@ -111,6 +128,8 @@
     base: str
     target: str
     log_ratio: float = 0.0
+    # Ratio of the answers alone.
+    _answer_log_ratio: float = 0.0
     # Answers of the target that ``log_ratio`` includes already.
     _counted: AnswerCounts = field(default_factory=AnswerCounts)
 
@@ -141,11 +160,15 @@
         log_ratio_change = new_bad * log(increased_bad_share / base_bad_share) + new_good * log(
             (1 - increased_bad_share) / (1 - base_bad_share)
         )
-        self.log_ratio = max(0.0, self.log_ratio + log_ratio_change)
+        self._answer_log_ratio = max(0.0, self._answer_log_ratio + log_ratio_change)
+        pace_log_ratio = _pace_log_ratio(totals.get(self.base, {}).values(), target_counts.values())
+        self.log_ratio = max(self._answer_log_ratio, pace_log_ratio)
         bad_server_count = sum(counts.bad > 0 for counts in target_counts.values())
-        return self.log_ratio >= REGRESSION_LOG_RATIO and bad_server_count >= min(
-            MIN_BAD_SERVERS, len(target_counts)
-        )
+        measured_server_count = sum(counts.paces > 0 for counts in target_counts.values())
+        min_servers = min(MIN_BAD_SERVERS, len(target_counts))
+        return (
+            self._answer_log_ratio >= REGRESSION_LOG_RATIO and bad_server_count >= min_servers
+        ) or (pace_log_ratio >= REGRESSION_LOG_RATIO and measured_server_count >= min_servers)
 
 
 def _bad_share(counts_by_server: Iterable[AnswerCounts]) -> float:
@@ -165,3 +188,40 @@
         bad / (sum(counts.good + counts.bad for counts in all_counts) + PRIOR_ANSWERS),
         1 - DETECTED_INCREASE,
     )
+
+
+def _pace_log_ratio(
+    base_counts: Iterable[AnswerCounts], target_counts: Iterable[AnswerCounts]
+) -> float:
+    """Return the logarithm of the likelihood ratio that the target's streams are slower.
+
+    It compares normal distributions of the logarithms of the paces: with the means as measured, and
+    with equal means. The result is 0 if there are too few streams, or the target is not slower by
+    ``MIN_LOG_PACE_DIFFERENCE``.
+
+    Parameters
+    ----------
+    base_counts, target_counts
+        Answers of both versions, one element for each server.
+    """
+    base_count, base_mean, base_variance = _log_pace_statistics(base_counts)
+    target_count, target_mean, target_variance = _log_pace_statistics(target_counts)
+    difference = target_mean - base_mean
+    if min(base_count, target_count) < MIN_PACES or difference < MIN_LOG_PACE_DIFFERENCE:
+        return 0.0
+    # One variance for both versions; that of the target's few streams alone may be small by chance.
+    variance = (base_count * base_variance + target_count * target_variance) / (
+        base_count + target_count
+    )
+    return difference * difference / (2 * variance * (1 / base_count + 1 / target_count))
+
+
+def _log_pace_statistics(counts_by_server: Iterable[AnswerCounts]) -> tuple[int, float, float]:
+    """Return number, mean and variance of the logarithms of the paces of one version."""
+    all_counts = tuple(counts_by_server)
+    count = sum(counts.paces for counts in all_counts)
+    if count == 0:
+        return 0, 0.0, MIN_LOG_PACE_VARIANCE
+    mean = sum(counts.log_pace_sum for counts in all_counts) / count
+    mean_square = sum(counts.log_pace_squares for counts in all_counts) / count
+    return count, mean, max(mean_square - mean * mean, MIN_LOG_PACE_VARIANCE)
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -115,6 +115,7 @@
             attempt.model, attempt.requests_at_send, interval_s, updates_estimate
         )
         self.event_slowdown = slowdown
+        attempt.server.record_pace(slowdown)
         if slowdown > BAD_EVENT_SLOWDOWN:
             attempt.server.bad_responses += 1
             attempt.server.good_responses -= 1
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -337,6 +337,9 @@
                     server.row.server_id,
                     server.good_responses,
                     server.bad_responses,
+                    server.paces,
+                    server.log_pace_sum,
+                    server.log_pace_squares,
                 )
 
     def _log_server_change(self, row: ServerRow) -> None:
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -14,6 +14,7 @@
 
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import log
 
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.routing.announcements import AnnouncementTable
@@ -37,6 +38,8 @@
 # Seconds for which a server that cannot be reached is suspended the first time, and at most. The
 # time doubles with each further suspension.
 MIN_SUSPENSION_S, MAX_SUSPENSION_S = 0.3, 3.0
+# Lower bound of a measured pace. Events that arrive at once have a pace of 0, without a logarithm.
+MIN_PACE = 0.05
 # Weight (0 to 1) of the newest response in the moving averages of the failure rate and the
 # slowdown.
 FAILURE_RATE_WEIGHT, SLOWDOWN_WEIGHT = 0.25, 0.2
@@ -95,6 +98,9 @@
     good_responses, bad_responses
         Number of responses of each kind since the process is known. By them the versions of a
         service are compared during a rollout, in which one version replaces another.
+    paces, log_pace_sum, log_pace_squares
+        Number of streams whose pace was measured, and the sums of the natural logarithms of the
+        pace and of their squares; see `record_pace`.
     """
 
     def __init__(
@@ -118,6 +124,9 @@
         self.suspended_until_s = 0.0
         self.good_responses = 0
         self.bad_responses = 0
+        self.paces = 0
+        self.log_pace_sum = 0.0
+        self.log_pace_squares = 0.0
         # Moving averages: fraction of failed responses, and slowdown of the others.
         self._failure_rate = 0.0
         self._slowdown = 1.0
@@ -197,6 +206,13 @@
             capped_slowdown = min(slowdown, MAX_AVERAGED_SLOWDOWN)
             self._slowdown += SLOWDOWN_WEIGHT * (capped_slowdown - self._slowdown)
 
+    def record_pace(self, slowdown: float) -> None:
+        """Add the pace of a stream, its mean time between events over the expected one."""
+        log_pace = log(max(slowdown, MIN_PACE))
+        self.paces += 1
+        self.log_pace_sum += log_pace
+        self.log_pace_squares += log_pace * log_pace
+
     def suspend(self, now_s: float) -> float:
         """Suspend the server from ``now_s`` on, and return for how many seconds.
 
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -91,7 +91,10 @@
 class ServerEvidence(Struct, frozen=True, array_like=True):
     """Counts of a backend server's good and bad responses through one gateway process.
 
-    They count from the start of the gateway process that reports them.
+    They count from the start of the gateway process that reports them. ``paces`` is the number of
+    streams whose pace was measured, which is the mean time between their events as a multiple of
+    the expected one; ``log_pace_sum`` and ``log_pace_squares`` are the sums of the natural
+    logarithms of the pace and of their squares.
     """
 
     service: str
@@ -99,6 +102,9 @@
     server_id: str
     good: int
     bad: int
+    paces: int = 0
+    log_pace_sum: float = 0.0
+    log_pace_squares: float = 0.0
 
 
 class ServerWork(Struct, frozen=True, array_like=True):
