Test harness: a gateway process that does not listen yet is not ready yet

Cause: the harness asks a gateway process for readiness right after it was started and took a refused connection for a failure of the test.

Change: a refused connection counts as not ready; the limit of 15 s stays, and so do all checks of the run.

--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from random import Random
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
 from backends.raw_server import encode_answer, read_request
 from baobabstream.coordination.daemon import CoordinationDaemon
@@ -429,8 +429,12 @@
         url = f"http://{ip or self.gateway_ips[0]}:{READY_PORT}{READY_PATH}"
 
         async def is_ready() -> bool:
-            async with self.http.get(url) as reply:
-                return reply.status == 200
+            """Return whether the gateway says so; a process that is starting may not listen yet."""
+            try:
+                async with self.http.get(url) as reply:
+                    return reply.status == 200
+            except ClientConnectorError:
+                return False
 
         async with asyncio.timeout(15):
             while not await is_ready():
