A stop forgets no connection while others keep arriving

Trace: callers waited on established connections to the stopped gateway that had no protocol. With callers that connect all the time the wait for an empty queue ended at its limit of 1 s, and asyncio forgot the connections that were between accept and protocol when the socket was closed.

Change: the event loop stops to accept, the connections that it has taken get their protocols, the rest of the queue is accepted by hand, and the socket is closed in the moment in which the queue is empty. The test has a limit of 30 s.

--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -172,7 +172,13 @@
         # Tells the control session that this entry is about to stop.
         self.control.draining = True
         await asyncio.sleep(self.settings.drain_notice_s)
-        await stop_listening(self._site, self._listening_socket)
+        tls = self.settings.listener.tls
+        await stop_listening(
+            self._runner,
+            self._site,
+            self._listening_socket,
+            tls.server_context() if tls is not None else None,
+        )
         await self.in_flight_requests.wait_until_idle()
         await self._runner.cleanup()
         await self.background_tasks.drain()
--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -105,7 +105,7 @@
         callers have just sent on them would get no response; so they are refused with one.
         """
         self._is_accepting = False
-        await stop_listening(self._site, self._listening_socket)
+        await stop_listening(self._runner, self._site, self._listening_socket)
 
     async def finish(self, end_s: float) -> None:
         """Wait for open requests until a time in seconds, then close all connections."""
--- a/tests/entry/test_listening_stop.py
+++ b/tests/entry/test_listening_stop.py
@@ -29,7 +29,7 @@
         connection = socket.create_connection(address)
         connection.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
         connections.append(connection)
-    await stop_listening(site, listener)
+    await stop_listening(runner, site, listener)
     await runner.cleanup()
     answers = []
     for connection in connections:
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -52,7 +52,8 @@
         await until(lambda: len(outcomes) > CALLER_COUNT)
         ip, gateway = next(iter(platform.gateways.items()))
         await gateway.stop()
-        await asyncio.gather(*callers)
+        async with asyncio.timeout(30):
+            await asyncio.gather(*callers)
         del platform.gateways[ip]
     assert {outcome for outcome in outcomes if outcome not in (200, 503)} == set()
     assert outcomes.count(200) > CALLER_COUNT
