Read-through: the TLS context is made once, and no preference if all servers are preferred

Behaviour stays. The chat entry loaded its certificate files again at a planned stop, only to accept the last connections; files that had changed or gone by then would have failed the stop. It now keeps the context of the start. A gateway that prefers all servers no longer copies the loads and takes their median for each request. The sentence on wants_work stood between a sentence and the one that refers to it; one comment reworded.

--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -132,6 +132,7 @@
         settings = self.settings
         listener = settings.listener
         self._listening_socket = open_listening_socket(listener.ip, listener.port)
+        self._tls_context = listener.tls.server_context() if listener.tls is not None else None
         self._context = self._open_clients()
         self.load_meter.start()
         self._poll_task = asyncio.create_task(self.control.run())
@@ -154,7 +155,7 @@
             self._runner,
             self._listening_socket,
             backlog=ACCEPT_BACKLOG,
-            ssl_context=listener.tls.server_context() if listener.tls is not None else None,
+            ssl_context=self._tls_context,
         )
         await self._site.start()
         self.timeline.emit(EventKind.DAEMON_STARTED)
@@ -172,13 +173,7 @@
         # Tells the control session that this entry is about to stop.
         self.control.draining = True
         await asyncio.sleep(self.settings.drain_notice_s)
-        tls = self.settings.listener.tls
-        await stop_listening(
-            self._runner,
-            self._site,
-            self._listening_socket,
-            tls.server_context() if tls is not None else None,
-        )
+        await stop_listening(self._runner, self._site, self._listening_socket, self._tls_context)
         await self.in_flight_requests.wait_until_idle()
         await self._runner.cleanup()
         await self.background_tasks.drain()
--- a/src/baobabstream/gateway/load_source.py
+++ b/src/baobabstream/gateway/load_source.py
@@ -8,7 +8,7 @@
 
 __all__ = ["LoadSource"]
 
-# Time without a reply after which another host is chosen. Hosts reply at least twice a second.
+# Time without a reply after which another host sends the load. Hosts reply twice a second.
 MAX_SILENCE_S = 1.2
 
 
--- a/src/baobabstream/routing/server_choice.py
+++ b/src/baobabstream/routing/server_choice.py
@@ -118,7 +118,8 @@
         for load, cost_s in zip(loads, costs_s, strict=True)
         if load.server_id in preferred_ids
     ]
-    if preferred:
+    # If all servers are preferred, none is.
+    if 0 < len(preferred) < len(loads):
         max_cost_s = median_low(costs_s) + MAX_PREFERRED_EXCESS_S
         if min(cost_s for _, cost_s in preferred) <= max_cost_s:
             unseen_requests *= len(preferred) / len(loads)
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -153,11 +153,10 @@
     ``versions`` are the servers that the gateway knows and its open requests, by version.
     ``held_sessions`` are the pinned sessions, which stay on the base version: by rollout key, the
     hashes of the sessions.
-    ``wants_work`` tells whether the reply shall contain the load of the other gateways; one
-    coordination host is enough for that.
     They are sent only while ``session_digests``, the digests of these hashes by rollout key, differ
     between gateway and coordination host. A rollout key is made of service and target version; a
-    digest is the XOR (bitwise exclusive or) of the hashes.
+    digest is the XOR (bitwise exclusive or) of the hashes. ``wants_work`` tells whether the reply
+    shall contain the load of the other gateways; one coordination host is enough for that.
     """
 
     host: str
