--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -122,6 +122,8 @@
         failure of the attempt is not counted as a second one; set by the request's execution.
     uncached_prompt_tokens
         Prompt tokens that are probably not in the server's cache.
+    event_count
+        Events received so far.
     """
 
     def __init__(
@@ -151,8 +153,8 @@
         # Whether the expected time for the prompt is included in the server's queued time.
         self._is_processing_prompt = False
         self._event_buffer = EventBuffer()
-        # Events received so far, and the times at which the first and the last ones arrived.
-        self._event_count = 0
+        self.event_count = 0
+        # Times at which the first and the last event arrived.
         self._interval_was_reported = False
         self._first_event_s = 0.0
         self._last_event_s = 0.0
@@ -238,7 +240,7 @@
 
         It is True once, after ``MIN_MEASURED_EVENTS`` events, so that a stream is measured once.
         """
-        if self._interval_was_reported or self._event_count < MIN_MEASURED_EVENTS:
+        if self._interval_was_reported or self.event_count < MIN_MEASURED_EVENTS:
             return False
         self._interval_was_reported = True
         return True
@@ -246,14 +248,14 @@
     def mean_event_interval_s(self) -> float:
         """Return the mean time between the events so far, in seconds."""
         # Between n events there are n - 1 intervals.
-        return (self._last_event_s - self._first_event_s) / max(1, self._event_count - 1)
+        return (self._last_event_s - self._first_event_s) / max(1, self.event_count - 1)
 
     def _count_events(self, events: bytes) -> None:
         """Count complete events that have just arrived, and store the times of first and last."""
         self._last_event_s = asyncio.get_running_loop().time()
-        if not self._event_count:
+        if not self.event_count:
             self._first_event_s = self._last_event_s
-        self._event_count += events.count(EVENT_END)
+        self.event_count += events.count(EVENT_END)
 
     def end_prompt_processing(self) -> None:
         """Subtract the prompt from the server's queued time, at the first event or at the end.
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -149,7 +149,7 @@
         if failure.head is not None and failure.head.status == MISDIRECTED_STATUS:
             self._suspend(server, "another server has its address", now_s)
         if failure.connection_lost:
-            self._check_crash(server)
+            self._check_crash(attempt)
         self._log_failure(attempt, failure, send_count, now_s)
 
     def record_notices(self, server: KnownServer, head: AnswerHead) -> None:
@@ -223,14 +223,14 @@
             announced_age_ms=int((now_s - server.last_announced_s) * 1000),
         )
 
-    def _check_crash(self, server: KnownServer) -> None:
-        """Start a background task that suspends a server if it has crashed.
+    def _check_crash(self, attempt: Attempt) -> None:
+        """Start a background task that suspends the server of an attempt if it has crashed.
 
         Called after the connection to the server ended, or its stream stalled, while a request was
         under way. The request itself does not wait for the task, which may take longer than the
         request.
         """
-        context, request = self._context, self._request
+        context, request, server = self._context, self._request, attempt.server
 
         async def suspend_if_crashed() -> None:
             """Probe the server and suspend it if it refuses connections."""
@@ -242,6 +242,14 @@
                 context.header_names.request_id.lower(),
             ):
                 self._suspend(server, "the server refuses connections", self._loop.time())
+                context.decisions.record(
+                    DecisionEvent.SERVER_CRASHED,
+                    server=server.row.server_id,
+                    request_id=request.request_id,
+                    fingerprint=request.fingerprint,
+                    shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
+                    events=attempt.event_count,
+                )
 
         # The set keeps the task alive until it is done; the event loop holds only a weak reference.
         task = asyncio.create_task(suspend_if_crashed())
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -48,15 +48,15 @@
             or self._crash_counts.get(fingerprint, 0) > MAX_LOCAL_CRASHES
         )
 
-    def add_quarantined(self, fingerprints: tuple[str, ...]) -> None:
+    def add_quarantined(self, fingerprints: tuple[str, ...]) -> list[str]:
         """Quarantine requests that the coordination hosts name from the reports of all gateways.
 
-        They stay quarantined here until the gateway ends.
+        They stay quarantined here until the gateway ends. Returns those that are new.
         """
-        if fingerprints:
-            self._quarantined_fingerprints = self._quarantined_fingerprints | frozenset(
-                fingerprints
-            )
+        added = [name for name in fingerprints if name not in self._quarantined_fingerprints]
+        if added:
+            self._quarantined_fingerprints = self._quarantined_fingerprints | frozenset(added)
+        return added
 
     def crash_reports(self, now_s: float) -> tuple[str, ...]:
         """Return the recent crashes, to be reported to the coordination hosts.
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -278,7 +278,14 @@
         context.directory.refresh(reply.refreshed, now_s)
         if reply.work is not None:
             context.directory.set_remote_work(reply.work, now_s)
-        context.crash_tracker.add_quarantined(reply.quarantined)
+        added = context.crash_tracker.add_quarantined(reply.quarantined)
+        if added:
+            context.decisions.record(
+                DecisionEvent.QUARANTINE_CHANGED,
+                added=added,
+                removed=[],
+                reason="a coordination host has named them",
+            )
         context.gateway_count = max(1, reply.gateways)
         context.session_versions.pinned_sessions.merge(reply.held_sessions)
         if reply.rollout_revision > context.rollout_revision:
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -21,7 +21,9 @@
 host is the leader; ``share`` the share of the traffic, 0 to 1, of the new version; ``confidence``
 the value of the response header in which a model states how sure it is of its answer; ``session``
 the identifier of the related requests that this one belongs to; ``in_flight`` the number of
-requests under way at the server.
+requests under way at the server; ``fingerprint`` a hash of a request's content; ``shared_parts``
+the parts of its prompt that other prompts may have too; ``events`` how many events of its answer
+had arrived when its server crashed.
 """
 
 import asyncio
@@ -66,6 +68,8 @@
     ATTEMPT_FAILED = "attempt_failed"
     SERVER_CHANGED = "server_changed"
     SERVER_SUSPECTED = "server_suspected"
+    SERVER_CRASHED = "server_crashed"
+    QUARANTINE_CHANGED = "quarantine_changed"
     DOCUMENT_IN_FORCE = "document_in_force"
     ROLLOUT_CHANGED = "rollout_changed"
     ORDER_DECIDED = "order_decided"
@@ -123,6 +127,8 @@
     ),
     DecisionEvent.SERVER_CHANGED: ("server", "service", "address", "state", "version", "reason"),
     DecisionEvent.SERVER_SUSPECTED: ("server", "reason", "hold_ms"),
+    DecisionEvent.SERVER_CRASHED: ("server", "request_id", "fingerprint", "shared_parts", "events"),
+    DecisionEvent.QUARANTINE_CHANGED: ("added", "removed", "reason"),
     DecisionEvent.DOCUMENT_IN_FORCE: ("document_version", "routes"),
     DecisionEvent.ROLLOUT_CHANGED: (
         "service",
