--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -2,7 +2,7 @@
 
 An exchange is a long poll: a gateway sends its report, an ``ExchangeRequest``, and receives what
 has changed since its last exchange, or waits for a change. Here, "request" is this message, except
-for quarantined requests: these are client requests that have crashed several backend servers.
+for quarantined requests: these are client requests that crash backend servers.
 
 A rollout moves a service from its base version to a target version. Sessions that were active when
 it began are pinned: they stay on the base version. While it is in progress, gateways and
@@ -25,6 +25,7 @@
 from collections.abc import Callable
 
 from baobabstream.coordination.announcement_feed import AnnouncementFeed
+from baobabstream.coordination.crash_reports import CrashReports
 from baobabstream.coordination.gateway_contacts import GatewayContacts
 from baobabstream.coordination.regression_detector import EvidenceLedger
 from baobabstream.coordination.state import CoordinationState
@@ -36,10 +37,10 @@
 
 # Upper bound of the wait for a change; no gateway asks for a longer one.
 MAX_WAIT_S = 5.0
-# Delay of a reply whose only news is pinned sessions. All hosts learn them within this time and
-# one exchange. That is shorter than the first step of a rollout, in which no session gets the
-# target version yet.
-PINNED_SESSIONS_DELAY_S = 0.05
+# Delay of a reply whose only news is pinned sessions or crashes, since several gateways report them
+# at once. All hosts learn pinned sessions within this time and one exchange. That is shorter than
+# the first step of a rollout, in which no session gets the target version yet.
+COALESCING_DELAY_S = 0.05
 # Interval at which ``wait_until_confirmed`` checks the reports of the gateways; short compared to
 # the time within which the departure of a backend server must take effect.
 CONFIRMATION_POLL_S = 0.01
@@ -66,6 +67,8 @@
     ----------
     contacts
         Recent reports of the gateways.
+    crash_reports
+        Crashes of backend servers, and the requests that are quarantined for them.
     evidence
         Good and bad answers that the gateways have counted, by version and server.
     pinned_sessions
@@ -81,6 +84,7 @@
         availability_zone: str = "",
     ) -> None:
         self.contacts = GatewayContacts()
+        self.crash_reports = CrashReports()
         self.evidence = EvidenceLedger()
         self.pinned_sessions = PinnedSessions()
         self._state = state
@@ -94,7 +98,7 @@
     def notify(self) -> None:
         """Wake the waiting exchanges after a change of anything but announcements.
 
-        That is the committed state, the quarantined requests or the pinned sessions; changes of
+        That is the committed state, the quarantines or the pinned sessions; changes of
         announcements wake them through the feed. Pinned sessions of rollouts that have ended are
         dropped; the sets are stored by rollout key, which consists of service and target version.
         """
@@ -111,8 +115,8 @@
 
         The wait lasts for the ``wait_s`` seconds of the request, at most for ``MAX_WAIT_S``. It
         ends early if the sets of pinned sessions differ here and at the gateway. Other exchanges
-        that wait are woken if this report has changed the quarantined requests or the pinned
-        sessions. ``host`` and ``incarnation`` identify the gateway process to which the counters in
+        that wait are woken if this report has changed the quarantines or the pinned sessions.
+        ``host`` and ``incarnation`` identify the gateway process to which the counters in
         ``evidence`` belong.
         """
         loop = asyncio.get_running_loop()
@@ -121,18 +125,19 @@
             self._feed.mark_draining(server.server_id, server.born_ms)
         digests_before = self.pinned_sessions.digests()
         self.pinned_sessions.merge(request.held_sessions)
-        # ``record_report`` returns whether the set of quarantined requests has changed.
-        if (
-            self.contacts.record_report(request, loop.time())
-            or self.pinned_sessions.digests() != digests_before
-        ):
+        self.contacts.record_report(request, loop.time())
+        crashes_changed = self.crash_reports.record(request, loop.time())
+        if crashes_changed or self.pinned_sessions.digests() != digests_before:
             self.notify()
         deadline_s = loop.time() + min(request.wait_s, MAX_WAIT_S)
         while not self._has_changes(request) and loop.time() < deadline_s:
-            if self._sessions_differ(request):
+            if (
+                self._sessions_differ(request)
+                or request.crash_revision != self.crash_reports.revision
+            ):
                 # Limits the rate of exchanges if the two sets stay different. For instance, a set
                 # that has reached its maximum size takes no further sessions.
-                await asyncio.sleep(PINNED_SESSIONS_DELAY_S)
+                await asyncio.sleep(COALESCING_DELAY_S)
                 break
             await self._wait_for_change(deadline_s - loop.time())
         return self._reply(request, loop.time())
@@ -221,11 +226,10 @@
         ``rollouts`` are all rollouts; each is empty if the gateway has the newest. ``rows`` are the
         changed announcements, and ``refreshed`` the identities of servers that have announced
         themselves again without a change, so that the gateway does not consider them lost.
-        ``gateways`` is the number of active gateways. ``quarantined`` are the fingerprints (hashes
-        of the content) of quarantined requests, which no gateway may send to a server. ``work`` is
-        the work of all other gateways by server; the gateway itself knows its own better than by
-        its last report. ``session_digests`` are the digests of this host's sets of pinned sessions,
-        and ``held_sessions`` holds those sets that differ from the gateway's.
+        ``gateways`` is the number of active gateways. ``work`` is the work of all other gateways by
+        server; the gateway itself knows its own better than by its last report.
+        ``session_digests`` are the digests of this host's sets of pinned sessions, and
+        ``held_sessions`` holds those sets that differ from the gateway's.
         """
         state = self._state
         delta = self._feed.delta(request.epoch, request.position)
@@ -242,7 +246,6 @@
             rows=delta.rows,
             refreshed=delta.refreshed,
             gateways=len(self.contacts.active_reports(now_s)),
-            quarantined=self.contacts.quarantined_fingerprints(now_s),
             # The work of all gateways but the one on ``request.host``, which asks.
             work=(
                 self.contacts.work_by_server(now_s, request.host) if request.wants_work else None
@@ -250,4 +253,7 @@
             availability_zone=self._availability_zone,
             session_digests=self.pinned_sessions.digests(),
             held_sessions=self.pinned_sessions.differing_sets(request.session_digests),
+            quarantines=self.crash_reports.quarantines(now_s),
+            suspects=self.crash_reports.suspects(now_s),
+            crash_revision=self.crash_reports.revision,
         )
--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -4,11 +4,6 @@
 gateway at each backend server: the number of its requests in flight there, and ``pending_ms``, the
 expected time in milliseconds that the server needs to process the prompts of these requests that
 are still waiting. The work of all gateways is summed and sent back to them.
-
-A report also names requests of clients that have crashed a server. Such a request is identified by
-its fingerprint, a hash of its content. Once it has crashed several servers it is quarantined: the
-gateways refuse it instead of sending it to another server. Each start of a server process is a new
-incarnation of the server.
 """
 
 from collections import Counter, defaultdict
@@ -25,52 +20,23 @@
 # Time for which the summed work of all gateways is cached; short compared to the age of the
 # reports.
 SUM_LIFETIME_S = 0.05
-# The server crashes that count against a request are forgotten together, once all of them are older
-# than this.
-CRASH_MEMORY_S = 60.0
-# Number of servers that must crash while they run the same request before the request is
-# quarantined. Two crashes still happen by chance to requests that share a server with the request
-# that caused them.
-CRASHES_TO_QUARANTINE = 3
 
 
 class GatewayContacts:
-    """Last report of each gateway, and requests that have crashed servers."""
+    """Last report of each gateway."""
 
     def __init__(self) -> None:
         # By gateway host: time of the last report in seconds, and the report.
         self._reports: dict[str, tuple[float, ExchangeRequest]] = {}
-        # By fingerprint of the request, then by server incarnation that crashed: time in seconds at
-        # which the crash was first reported.
-        self._crashes: dict[str, dict[str, float]] = defaultdict(dict)
         # Cache of the summed work: time of the sum in seconds, initially before any other time;
         # work by gateway host and server; and its sum by server.
         self._summed_at_s = float("-inf")
         self._work_by_gateway: dict[str, dict[str, ServerWork]] = {}
         self._total_work: dict[str, ServerWork] = {}
 
-    def record_report(self, report: ExchangeRequest, now_s: float) -> bool:
-        """Store the report of a gateway and the server crashes that it names.
-
-        Parameters
-        ----------
-        report
-            The report.
-        now_s
-            Time of the event loop in seconds.
-
-        Returns
-        -------
-        bool
-            Whether the set of quarantined requests has changed.
-        """
+    def record_report(self, report: ExchangeRequest, now_s: float) -> None:
+        """Store the report of a gateway; ``now_s`` is the time of the event loop in seconds."""
         self._reports[report.host] = (now_s, report)
-        quarantined_before = self.quarantined_fingerprints(now_s)
-        for crash in report.crash_suspects:
-            # A crash is the fingerprint of the request, a colon, and the incarnation that crashed.
-            fingerprint, _, server_incarnation = crash.partition(":")
-            self._crashes[fingerprint].setdefault(server_incarnation, now_s)
-        return self.quarantined_fingerprints(now_s) != quarantined_before
 
     def active_reports(self, now_s: float) -> list[ExchangeRequest]:
         """Return the last report of each active gateway, which is one that has reported recently.
@@ -131,21 +97,6 @@
             )
         return server_counts
 
-    def quarantined_fingerprints(self, now_s: float) -> tuple[str, ...]:
-        """Return the fingerprints of requests that have crashed several server incarnations.
-
-        Requests whose crashes have all expired are forgotten. ``now_s`` is the time of the event
-        loop in seconds.
-        """
-        for fingerprint, crashes in list(self._crashes.items()):
-            if all(reported_s + CRASH_MEMORY_S < now_s for reported_s in crashes.values()):
-                del self._crashes[fingerprint]
-        return tuple(
-            fingerprint
-            for fingerprint, crashes in self._crashes.items()
-            if len(crashes) >= CRASHES_TO_QUARANTINE
-        )
-
 
 def _sum_work(work_of_gateways: Iterable[Mapping[str, ServerWork]]) -> dict[str, ServerWork]:
     """Return the work at each server, summed over the gateways.
--- a/src/baobabstream/errors/codes.py
+++ b/src/baobabstream/errors/codes.py
@@ -67,6 +67,7 @@
     SERVICE_NOT_ALLOWED = 1033
     INTERNAL_ERROR = 1034
     NO_CONFIGURATION = 1035
+    PROMPT_QUARANTINED = 1036
     CHANGE_INVALID = 2001
     REVISION_CONFLICT = 2002
     NO_LEADER = 2003
@@ -161,6 +162,13 @@
         CodeRow(_C.SERVICE_NOT_ALLOWED, 403, _NO, False, "The account may not use this service."),
         CodeRow(_C.INTERNAL_ERROR, 500, _UNKNOWN, False, "The entry host failed unexpectedly."),
         CodeRow(_C.NO_CONFIGURATION, 503, _NO, True, "No configuration has arrived here yet."),
+        CodeRow(
+            _C.PROMPT_QUARANTINED,
+            503,
+            _NO,
+            True,
+            "Requests with a part of this prompt crash backend servers.",
+        ),
         CodeRow(_C.CHANGE_INVALID, 400, _NO, False, "The change is not valid."),
         CodeRow(_C.REVISION_CONFLICT, 409, _NO, False, "The change is based on an old revision."),
         CodeRow(_C.NO_LEADER, 503, _NO, True, "No control leader can be reached."),
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -38,6 +38,9 @@
 MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 # Number of different ranks that engines accept in the urgency header: 0, the first, to 9.
 URGENCY_RANKS = 10
+# Time in seconds after the first event of a stream from which on a crash of its server is not put
+# down to it. A request that crashes servers does so as its answer begins.
+SURVIVAL_S = 1.0
 # Number of events after which the mean interval between events is measured. The mean over fewer
 # events depends mostly on when the first one came; a higher number would delay the detection of a
 # slow stream.
@@ -156,6 +159,7 @@
         self.event_count = 0
         # Times at which the first and the last event arrived.
         self._interval_was_reported = False
+        self._survival_is_known = False
         self._first_event_s = 0.0
         self._last_event_s = 0.0
 
@@ -250,6 +254,18 @@
         # Between n events there are n - 1 intervals.
         return (self._last_event_s - self._first_event_s) / max(1, self.event_count - 1)
 
+    def has_survived(self) -> bool:
+        """Return whether the stream has gone on for so long that it doesn't crash its server."""
+        now_s = asyncio.get_running_loop().time()
+        return self.event_count > 0 and now_s - self._first_event_s >= SURVIVAL_S
+
+    def survival_became_known(self) -> bool:
+        """Return whether `has_survived` holds and this method has not returned true before."""
+        if self._survival_is_known or not self.has_survived():
+            return False
+        self._survival_is_known = True
+        return True
+
     def _count_events(self, events: bytes) -> None:
         """Count complete events that have just arrived, and store the times of first and last."""
         self._last_event_s = asyncio.get_running_loop().time()
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -9,8 +9,9 @@
 responses. A server of a plain service runs no models and sends its response as a whole; an engine
 runs a model and sends a stream of events.
 
-The fingerprint of a request is a hash of its content, which is the same when the request is sent
-again. It identifies requests that crash servers. The shared prefix of a prompt is the part that
+The crash keys of a request are those by which requests that crash servers are recognised: a hash of
+its content, and its shared prompt parts. A request survives at a server if its answer completes, or
+goes on for a while after its first event. The shared prefix of a prompt is the part that
 other requests may begin with too, and that a server keeps in its cache once it has processed it.
 """
 
@@ -36,7 +37,8 @@
 # Longest pause that a server may ask for. A longer one is more likely an error of the server, which
 # would take it out for good.
 MAX_PAUSE_S = 300.0
-
+# Time in seconds without a reply after which no coordination host decides for this gateway.
+MAX_CONTROL_AGE_S = 2.0
 # A response that takes more than this many times the expected time counts as bad for its server's
 # version. Responses of a healthy server vary at random up to two to three times the expected time.
 BAD_RESPONSE_SLOWDOWN = 4.0
@@ -61,6 +63,8 @@
     event_slowdown
         Mean time between the events of the last measured stream as a multiple of the expected one;
         None before a measurement. A value above 1 means slower than expected.
+    crash_checks
+        Tasks that return whether a server has crashed while it began to answer the request.
     """
 
     def __init__(self, request: RoutedRequest, context: GatewayContext) -> None:
@@ -68,6 +72,7 @@
         self._context = context
         self._loop = asyncio.get_running_loop()
         self.event_slowdown: float | None = None
+        self.crash_checks: list[asyncio.Task[bool]] = []
 
     def record_response(self, attempt: Attempt) -> None:
         """Record the first part of a stream, or the whole response of a plain service.
@@ -77,9 +82,8 @@
         a stream it ends with the first events and does not decide whether the response counts as
         good; see `record_event_interval`.
 
-        The request has not crashed this server, so the earlier crashes of its fingerprint are
-        forgotten. The server now has the shared prefix of its prompt in its cache, under the key
-        that names the model and the prefix.
+        The server now has the shared prefix of its prompt in its cache, under the key that names
+        the model and the prefix.
         """
         now_s = self._loop.time()
         server, request, context = attempt.server, self._request, self._context
@@ -93,11 +97,14 @@
             server.bad_responses += 1
         else:
             server.good_responses += 1
-        context.crash_tracker.clear(request.fingerprint)
         shared_prompt_key = request.shared_prompt_key(attempt.model)
         if shared_prompt_key is not None:
             server.record_cached_prompt(shared_prompt_key)
 
+    def record_survival(self) -> None:
+        """Record that the request has not crashed the server that answers it."""
+        self._context.crash_tracker.record_survival(self._request.crash_keys, self._loop.time())
+
     def record_event_interval(self, attempt: Attempt) -> None:
         """Count a stream as bad if its events are much slower than expected at this load.
 
@@ -228,33 +235,46 @@
 
         Called after the connection to the server ended, or its stream stalled, while a request was
         under way. The request itself does not wait for the task, which may take longer than the
-        request.
+        request. A crash counts against the request unless its answer had gone on for a while, or
+        the server was about to end anyway.
         """
         context, request, server = self._context, self._request, attempt.server
-
-        async def suspend_if_crashed() -> None:
-            """Probe the server and suspend it if it refuses connections."""
-            if await context.crash_tracker.check_crash(
-                request.fingerprint,
-                # A restarted server counts as another process, with another start time.
-                f"{server.row.server_id}.{server.row.born_ms}",
-                server.row.address,
-                context.header_names.request_id.lower(),
-            ):
-                self._suspend(server, "the server refuses connections", self._loop.time())
-                context.decisions.record(
-                    DecisionEvent.SERVER_CRASHED,
-                    server=server.row.server_id,
-                    request_id=request.request_id,
-                    fingerprint=request.fingerprint,
-                    shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
-                    events=attempt.event_count,
-                )
+        lost_s, is_suspect = self._loop.time(), not attempt.has_survived()
+
+        async def suspend_if_crashed() -> bool:
+            """Probe the server, suspend it if it has crashed, and return whether by the request."""
+            address, header_name = server.row.address, context.header_names.request_id.lower()
+            if not await context.crash_tracker.check_crash(address, header_name):
+                return False
+            self._suspend(server, "the server refuses connections", self._loop.time())
+            context.decisions.record(
+                DecisionEvent.SERVER_CRASHED,
+                server=server.row.server_id,
+                request_id=request.request_id,
+                fingerprint=request.fingerprint,
+                shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
+                events=attempt.event_count,
+            )
+            if not is_suspect or not context.is_in_service(server):
+                return False
+            # A restarted server counts as another process, with another start time.
+            server_process = f"{server.row.server_id}.{server.row.born_ms}"
+            added, removed = context.crash_tracker.record_crash(
+                server_process,
+                request.crash_keys,
+                lost_s,
+                self._loop.time(),
+                is_in_contact=context.control_age_s() < MAX_CONTROL_AGE_S,
+            )
+            context.log_quarantines(added, removed, "crashes seen by this gateway")
+            return True
 
         # The set keeps the task alive until it is done; the event loop holds only a weak reference.
         task = asyncio.create_task(suspend_if_crashed())
         context.background_tasks.add(task)
         task.add_done_callback(context.background_tasks.discard)
+        if is_suspect:
+            self.crash_checks.append(task)
 
 
 def _parse_pause_s(retry_after: str | None) -> float:
--- a/src/baobabstream/gateway/coordination_client.py
+++ b/src/baobabstream/gateway/coordination_client.py
@@ -13,6 +13,7 @@
 import zlib
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 from msgspec.structs import replace
 
@@ -25,7 +26,7 @@
 from baobabstream.wire.coordination_messages import ExchangeReply, ExchangeRequest
 from baobabstream.wire.rpc import RpcClient
 
-__all__ = ["CoordinationClient", "ExchangeHandler"]
+__all__ = ["CoordinationClient", "ExchangeHandler", "HostContact"]
 
 _log = get_logger("coordination_client")
 
@@ -45,28 +46,56 @@
 MAX_SILENCE_S = 2.0
 
 
+@dataclass
+class HostContact:
+    """What one process of a coordination host and this gateway know of each other.
+
+    Parameters
+    ----------
+    epoch, position
+        Last change of announcements that this gateway has received from the host, so that the host
+        replies with later ones only; both 0 before the first reply.
+    known_digests
+        Digests of the host's sets of pinned sessions at its last reply, by rollout. Sessions that
+        are pinned stay on the version that the rollout replaces.
+    crash_revision, suspects
+        Revision of the host's view of crashes, and the keys whose survivals it asks for.
+    reported_crashes
+        Number of the last crash that the host has been told of.
+    sent_evidence
+        Evidence that the host has confirmed.
+    """
+
+    epoch: int = 0
+    position: int = 0
+    known_digests: dict[str, int] = field(default_factory=dict)
+    crash_revision: int = 0
+    suspects: tuple[str, ...] = ()
+    reported_crashes: int = 0
+    sent_evidence: SentEvidence = field(default_factory=SentEvidence)
+
+
 class ExchangeHandler(ABC):
     """Interface by which a gateway gives reports and receives replies."""
 
     @abstractmethod
-    def report(
-        self, epoch: int, position: int, wait_s: float, known_digests: dict[str, int]
-    ) -> ExchangeRequest:
+    def report(self, contact: HostContact, wait_s: float) -> ExchangeRequest:
         """Return the next report to a host.
 
         Parameters
         ----------
-        epoch, position
-            Last change of announcements that this gateway has received from the host, so that the
-            host replies with later ones only; both 0 before the first reply.
+        contact
+            What the host knows already. Of the pinned sessions the report contains the sets whose
+            digests differ, and of the crashes those that the host has not been told of.
         wait_s
             Seconds for which the host may wait for a change.
-        known_digests
-            Digests of the host's sets of pinned sessions at its last reply, by rollout. Sessions
-            that are pinned stay on the version that the rollout replaces; the report contains
-            those sets of the gateway whose digests differ.
         """
 
+    @property
+    @abstractmethod
+    def last_crash_number(self) -> int:
+        """Number of the newest crash that a report contains now, or 0."""
+
     @abstractmethod
     def apply_document(self, version: int, text: bytes) -> None:
         """Apply a new configuration.
@@ -80,8 +109,8 @@
         """
 
     @abstractmethod
-    def apply_reply(self, reply: ExchangeReply) -> None:
-        """Apply all parts of a reply but the configuration."""
+    def apply_reply(self, host: str, reply: ExchangeReply) -> None:
+        """Apply all parts of the reply of a coordination host but the configuration."""
 
     @abstractmethod
     def contact_resumed(self) -> None:
@@ -166,18 +195,17 @@
         ``is_lost`` says whether the last exchange failed.
         """
         client = RpcClient(f"tcp://{host}:{self._port}", self._codec)
-        epoch = position = 0
-        known_digests: dict[str, int] = {}
-        sent_evidence = SentEvidence()
+        contact = HostContact()
         last_reply_s = self._clock()
         is_lost = False
         try:
             while not is_lost or self._is_needed(host, last_reply_s):
-                wait_s = 0.0 if epoch == 0 else EXCHANGE_WAIT_S
-                report = self._handler.report(epoch, position, wait_s, known_digests)
+                wait_s = 0.0 if contact.epoch == 0 else EXCHANGE_WAIT_S
+                report = self._handler.report(contact, wait_s)
+                reported_crashes = self._handler.last_crash_number
                 request = replace(
                     report,
-                    evidence=sent_evidence.unsent(report.evidence),
+                    evidence=contact.sent_evidence.unsent(report.evidence),
                     wants_work=self._load_source.is_source(host, self._clock()),
                 )
                 try:
@@ -200,13 +228,15 @@
                     self._log_regained(host, now_s - last_reply_s)
                 is_lost = False
                 last_reply_s = now_s
-                if reply.epoch != epoch:
+                if reply.epoch != contact.epoch:
                     # Another process of the host, which has none of the evidence.
-                    sent_evidence = SentEvidence()
+                    contact = HostContact(reply.epoch)
                 else:
-                    sent_evidence.record_sent(request.evidence)
+                    contact.sent_evidence.record_sent(request.evidence)
+                    contact.reported_crashes = reported_crashes
                 self._load_source.record_reply(host, reply.availability_zone, now_s)
-                epoch, position, known_digests = reply.epoch, reply.position, reply.session_digests
+                contact.position, contact.known_digests = reply.position, reply.session_digests
+                contact.crash_revision, contact.suspects = reply.crash_revision, reply.suspects
         finally:
             client.close()
             self._tasks.pop(host, None)
@@ -222,7 +252,7 @@
         self.last_reply_s = now_s
         if reply.document:
             self._handler.apply_document(reply.document_version, zlib.decompress(reply.document))
-        self._handler.apply_reply(reply)
+        self._handler.apply_reply(host, reply)
         self._members_by_host[host] = reply.hosts
         for member in reply.hosts:
             self._start_exchanges(member)
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -1,17 +1,23 @@
-"""Distinguishes requests that crash backend servers from those whose response was merely lost.
+"""Tells requests that crash backend servers from those whose response was merely lost.
 
-A request is identified by its fingerprint, a hash of its content, which is the same when the
-request is sent again. A request that has crashed several servers is quarantined: it is refused
-instead of being sent to another server, since it would probably crash that one too. Each gateway
-counts the crashes that it sees, and the coordination hosts count those that all gateways report.
+A request is known by its keys: a hash of its content and its shared prompt parts. A gateway reports
+the requests that were running at a server when it crashed to the coordination hosts, and whether
+requests with the same keys survive elsewhere. The coordination hosts find out from all reports
+which keys crash servers, and quarantine them; see `CrashAttribution`. While the gateway reaches no
+coordination host, it does the same with what it has seen itself.
 """
 
 import asyncio
 from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import chain
 
 from baobabstream.backends.http_connection import ConnectFailed, HttpConnection
+from baobabstream.routing.crash_attribution import MEMORY_S, CrashAttribution
+from baobabstream.wire.coordination_messages import Quarantine, ServerCrash
 
-__all__ = ["CrashTracker"]
+__all__ = ["CrashTracker", "SuspectRequest"]
 
 # Wait in seconds between the loss of a connection and the probe of the server, so that a process
 # that is crashing has ended.
@@ -19,62 +25,131 @@
 # Longest wait for the probe's connection. A crashed server refuses connections at once; one that is
 # alive accepts within a round trip.
 PROBE_TIMEOUT_S = 0.5
-# A crash is reported with each exchange with a coordination host for this time in seconds, in case
-# a report is lost.
-REPORT_S = 30.0
-# Most crashes that are kept for reporting; the oldest are dropped.
-MAX_REPORTED_CRASHES = 64
-# A request that has crashed more servers than this when sent by this gateway is quarantined here,
-# even if the coordination hosts have not quarantined it yet.
-MAX_LOCAL_CRASHES = 2
-# Most fingerprints whose crashes are counted, to bound the memory; the oldest are dropped.
-MAX_FINGERPRINTS = 10_000
+# Most crashed requests that are kept for reporting; the oldest are dropped.
+MAX_REPORTS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectRequest:
+    """A request whose server crashed before its response had gone on for long.
+
+    Parameters
+    ----------
+    number
+        Position in the order of the reports of this gateway, from 1.
+    server_process
+        Server and start time of its process, as ``server_id.born_ms``.
+    keys
+        Keys of the request.
+    lost_s
+        Time in seconds at which its connection ended.
+    """
+
+    number: int
+    server_process: str
+    keys: frozenset[str]
+    lost_s: float
 
 
 class CrashTracker:
-    """Counts crashes of backend servers by the fingerprint of the request that ran there."""
+    """Crashes that this gateway has seen, and the requests that are quarantined for any."""
 
     def __init__(self) -> None:
-        # Time of each crash in seconds, and its report as ``fingerprint:server_process``.
-        self._crash_reports: deque[tuple[float, str]] = deque(maxlen=MAX_REPORTED_CRASHES)
-        # By fingerprint: crashes that this gateway has seen since the request was last answered.
-        self._crash_counts: dict[str, int] = {}
-        self._quarantined_fingerprints: frozenset[str] = frozenset()
-
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether a request must not run any more, as it has crashed several servers."""
-        return (
-            fingerprint in self._quarantined_fingerprints
-            or self._crash_counts.get(fingerprint, 0) > MAX_LOCAL_CRASHES
+        # All survivals that are recorded here are known at once.
+        self._attribution = CrashAttribution(settling_s=0.0)
+        self._reports: deque[SuspectRequest] = deque(maxlen=MAX_REPORTS)
+        self._report_count = 0
+        # By coordination host, as of its last reply: the keys that a quarantined request has, and
+        # the time in seconds since which it is quarantined.
+        self._quarantines_by_host: dict[str, dict[frozenset[str], float]] = {}
+        # The same of all hosts and of this gateway together.
+        self._quarantines: dict[frozenset[str], float] = {}
+
+    def find_quarantine(
+        self, request_keys: frozenset[str], now_s: float
+    ) -> tuple[frozenset[str], float] | None:
+        """Return why a request must not run, or None if it may.
+
+        Parameters
+        ----------
+        request_keys
+            Keys of the request.
+        now_s
+            Time in seconds.
+
+        Returns
+        -------
+        tuple of frozenset and float, or None
+            The keys that are quarantined together, and the seconds for which they still are.
+        """
+        return next(
+            (
+                (keys, since_s + MEMORY_S - now_s)
+                for keys, since_s in self._quarantines.items()
+                if keys <= request_keys and since_s + MEMORY_S > now_s
+            ),
+            None,
         )
 
-    def add_quarantined(self, fingerprints: tuple[str, ...]) -> list[str]:
-        """Quarantine requests that the coordination hosts name from the reports of all gateways.
+    def set_quarantines(
+        self, host: str, quarantines: Iterable[Quarantine], now_s: float
+    ) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+        """Replace the quarantines that a coordination host has sent at ``now_s``, in seconds.
 
-        They stay quarantined here until the gateway ends. Returns those that are new.
+        Returns the sets of keys that are quarantined here now and were not before, and the reverse.
         """
-        added = [name for name in fingerprints if name not in self._quarantined_fingerprints]
-        if added:
-            self._quarantined_fingerprints = self._quarantined_fingerprints | frozenset(added)
-        return added
+        self._quarantines_by_host[host] = {
+            frozenset(quarantine.keys): now_s - quarantine.age_s for quarantine in quarantines
+        }
+        return self._combine_quarantines(now_s)
 
-    def crash_reports(self, now_s: float) -> tuple[str, ...]:
-        """Return the recent crashes, to be reported to the coordination hosts.
+    def quarantine_reports(self, now_s: float) -> tuple[Quarantine, ...]:
+        """Return all quarantines that are known here, for a coordination host that lacks some.
 
-        Each is a text ``fingerprint:server_process``. ``now_s`` is the present time in seconds.
+        ``now_s`` is the time in seconds.
         """
         return tuple(
-            report for crashed_s, report in self._crash_reports if crashed_s + REPORT_S > now_s
+            Quarantine(tuple(sorted(keys)), now_s - since_s)
+            for keys, since_s in self._quarantines.items()
+            if since_s + MEMORY_S > now_s
         )
 
-    def clear(self, fingerprint: str) -> None:
-        """Forget the crashes of a request that a server has now answered without a crash."""
-        self._crash_counts.pop(fingerprint, None)
+    def crash_reports(self, after_number: int, now_s: float) -> tuple[ServerCrash, ...]:
+        """Return the crashes of the reports after a number, to be sent to a coordination host.
+
+        ``now_s`` is the time in seconds, from which the ages count.
+        """
+        return tuple(
+            ServerCrash(
+                report.server_process,
+                int((now_s - report.lost_s) * 1000),
+                (tuple(sorted(report.keys)),),
+            )
+            for report in self._reports
+            if report.number > after_number and report.lost_s + MEMORY_S > now_s
+        )
+
+    @property
+    def last_report_number(self) -> int:
+        """Number of the newest report, or 0 without any."""
+        return self._report_count
+
+    def record_survival(self, request_keys: Iterable[str], now_s: float) -> None:
+        """Record that a server has answered a request without a crash, at ``now_s`` in seconds."""
+        for key in request_keys:
+            self._attribution.record_survival(key, now_s)
+
+    def survival_ages_ms(self, suspects: Iterable[str], now_s: float) -> dict[str, int]:
+        """Return for keys that coordination hosts suspect when requests last survived here.
 
-    async def check_crash(
-        self, fingerprint: str, server_process: str, address: str, request_id_header: str
-    ) -> bool:
-        """Probe a server whose connection was lost, and record a crash if it is not reachable.
+        The result holds the milliseconds since then, without keys that have never survived here.
+        ``now_s`` is the time in seconds.
+        """
+        survived_s = ((key, self._attribution.last_survival_s(key)) for key in suspects)
+        return {key: int((now_s - time_s) * 1000) for key, time_s in survived_s if time_s}
+
+    async def check_crash(self, address: str, request_id_header: str) -> bool:
+        """Probe a server whose connection was lost, and return whether it is not reachable.
 
         The probe opens a connection and closes it without sending a request. A server that accepts
         it is alive, so only the response was lost, for instance with a connection that the server
@@ -82,20 +157,11 @@
 
         Parameters
         ----------
-        fingerprint
-            Fingerprint of the request that ran on the connection.
-        server_process
-            Server and start time of its process, as ``server_id.born_ms``.
         address
             ``IP:PORT`` of the server.
         request_id_header
             Lower-case name of the header with the identity of a request, which every connection
             object needs although the probe sends no request.
-
-        Returns
-        -------
-        bool
-            Whether the server has crashed.
         """
         await asyncio.sleep(PROBE_DELAY_S)
         ip, _, port = address.partition(":")
@@ -104,15 +170,53 @@
             await connection.open(ip, int(port), PROBE_TIMEOUT_S)
             return False
         except ConnectFailed:
-            self._record_crash(fingerprint, server_process)
             return True
         finally:
             connection.close()
 
-    def _record_crash(self, fingerprint: str, server_process: str) -> None:
-        """Count a crash and keep its report; the names are those of `check_crash`."""
-        self._crash_counts[fingerprint] = self._crash_counts.get(fingerprint, 0) + 1
-        if len(self._crash_counts) > MAX_FINGERPRINTS:
-            del self._crash_counts[next(iter(self._crash_counts))]
-        now_s = asyncio.get_running_loop().time()
-        self._crash_reports.append((now_s, f"{fingerprint}:{server_process}"))
+    def record_crash(
+        self,
+        server_process: str,
+        request_keys: frozenset[str],
+        lost_s: float,
+        now_s: float,
+        is_in_contact: bool,
+    ) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+        """Record that a server crashed while it began to answer a request.
+
+        Parameters
+        ----------
+        server_process
+            Server and start time of its process, as ``server_id.born_ms``.
+        request_keys
+            Keys of the request.
+        lost_s, now_s
+            Time at which its connection ended, and the present time, in seconds.
+        is_in_contact
+            Whether coordination hosts decide on quarantines. They know all survivals, of which
+            this gateway sees a part.
+
+        Returns
+        -------
+        tuple of set and set
+            The sets of keys that are quarantined now and were not before, and the reverse.
+        """
+        self._report_count += 1
+        self._reports.append(
+            SuspectRequest(self._report_count, server_process, request_keys, lost_s)
+        )
+        self._attribution.record_crash(server_process, [request_keys], lost_s, now_s)
+        if not is_in_contact:
+            self._attribution.update(now_s)
+        return self._combine_quarantines(now_s)
+
+    def _combine_quarantines(self, now_s: float) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+        """Join the quarantines of all hosts; return the added and the removed sets of keys."""
+        before = self._quarantines
+        self._quarantines = dict(
+            chain(
+                self._attribution.quarantines(now_s).items(),
+                *(quarantines.items() for quarantines in self._quarantines_by_host.values()),
+            )
+        )
+        return self._quarantines.keys() - before.keys(), before.keys() - self._quarantines.keys()
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -6,8 +6,8 @@
 A configuration is in force once the gateway routes requests by it. A rollout moves a service from a
 base version to a target version; sessions that were active at its begin are pinned, which means
 that their requests stay on the base version. The evidence is the counts of good and bad responses
-by which the coordination hosts judge the target. A request that has crashed several backend servers
-is quarantined: it is refused. Times are those of the event loop's clock, in seconds.
+by which the coordination hosts judge the target. A request that crashes backend servers is
+quarantined: it is refused. Times are those of the event loop's clock, in seconds.
 """
 
 import asyncio
@@ -25,7 +25,11 @@
 from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
-from baobabstream.gateway.coordination_client import CoordinationClient, ExchangeHandler
+from baobabstream.gateway.coordination_client import (
+    CoordinationClient,
+    ExchangeHandler,
+    HostContact,
+)
 from baobabstream.gateway.crash_tracker import CrashTracker
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.header_names import HeaderNames
@@ -215,27 +219,25 @@
 
     # Methods of ExchangeHandler
 
-    def report(
-        self, epoch: int, position: int, wait_s: float, known_digests: dict[str, int]
-    ) -> ExchangeRequest:
+    def report(self, contact: HostContact, wait_s: float) -> ExchangeRequest:
         """Return the next report to a coordination host; see `ExchangeHandler.report`.
 
         ``document_version`` is 0 if no configuration is in force. ``work`` holds the number of
         requests at each server and the time for their prompts, ``versions`` the same number by
         version, and ``held_sessions`` the pinned sessions that the coordination host lacks.
         """
-        context = self.context
+        context, now_s = self.context, self._loop.time()
+        crash_tracker = context.crash_tracker
         self._update_pinned_sessions()
         return ExchangeRequest(
             host=self._settings.host,
             incarnation=self._started_ns,
             document_version=context.route_table.document.version if context.route_table else 0,
             rollout_revision=context.rollout_revision,
-            epoch=epoch,
-            position=position,
+            epoch=contact.epoch,
+            position=contact.position,
             wait_s=wait_s,
             evidence=tuple(self._evidence()),
-            crash_suspects=context.crash_tracker.crash_reports(self._loop.time()),
             work={
                 server.row.server_id: server.local_work()
                 for server in context.directory
@@ -244,9 +246,20 @@
             versions=context.directory.version_loads(),
             leaving=context.directory.leaving_servers(),
             session_digests=context.session_versions.pinned_sessions.digests(),
-            held_sessions=context.session_versions.pinned_sessions.differing_sets(known_digests),
+            held_sessions=context.session_versions.pinned_sessions.differing_sets(
+                contact.known_digests
+            ),
+            crashes=crash_tracker.crash_reports(contact.reported_crashes, now_s),
+            survivals=crash_tracker.survival_ages_ms(contact.suspects, now_s),
+            quarantines=crash_tracker.quarantine_reports(now_s),
+            crash_revision=contact.crash_revision,
         )
 
+    @property
+    def last_crash_number(self) -> int:
+        """Number of the newest crash that a report contains now, or 0."""
+        return self.context.crash_tracker.last_report_number
+
     def apply_document(self, version: int, text: bytes) -> None:
         """Put a configuration in force unless the present one is as new or newer.
 
@@ -264,8 +277,8 @@
             routes=len(context.route_table.document.routes),
         )
 
-    def apply_reply(self, reply: ExchangeReply) -> None:
-        """Apply the announcements, rollouts, loads and quarantines of a reply.
+    def apply_reply(self, host: str, reply: ExchangeReply) -> None:
+        """Apply the announcements, rollouts, loads and quarantines of a coordination host.
 
         Rollouts of a revision that is known already are ignored, as replies of several coordination
         hosts arrive in any order. A gateway that a host does not count yet counts itself.
@@ -278,14 +291,8 @@
         context.directory.refresh(reply.refreshed, now_s)
         if reply.work is not None:
             context.directory.set_remote_work(reply.work, now_s)
-        added = context.crash_tracker.add_quarantined(reply.quarantined)
-        if added:
-            context.decisions.record(
-                DecisionEvent.QUARANTINE_CHANGED,
-                added=added,
-                removed=[],
-                reason="a coordination host has named them",
-            )
+        added, removed = context.crash_tracker.set_quarantines(host, reply.quarantines, now_s)
+        context.log_quarantines(added, removed, f"coordination host {host}")
         context.gateway_count = max(1, reply.gateways)
         context.session_versions.pinned_sessions.merge(reply.held_sessions)
         if reply.rollout_revision > context.rollout_revision:
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -11,7 +11,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
 
@@ -24,8 +24,8 @@
 from baobabstream.routing.retry_budget import RetryBudget
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.session_versions import SessionVersions
-from baobabstream.telemetry.decision_log import DecisionLog
-from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
+from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
+from baobabstream.wire.coordination_messages import RolloutRow, RolloutState, ServerState
 
 __all__ = ["GatewayContext"]
 
@@ -43,7 +43,7 @@
     session_versions
         Decides which version of a service a session runs on.
     crash_tracker
-        Counts which requests crash servers, and tells which requests are refused for that.
+        Records which requests crash servers, and tells which requests are refused for that.
     decisions
         Log of decisions.
     random
@@ -91,7 +91,7 @@
     is_stopping: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
     response_memory: ResponseMemory = field(default_factory=ResponseMemory)
-    background_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    background_tasks: set[asyncio.Task] = field(default_factory=set)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, and create it at the first call.
@@ -127,6 +127,37 @@
         age_s = self.control_age_s()
         return int(age_s * 1000) if age_s != float("inf") else None
 
+    def log_quarantines(
+        self,
+        added: Collection[frozenset[str]],
+        removed: Collection[frozenset[str]],
+        reason: str,
+    ) -> None:
+        """Write to the decision log which sets of keys are quarantined or not any more, if any.
+
+        ``reason`` says who has decided it.
+        """
+        if added or removed:
+            self.decisions.record(
+                DecisionEvent.QUARANTINE_CHANGED,
+                added=["+".join(sorted(keys)) for keys in added],
+                removed=["+".join(sorted(keys)) for keys in removed],
+                reason=reason,
+            )
+
+    def is_in_service(self, server: KnownServer) -> bool:
+        """Return whether a server is announced as ready, and its version in use.
+
+        The servers of a version end without notice once a rollout has replaced it.
+        """
+        rollout = self.rollouts.get(server.row.service)
+        version_is_in_use = (
+            rollout is None
+            or rollout.state is RolloutState.IN_PROGRESS
+            or rollout.base in ("", server.row.version)
+        )
+        return server.row.state is ServerState.READY and not server.is_leaving and version_is_in_use
+
     def candidates(self, service: str, session: str, now_s: float) -> list[KnownServer]:
         """Return the servers that may run a request of a session and take requests now.
 
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -12,8 +12,8 @@
 last event that the caller has received, whose identity the new request names.
 
 To escalate is to discard a model's answer, because its confidence is low, and to send the request
-to the largest model of the route. A request that has crashed several servers is quarantined, that
-is refused. A suspended server is one that could not be reached a short time ago. Times are those of
+to the largest model of the route. A request that crashes servers is quarantined, that is refused. A
+suspended server is one that could not be reached a short time ago. Times are those of
 the event loop's clock, in seconds.
 """
 
@@ -32,7 +32,7 @@
 from baobabstream.gateway.error_responses import error_response
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.request_reader import CONNECTION_HEADERS
-from baobabstream.gateway.routed_request import RoutedRequest
+from baobabstream.gateway.routed_request import REQUEST_KEY_PREFIX, RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.routing.document import RouteKind
 from baobabstream.routing.model_cascade import escalation_model, initial_model
@@ -48,6 +48,8 @@
 # Most sends of one request, counting those that servers refuse without running it. Only runs count
 # for the route's own limit, ``max_attempts``.
 MAX_SENDS = 5
+# Most servers that one request may crash, or share a crash with, before it is given up.
+MAX_CRASHES_PER_REQUEST = 2
 # A server that has sent no first part of its response counts as hung after this multiple of the
 # latency target or this multiple of the expected time, whichever is later. A response after the
 # target still counts in part, so a server that is merely late gets twice the target before its work
@@ -168,10 +170,9 @@
             If a stream broke off after its start and cannot be continued.
         """
         request, context = self._request, self._context
-        if context.crash_tracker.is_quarantined(request.fingerprint):
-            raise RequestRefused(ResultCode.QUARANTINED)
         context.retry_budget(request.service).record_request(self._loop.time())
         while True:
+            await self._refuse_if_quarantined()
             attempt = self._new_attempt(self._callers_last_event_id())
             try:
                 return await self._run_attempt(attempt)
@@ -184,6 +185,31 @@
             finally:
                 attempt.close()
 
+    async def _refuse_if_quarantined(self) -> None:
+        """Return if the request may be sent to another server without a risk of crashing it.
+
+        Raises
+        ------
+        RequestRefused
+            ``QUARANTINED`` if this very request crashes servers, or was lost with
+            ``MAX_CRASHES_PER_REQUEST`` servers; ``PROMPT_QUARANTINED`` if a part of its prompt
+            crashes servers.
+        """
+        crash_checks = self._recorder.crash_checks
+        if len(crash_checks) >= MAX_CRASHES_PER_REQUEST:
+            crash_count = sum(await asyncio.gather(*crash_checks))
+            if crash_count >= MAX_CRASHES_PER_REQUEST:
+                raise RequestRefused(ResultCode.QUARANTINED, f"{crash_count} servers crashed")
+        quarantine = self._context.crash_tracker.find_quarantine(
+            self._request.crash_keys, self._loop.time()
+        )
+        if quarantine is None:
+            return
+        keys, left_s = quarantine
+        if any(key.startswith(REQUEST_KEY_PREFIX) for key in keys):
+            raise RequestRefused(ResultCode.QUARANTINED)
+        raise RequestRefused(ResultCode.PROMPT_QUARANTINED, retry_after_s=left_s)
+
     async def _run_attempt(self, attempt: Attempt) -> web.StreamResponse:
         """Send the request to the server of an attempt and return the response to the caller.
 
@@ -198,6 +224,7 @@
             head = await self._send(attempt)
             body = await attempt.read_whole()
         self._record_response(attempt)
+        self._recorder.record_survival()
         self._outcome = "served"
         response = web.Response(body=body, status=head.status, headers=_forwarded_headers(head))
         return self._respond(response)
@@ -356,6 +383,9 @@
                         events = await self._read_events(attempt, last_event_id)
                         if attempt.interval_became_ready():
                             self._recorder.record_event_interval(attempt)
+                        if attempt.survival_became_known():
+                            self._recorder.record_survival()
+                    self._recorder.record_survival()
                     await response.write_eof()
                     self._outcome = "served"
                     return
@@ -423,9 +453,10 @@
         AttemptFailed
             If the stream cannot be continued.
         RequestRefused
-            ``NO_BACKEND_SERVER`` if no server is left.
+            ``NO_BACKEND_SERVER`` if no server is left, or as `_refuse_if_quarantined`.
         """
         while True:
+            await self._refuse_if_quarantined()
             attempt = self._new_attempt(last_event_id)
             self._server = attempt.server
             self._progress.send_count += 1
--- a/src/baobabstream/gateway/routed_request.py
+++ b/src/baobabstream/gateway/routed_request.py
@@ -13,7 +13,10 @@
 
 from baobabstream.routing.document import ClientAccount, Route
 
-__all__ = ["PromptPart", "RoutedRequest"]
+__all__ = ["REQUEST_KEY_PREFIX", "PromptPart", "RoutedRequest"]
+
+# Beginnings of the keys of a whole request, and of a part of its prompt.
+REQUEST_KEY_PREFIX, PART_KEY_PREFIX = "request/", "part/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +90,15 @@
             return None
         return f"{model}/{self.prompt_parts[-2].part_id}"
 
+    @property
+    def crash_keys(self) -> frozenset[str]:
+        """Keys by which requests that crash servers are compared.
+
+        They are the fingerprint, and the prompt parts that other requests may have too.
+        """
+        parts = (f"{PART_KEY_PREFIX}{part.part_id}" for part in self.prompt_parts[:-1])
+        return frozenset((f"{REQUEST_KEY_PREFIX}{self.fingerprint}", *parts))
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens of the prompt's shared prefix."""
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -18,11 +18,13 @@
     "ExchangeReply",
     "ExchangeRequest",
     "LeavingServer",
+    "Quarantine",
     "RolloutOrder",
     "RolloutQuery",
     "RolloutReply",
     "RolloutRow",
     "RolloutState",
+    "ServerCrash",
     "ServerEvidence",
     "ServerRow",
     "ServerState",
@@ -125,6 +127,29 @@
     born_ms: int
 
 
+class ServerCrash(Struct, frozen=True, array_like=True):
+    """Requests that one gateway had at a server process when it crashed.
+
+    ``server_process`` is the server's identity with its start time, and ``age_ms`` the time since
+    the crash. ``requests`` holds the keys of each request whose answer had not gone on for long: a
+    hash of its content, and its shared prompt parts.
+    """
+
+    server_process: str
+    age_ms: int
+    requests: tuple[tuple[str, ...], ...]
+
+
+class Quarantine(Struct, frozen=True, array_like=True):
+    """Keys of requests that crash servers; a request that has all of them must not run.
+
+    ``age_s`` is the time since the quarantine began.
+    """
+
+    keys: tuple[str, ...]
+    age_s: float
+
+
 class VersionLoad(Struct, frozen=True, array_like=True):
     """Number of a version's servers that a gateway knows, and of the gateway's requests at them.
 
@@ -146,9 +171,8 @@
     ``rollout_revision`` are the newest that the gateway has. ``epoch`` identifies the feed, the
     numbered sequence of announcements that a coordination host keeps, and ``position`` is the
     number of the last change in the feed that the gateway has received. ``evidence`` are counts of
-    responses, by which the versions of a rollout are compared. ``crash_suspects`` name requests
-    that were running at a server when it crashed, as ``fingerprint:server incarnation``; a
-    fingerprint is a hash of the request's content. ``work`` is the gateway's load by server id.
+    responses, by which the versions of a rollout are compared. ``work`` is the gateway's load by
+    server id.
     ``leaving`` are servers that have said so in an answer and whose row does not show it yet.
     ``versions`` are the servers that the gateway knows and its open requests, by version.
     ``held_sessions`` are the pinned sessions, which stay on the base version: by rollout key, the
@@ -157,6 +181,12 @@
     between gateway and coordination host. A rollout key is made of service and target version; a
     digest is the XOR (bitwise exclusive or) of the hashes. ``wants_work`` tells whether the reply
     shall contain the load of the other gateways; one coordination host is enough for that.
+
+    ``crashes`` are those that the gateway has seen and this process of the coordination host does
+    not know yet. ``survivals`` are, for keys that the coordination host suspects, the milliseconds
+    since a request with the key last survived. ``quarantines`` are all that the gateway knows.
+    ``crash_revision`` is that of the last reply. The size of the three grows with the crashes of
+    the last minutes, not with the requests.
     """
 
     host: str
@@ -167,13 +197,16 @@
     position: int
     wait_s: float
     evidence: tuple[ServerEvidence, ...] = ()
-    crash_suspects: tuple[str, ...] = ()
     work: dict[str, ServerWork] = {}
     versions: tuple[VersionLoad, ...] = ()
     leaving: tuple[LeavingServer, ...] = ()
     wants_work: bool = True
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
+    crashes: tuple[ServerCrash, ...] = ()
+    survivals: dict[str, int] = {}
+    quarantines: tuple[Quarantine, ...] = ()
+    crash_revision: int = 0
 
 
 class ExchangeReply(Struct, frozen=True, omit_defaults=True, tag="exchange_reply"):
@@ -182,8 +215,9 @@
     ``hosts`` are the coordination hosts. ``document`` is the compressed configuration, or empty if
     the gateway has this version already. ``rows`` are the announcements that changed; ``refreshed``
     are the ids of servers that announced again without a change. ``gateways`` is the number of
-    active gateways, ``quarantined`` the fingerprints of requests that must not run, and ``work``
-    the summed load of the other gateways by server id, or None if it was not asked for.
+    active gateways and ``work`` the summed load of the other gateways by server id, or None if it
+    was not asked for. ``quarantines`` are those in force, ``suspects`` the keys of recent crashes
+    whose survivals the gateway shall report, and ``crash_revision`` rises with changes of the two.
     ``availability_zone`` is that of the coordination host, or empty if it is not known.
     ``session_digests`` and ``held_sessions`` are those of the coordination host, with the meaning
     that they have in an exchange request.
@@ -200,11 +234,13 @@
     rows: tuple[ServerRow, ...]
     refreshed: tuple[str, ...]
     gateways: int
-    quarantined: tuple[str, ...] = ()
     work: dict[str, ServerWork] | None = None
     availability_zone: str = ""
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
+    quarantines: tuple[Quarantine, ...] = ()
+    suspects: tuple[str, ...] = ()
+    crash_revision: int = 0
 
 
 class DocumentOrder(Struct, frozen=True, tag="document_order"):
--- a/tests/coordination/test_coordination_state.py
+++ b/tests/coordination/test_coordination_state.py
@@ -1,6 +1,6 @@
 """Tests committed commands that arrive late or repeatedly, and the reports of gateways."""
 
-from baobabstream.coordination.gateway_contacts import CRASHES_TO_QUARANTINE, GatewayContacts
+from baobabstream.coordination.gateway_contacts import GatewayContacts
 from baobabstream.coordination.state import (
     AdoptVersion,
     CoordinationMachine,
@@ -67,23 +67,6 @@
     assert restored == state
 
 
-def report(*suspects: str, host: str = "gw-1") -> ExchangeRequest:
-    """Return a gateway's report of crashes, each as ``fingerprint:server``."""
-    # Incarnation 1 of the gateway; it has received nothing, and waits 0 s for changes.
-    return ExchangeRequest(host, 1, 0, 0, 0, 0, 0.0, crash_suspects=suspects)
-
-
-def test_request_that_crashes_servers_is_quarantined():
-    """Guards against a request that crashes one server after another through several gateways."""
-    contacts = GatewayContacts()
-    for n in range(CRASHES_TO_QUARANTINE - 1):
-        contacts.record_report(report(f"f00d:i-{n}", host=f"gw-{n}"), 1.0)
-    contacts.record_report(report("f00d:i-0", host="gw-9"), 1.0)
-    assert contacts.quarantined_fingerprints(1.0) == ()
-    assert contacts.record_report(report("f00d:i-9"), 2.0)
-    assert contacts.quarantined_fingerprints(2.0) == ("f00d",)
-
-
 def test_work_of_silent_gateways_is_not_counted():
     """Guards against counting requests of a gateway that no longer reports."""
     contacts = GatewayContacts()
--- a/tests/coordination/test_exchange_service.py
+++ b/tests/coordination/test_exchange_service.py
@@ -13,7 +13,12 @@
     StartRollout,
     StoreDocument,
 )
-from baobabstream.wire.coordination_messages import ExchangeRequest, ServerState
+from baobabstream.wire.coordination_messages import (
+    ExchangeRequest,
+    Quarantine,
+    ServerCrash,
+    ServerState,
+)
 from routing.routing_fixtures import make_announcement
 
 pytestmark = pytest.mark.looptime
@@ -158,3 +163,33 @@
     assert [row.state for row in (await service.answer(request(epoch=0))).rows] == [
         ServerState.GONE
     ]
+
+
+async def test_crash_and_quarantine_end_the_wait(service):
+    """Guards against gateways that learn late which requests crash servers.
+
+    A new crash asks the gateways at once whether requests with its keys survive elsewhere.
+    """
+    exchange = asyncio.create_task(service.answer(request(wait_s=5.0)))
+    for number in range(3):
+        await asyncio.sleep(1.0)
+        crash = ServerCrash(f"i-{number}", 0, (("bad", "topic", f"r{number}"),))
+        await service.answer(request(host="gw-2", crashes=(crash,), wait_s=0.0))
+    reply = await exchange
+    assert reply.suspects == ("bad", "r0", "topic")
+    exchange = asyncio.create_task(
+        service.answer(
+            request(survivals={"topic": 0}, crash_revision=service.crash_reports.revision)
+        )
+    )
+    await asyncio.sleep(0.3)
+    await service.answer(request(host="gw-2", wait_s=0.0))
+    reply = await exchange
+    assert asyncio.get_running_loop().time() < 3.4
+    assert [quarantine.keys for quarantine in reply.quarantines] == [("bad",)]
+
+
+async def test_quarantine_outlasts_a_restart_of_the_coordination_host(service):
+    """Guards against requests that crash servers again after all coordination hosts restarted."""
+    reply = await service.answer(request(quarantines=(Quarantine(("bad",), 5.0),), wait_s=0.0))
+    assert reply.quarantines == (Quarantine(("bad",), 5.0),)
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -137,3 +137,14 @@
     late_arrivals = [time_s for time_s in arrivals if time_s > fifth_crash_s + CONTACT_S]
     assert len(late_arrivals) <= MAX_LATE_ARRIVALS
     assert sound.served_fraction_since(restarted_s) > 0.9
+
+
+async def test_request_that_crashes_servers_is_sent_to_two_of_them_at_most(platform):
+    """Guards against a request that crashes as many servers as its route allows attempts."""
+    engines = [FakeBackendServer(f"i-{n}", "engine", crash_part=CRASH_PART) for n in range(6)]
+    await platform.start_with_backends(*engines, FakeBackendServer("i-app", "app"))
+    with pytest.raises(ClientError):
+        await platform.send_request(
+            "/chat/1", "r1", **{"X-Prompt-Prefix": f"c0:20,{CRASH_PART}:20,d1:20"}
+        )
+    assert sum(len(engine.crash_part_arrivals) for engine in engines) == 2
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -121,7 +121,7 @@
     def fail(*_):
         raise ZeroDivisionError
 
-    monkeypatch.setattr(gateway.context.crash_tracker, "is_quarantined", fail)
+    monkeypatch.setattr(gateway.context.crash_tracker, "find_quarantine", fail)
     status, _, body = await platform.send_request("/look/1", "r1", "GET")
     assert (status, json.loads(body)["error"]["code"]) == (500, 1034)
     monkeypatch.undo()
@@ -133,11 +133,11 @@
     gateway = next(iter(platform.gateways.values()))
     apply_reply, failures = gateway.apply_reply, []
 
-    def fail_once(reply):
+    def fail_once(host, reply):
         if not failures:
             failures.append(reply)
             raise ZeroDivisionError
-        apply_reply(reply)
+        apply_reply(host, reply)
 
     monkeypatch.setattr(gateway, "apply_reply", fail_once)
     await until(lambda: failures, 5.0)
