--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -254,6 +254,10 @@
             session_digests=self.pinned_sessions.digests(),
             held_sessions=self.pinned_sessions.differing_sets(request.session_digests),
             quarantines=self.crash_reports.quarantines(now_s),
-            suspects=self.crash_reports.suspects(now_s),
+            suspects=(
+                self.crash_reports.suspects(now_s)
+                if request.survivals or request.crash_revision != self.crash_reports.revision
+                else None
+            ),
             crash_revision=self.crash_reports.revision,
         )
--- a/src/baobabstream/gateway/coordination_client.py
+++ b/src/baobabstream/gateway/coordination_client.py
@@ -236,7 +236,9 @@
                     contact.reported_crashes = reported_crashes
                 self._load_source.record_reply(host, reply.availability_zone, now_s)
                 contact.position, contact.known_digests = reply.position, reply.session_digests
-                contact.crash_revision, contact.suspects = reply.crash_revision, reply.suspects
+                contact.crash_revision = reply.crash_revision
+                if reply.suspects is not None:
+                    contact.suspects = reply.suspects
         finally:
             client.close()
             self._tasks.pop(host, None)
--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -20,7 +20,7 @@
 their requests; their crashes count as one.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import chain
@@ -50,6 +50,7 @@
 MAX_REQUESTS_PER_CRASH = 64
 MAX_SURVIVALS = 10_000
 MAX_QUARANTINES = 64
+MAX_SUSPECTS = 256
 
 RequestKeys = frozenset[str]
 
@@ -187,20 +188,22 @@
         }
 
     def suspects(self, now_s: float) -> frozenset[str]:
-        """Return the keys of recent crashes, and of quarantines, that have not survived since.
+        """Return the keys that the next crash may quarantine, and those that are quarantined.
 
-        Whether and when they survived elsewhere decides whether they are quarantined. ``now_s`` is
-        the present time in seconds.
+        Whether and when they survived elsewhere decides about them. ``now_s`` is the present time
+        in seconds.
         """
-        crash_keys = {
-            key
-            for crash in self._crashes.values()
-            if crash.crashed_s + SUSPICION_S > now_s
-            for keys in crash.requests
-            for key in keys
-            if self._is_suspect(key, crash)
-        }
-        return frozenset(crash_keys.union(*self.quarantines(now_s)))
+        crash_counts = Counter(
+            chain.from_iterable(
+                {key for keys in crash.requests for key in keys if self._is_suspect(key, crash)}
+                for crash in self._crashes.values()
+                if crash.crashed_s + SUSPICION_S > now_s
+            )
+        )
+        suspects = (
+            key for key, count in crash_counts.most_common(MAX_SUSPECTS) if count >= MIN_CRASHES - 1
+        )
+        return frozenset(chain(suspects, *self.quarantines(now_s)))
 
     def last_survival_s(self, key: str) -> float | None:
         """Return when a request with a key last survived, in seconds, or None."""
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -217,7 +217,8 @@
     are the ids of servers that announced again without a change. ``gateways`` is the number of
     active gateways and ``work`` the summed load of the other gateways by server id, or None if it
     was not asked for. ``quarantines`` are those in force, ``suspects`` the keys of recent crashes
-    whose survivals the gateway shall report, and ``crash_revision`` rises with changes of the two.
+    whose survivals the gateway shall report, or None if they have not changed, and
+    ``crash_revision`` rises with changes of the two.
     ``availability_zone`` is that of the coordination host, or empty if it is not known.
     ``session_digests`` and ``held_sessions`` are those of the coordination host, with the meaning
     that they have in an exchange request.
@@ -239,7 +240,7 @@
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
     quarantines: tuple[Quarantine, ...] = ()
-    suspects: tuple[str, ...] = ()
+    suspects: tuple[str, ...] | None = None
     crash_revision: int = 0
 
 
