An answer that is complete just before its server crashes clears no request

Change: a request survives only if an open connection shows, 1 s after the answer began, that the server's process is alive, and the answer was not cut. Requests whose answers began within 1 s before a crash are among its suspects even if they are complete.

--- a/src/baobabstream/backends/connection_pool.py
+++ b/src/baobabstream/backends/connection_pool.py
@@ -64,6 +64,11 @@
         """Whether the largest allowed number of connections is in use."""
         return self._in_use_count >= self.max_connections
 
+    @property
+    def has_open_idle_connection(self) -> bool:
+        """Whether the server keeps an idle connection open, which the end of its process ends."""
+        return any(connection.is_reusable for _, connection in self._idle_connections)
+
     async def acquire(self, timeout_s: float) -> HttpConnection:
         """Return a reusable idle connection, or open a new one.
 
--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -163,6 +163,11 @@
         """Whether the connection may carry another request."""
         return not (self._has_ended or self._is_reuse_forbidden or self._is_answer_pending)
 
+    @property
+    def is_answer_pending(self) -> bool:
+        """Whether a request has been sent whose answer is not complete."""
+        return self._is_answer_pending
+
     @property
     def has_sent_everything(self) -> bool:
         """Whether the whole request has been handed to the operating system."""
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -38,9 +38,6 @@
 MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 # Number of different ranks that engines accept in the urgency header: 0, the first, to 9.
 URGENCY_RANKS = 10
-# Time in seconds after the first event of a stream from which on a crash of its server is not put
-# down to it. A request that crashes servers does so as its answer begins.
-SURVIVAL_S = 1.0
 # Number of events after which the mean interval between events is measured. The mean over fewer
 # events depends mostly on when the first one came; a higher number would delay the detection of a
 # slow stream.
@@ -125,8 +122,10 @@
         failure of the attempt is not counted as a second one; set by the request's execution.
     uncached_prompt_tokens
         Prompt tokens that are probably not in the server's cache.
-    event_count
-        Events received so far.
+    was_cut
+        Whether the attempt was closed before its response was complete.
+    event_count, first_event_s
+        Events received so far, and the time in seconds at which the first one arrived, or None.
     """
 
     def __init__(
@@ -156,11 +155,11 @@
         # Whether the expected time for the prompt is included in the server's queued time.
         self._is_processing_prompt = False
         self._event_buffer = EventBuffer()
+        self.was_cut = False
         self.event_count = 0
-        # Times at which the first and the last event arrived.
         self._interval_was_reported = False
-        self._survival_is_known = False
-        self._first_event_s = 0.0
+        self.first_event_s: float | None = None
+        # Time in seconds at which the last event arrived.
         self._last_event_s = 0.0
 
     async def send(self) -> AnswerHead:
@@ -251,26 +250,15 @@
 
     def mean_event_interval_s(self) -> float:
         """Return the mean time between the events so far, in seconds."""
+        assert self.first_event_s is not None
         # Between n events there are n - 1 intervals.
-        return (self._last_event_s - self._first_event_s) / max(1, self.event_count - 1)
-
-    def has_survived(self) -> bool:
-        """Return whether the stream has gone on for so long that it doesn't crash its server."""
-        now_s = asyncio.get_running_loop().time()
-        return self.event_count > 0 and now_s - self._first_event_s >= SURVIVAL_S
-
-    def survival_became_known(self) -> bool:
-        """Return whether `has_survived` holds and this method has not returned true before."""
-        if self._survival_is_known or not self.has_survived():
-            return False
-        self._survival_is_known = True
-        return True
+        return (self._last_event_s - self.first_event_s) / max(1, self.event_count - 1)
 
     def _count_events(self, events: bytes) -> None:
         """Count complete events that have just arrived, and store the times of first and last."""
         self._last_event_s = asyncio.get_running_loop().time()
-        if not self.event_count:
-            self._first_event_s = self._last_event_s
+        if self.first_event_s is None:
+            self.first_event_s = self._last_event_s
         self.event_count += events.count(EVENT_END)
 
     def end_prompt_processing(self) -> None:
@@ -293,6 +281,7 @@
         self.server.in_flight -= 1
         self.server.arrivals.record_end(asyncio.get_running_loop().time() - self.sent_s)
         if self._connection is not None:
+            self.was_cut = self._connection.is_answer_pending
             self.server.pool.release(self._connection)
             self._connection = None
 
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -10,19 +10,21 @@
 runs a model and sends a stream of events.
 
 The crash keys of a request are those by which requests that crash servers are recognised: a hash of
-its content, and its shared prompt parts. A request survives at a server if its answer completes, or
-goes on for a while after its first event. The shared prefix of a prompt is the part that
+its content, and its shared prompt parts. A request survives at a server if the server's process is
+alive some time after it has begun to answer; a short answer may be complete before its server
+crashes. The shared prefix of a prompt is the part that
 other requests may begin with too, and that a server keeps in its cache once it has processed it.
 """
 
 import asyncio
+from collections.abc import Collection
 
 from baobabstream.backends.http_connection import AnswerHead
 from baobabstream.errors.codes import RunState
 from baobabstream.gateway.attempt import MISDIRECTED_STATUS, Attempt, AttemptFailed
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.routed_request import RoutedRequest
-from baobabstream.gateway.server_directory import KnownServer
+from baobabstream.gateway.server_directory import BegunAnswer, KnownServer
 from baobabstream.routing.document import RouteKind
 from baobabstream.telemetry.decision_log import DecisionEvent
 from baobabstream.telemetry.statistics import StatisticName
@@ -39,6 +41,9 @@
 MAX_PAUSE_S = 300.0
 # Time in seconds without a reply after which no coordination host decides for this gateway.
 MAX_CONTROL_AGE_S = 2.0
+# Time in seconds after the first event of an answer from which on a crash of its server is not put
+# down to it. A request that crashes servers does so as its answer begins.
+SURVIVAL_S = 1.0
 # A response that takes more than this many times the expected time counts as bad for its server's
 # version. Responses of a healthy server vary at random up to two to three times the expected time.
 BAD_RESPONSE_SLOWDOWN = 4.0
@@ -101,9 +106,27 @@
         if shared_prompt_key is not None:
             server.record_cached_prompt(shared_prompt_key)
 
-    def record_survival(self) -> None:
-        """Record that the request has not crashed the server that answers it."""
-        self._context.crash_tracker.record_survival(self._request.crash_keys, self._loop.time())
+    def watch_survival(self, attempt: Attempt) -> None:
+        """Record ``SURVIVAL_S`` after the begin of an answer whether its request survives.
+
+        An answer that is cut earlier, as its caller has left, says nothing.
+
+        Parameters
+        ----------
+        attempt
+            Attempt whose answer has begun, or has arrived completely.
+        """
+        server, tracker, loop = attempt.server, self._context.crash_tracker, self._loop
+        answer = BegunAnswer(self._request.crash_keys, loop.time())
+        server.begun_answers.add(answer)
+
+        def record_survival() -> None:
+            """Record a survival unless the answer was cut, or the server may have crashed."""
+            server.begun_answers.discard(answer)
+            if server.is_alive and not attempt.was_cut:
+                tracker.record_survival(answer.request_keys, loop.time())
+
+        loop.call_later(SURVIVAL_S, record_survival)
 
     def record_event_interval(self, attempt: Attempt) -> None:
         """Count a stream as bad if its events are much slower than expected at this load.
@@ -239,7 +262,8 @@
         the server was about to end anyway.
         """
         context, request, server = self._context, self._request, attempt.server
-        lost_s, is_suspect = self._loop.time(), not attempt.has_survived()
+        lost_s, first_event_s = self._loop.time(), attempt.first_event_s
+        is_suspect = first_event_s is None or lost_s - first_event_s < SURVIVAL_S
 
         async def suspend_if_crashed() -> bool:
             """Probe the server, suspend it if it has crashed, and return whether by the request."""
@@ -255,19 +279,15 @@
                 shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
                 events=attempt.event_count,
             )
-            if not is_suspect or not context.is_in_service(server):
+            server.has_crashed = True
+            if not context.is_in_service(server):
                 return False
-            # A restarted server counts as another process, with another start time.
-            server_process = f"{server.row.server_id}.{server.row.born_ms}"
-            added, removed = context.crash_tracker.record_crash(
-                server_process,
-                request.crash_keys,
-                lost_s,
-                self._loop.time(),
-                is_in_contact=context.control_age_s() < MAX_CONTROL_AGE_S,
-            )
-            context.log_quarantines(added, removed, "crashes seen by this gateway")
-            return True
+            suspects = {answer.request_keys for answer in server.begun_answers}
+            if is_suspect:
+                suspects.add(request.crash_keys)
+            server.begun_answers.clear()
+            self._record_crash(server, suspects, lost_s)
+            return is_suspect
 
         # The set keeps the task alive until it is done; the event loop holds only a weak reference.
         task = asyncio.create_task(suspend_if_crashed())
@@ -276,6 +296,32 @@
         if is_suspect:
             self.crash_checks.append(task)
 
+    def _record_crash(
+        self, server: KnownServer, suspects: Collection[frozenset[str]], lost_s: float
+    ) -> None:
+        """Record that a server crashed while it began to answer some requests.
+
+        Parameters
+        ----------
+        server
+            The server.
+        suspects
+            Crash keys of each request.
+        lost_s
+            Time in seconds at which a connection ended.
+        """
+        context = self._context
+        # A restarted server counts as another process, with another start time.
+        server_process = f"{server.row.server_id}.{server.row.born_ms}"
+        added, removed = context.crash_tracker.record_crash(
+            server_process,
+            suspects,
+            lost_s,
+            self._loop.time(),
+            is_in_contact=context.control_age_s() < MAX_CONTROL_AGE_S,
+        )
+        context.log_quarantines(added, removed, "crashes seen by this gateway")
+
 
 def _parse_pause_s(retry_after: str | None) -> float:
     """Return the seconds in a ``Retry-After`` header, at most ``MAX_PAUSE_S``.
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from itertools import chain
 
@@ -135,7 +135,7 @@
         return self._report_count
 
     def record_survival(self, request_keys: Iterable[str], now_s: float) -> None:
-        """Record that a server has answered a request without a crash, at ``now_s`` in seconds."""
+        """Record that a server which began to answer a request is alive at ``now_s`` in seconds."""
         for key in request_keys:
             self._attribution.record_survival(key, now_s)
 
@@ -177,21 +177,21 @@
     def record_crash(
         self,
         server_process: str,
-        request_keys: frozenset[str],
+        requests: Collection[frozenset[str]],
         lost_s: float,
         now_s: float,
         is_in_contact: bool,
     ) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
-        """Record that a server crashed while it began to answer a request.
+        """Record that a server crashed while it began to answer some requests.
 
         Parameters
         ----------
         server_process
             Server and start time of its process, as ``server_id.born_ms``.
-        request_keys
-            Keys of the request.
+        requests
+            Keys of each request.
         lost_s, now_s
-            Time at which its connection ended, and the present time, in seconds.
+            Time at which a connection ended, and the present time, in seconds.
         is_in_contact
             Whether coordination hosts decide on quarantines. They know all survivals, of which
             this gateway sees a part.
@@ -201,11 +201,12 @@
         tuple of set and set
             The sets of keys that are quarantined now and were not before, and the reverse.
         """
-        self._report_count += 1
-        self._reports.append(
-            SuspectRequest(self._report_count, server_process, request_keys, lost_s)
-        )
-        self._attribution.record_crash(server_process, [request_keys], lost_s, now_s)
+        for request_keys in requests:
+            self._report_count += 1
+            self._reports.append(
+                SuspectRequest(self._report_count, server_process, request_keys, lost_s)
+            )
+        self._attribution.record_crash(server_process, requests, lost_s, now_s)
         if not is_in_contact:
             self._attribution.update(now_s)
         return self._combine_quarantines(now_s)
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -14,6 +14,7 @@
 
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from math import log
 
 from baobabstream.backends.connection_pool import ConnectionPool
@@ -30,7 +31,7 @@
     VersionLoad,
 )
 
-__all__ = ["KnownServer", "ServerDirectory"]
+__all__ = ["BegunAnswer", "KnownServer", "ServerDirectory"]
 
 # A server without an announcement for this multiple of the interval between announcements counts as
 # lost. It is above 1, since single announcements may be late or missed.
@@ -62,6 +63,14 @@
 NO_WORK = ServerWork(0, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class BegunAnswer:
+    """Keys of a request, and the time in seconds at which a server began to answer it."""
+
+    request_keys: frozenset[str]
+    began_s: float
+
+
 class KnownServer:
     """One process of a backend server, with its load and recent behaviour.
 
@@ -98,6 +107,10 @@
     good_responses, bad_responses
         Number of responses of each kind since the process is known. By them the versions of a
         service are compared during a rollout, in which one version replaces another.
+    has_crashed
+        Whether this process of the server has ended without notice.
+    begun_answers
+        Answers that have begun lately, whose requests may yet turn out to have crashed the server.
     paces, log_pace_sum, log_pace_squares
         Number of streams whose pace was measured, and the sums of the natural logarithms of the
         pace and of their squares; see `record_pace`.
@@ -124,6 +137,8 @@
         self.suspended_until_s = 0.0
         self.good_responses = 0
         self.bad_responses = 0
+        self.has_crashed = False
+        self.begun_answers: set[BegunAnswer] = set()
         self.paces = 0
         self.log_pace_sum = 0.0
         self.log_pace_squares = 0.0
@@ -137,6 +152,11 @@
         # first; a dictionary without values is an ordered set.
         self._cached_prompts: OrderedDict[str | None, None] = OrderedDict()
 
+    @property
+    def is_alive(self) -> bool:
+        """Whether an open connection shows that the server's process has not ended."""
+        return not self.has_crashed and (self.in_flight > 0 or self.pool.has_open_idle_connection)
+
     def load(self, now_s: float, availability_zone: str, prompt_s: float) -> ServerLoad:
         """Return the load of the server for one request, by which servers are compared.
 
--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -6,8 +6,8 @@
 another, and that no request survives, names the cause. Requests with this key are quarantined: they
 are refused instead of being sent to another server.
 
-A request survives at a server if its answer completes, or goes on for a while after its first
-event; a request that crashes servers does so when its answer begins. So the parts that sound
+A request survives at a server if the server's process is alive some time after it has begun to
+answer; a request that crashes servers does so when its answer begins. So the parts that sound
 requests share with the cause, such as the beginning of all prompts of a route, are cleared by the
 sound requests.
 
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -31,6 +31,8 @@
         the request itself.
     interval_s
         Seconds between two requests.
+    path
+        Returns the path of the n-th request.
 
     Attributes
     ----------
@@ -43,11 +45,13 @@
         platform: PlatformHarness,
         shared_parts: Callable[[int], list[str]],
         interval_s: float,
+        path: Callable[[int], str] = "/chat/{}".format,
     ) -> None:
         self.outcomes: list[tuple[float, int]] = []
         self._platform = platform
         self._shared_parts = shared_parts
         self._interval_s = interval_s
+        self._path = path
 
     async def run(self) -> None:
         """Send requests, each of which runs on its own."""
@@ -63,7 +67,7 @@
         parts = [*self._shared_parts(number), name]
         try:
             status, _, _ = await self._platform.send_request(
-                f"/chat/{number}",
+                self._path(number),
                 name,
                 gateway_index=number % len(self._platform.gateway_ips),
                 body=name.encode(),
@@ -87,30 +91,46 @@
 
 
 @pytest.mark.parametrize(
-    "shared_parts",
+    ("shared_parts", "completes_before_crash"),
     [
-        pytest.param(lambda number: ["c0", CRASH_PART], id="after-a-common-part"),
+        pytest.param(lambda _: ["c0", CRASH_PART], False, id="after-a-common-part"),
         pytest.param(
-            lambda number: ["c0", CRASH_PART, SOUND_PARTS[number % 4]], id="between-sound-parts"
+            lambda number: ["c0", CRASH_PART, SOUND_PARTS[number % 4]],
+            False,
+            id="between-sound-parts",
         ),
+        pytest.param(lambda _: ["c0", CRASH_PART], True, id="short-answers-complete"),
     ],
 )
 async def test_part_of_prompts_that_crashes_servers_is_kept_from_all_servers(
-    platform, shared_parts
+    platform, shared_parts, completes_before_crash
 ):
     """Guards against requests, no two alike, that crash server after server by a common part.
 
     Sound requests share the account and all other parts, and must be served. The gateways and the
-    coordination hosts restart one after another while both kinds of request go on.
+    coordination hosts restart one after another while both kinds of request go on. Short answers
+    may be complete just before their server crashes.
     """
     engines = [
-        FakeBackendServer(f"i-{n}", "engine", events=8, event_gap_s=0.03, crash_part=CRASH_PART)
+        FakeBackendServer(
+            f"i-{n}",
+            "engine",
+            events=3,
+            event_gap_s=0.01,
+            crash_part=CRASH_PART,
+            completes_before_crash=completes_before_crash,
+        )
         for n in range(6)
     ]
     await platform.start_with_backends(*engines, FakeBackendServer("i-app", "app"))
     loop = asyncio.get_running_loop()
     sound = PromptTraffic(platform, lambda number: ["c0", SOUND_PARTS[number % 4]], 0.05)
-    crashing = PromptTraffic(platform, shared_parts, 0.2)
+    crashing = PromptTraffic(
+        platform,
+        shared_parts,
+        0.2,
+        lambda number: f"/chat/short/{number}" if number % 2 else f"/chat/{number}",
+    )
     sound_task = asyncio.create_task(sound.run())
     await until(lambda: len(sound.outcomes) > 20 and sound.served_fraction_since(0.0) > 0.9)
     crashing_task = asyncio.create_task(crashing.run())
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -117,6 +117,9 @@
         Part of a prompt, unless it is the last, at which the server crashes when it begins to write
         the answer; or empty. A crash closes all connections, and the server starts again after
         ``restart_delay_s`` as another process at the same address.
+    completes_before_crash
+        Whether the answer to a short request, whose path contains ``short``, is complete before the
+        crash.
     restart_delay_s
         Seconds from a crash to the next start.
     confidence
@@ -160,6 +163,7 @@
     comment_gap_s: float = 0.0
     event_gap_s: float = 0.0
     crash_part: str = ""
+    completes_before_crash: bool = False
     restart_delay_s: float = 1.0
     confidence: dict[str, str] = field(default_factory=dict)
     state: str = "ready"
@@ -265,6 +269,10 @@
             self.lost_answers_left -= 1
             self.refuses = self.refuses_after_loss
             raise ConnectionResetError
+        if crashes and self.completes_before_crash and "short" in request_line:
+            await self._write_stream(headers, writer)
+            await writer.drain()
+            await self._crash_soon()
         if crashes:
             await self._write_first_event_and_crash(headers, writer)
         if "/chat/" in request_line:
@@ -280,6 +288,16 @@
         event = b"id: 1\ndata: piece 1\n\n"
         writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         await writer.drain()
+        await self._crash_soon()
+
+    async def _crash_soon(self) -> None:
+        """Crash after ``CRASH_DELAY_S``, unless another request has been faster.
+
+        Raises
+        ------
+        ConnectionResetError
+            Always, to end the connection.
+        """
         await asyncio.sleep(CRASH_DELAY_S)
         if self.is_running:
             self.crash()
