One survival no longer undoes the evidence of many crashes

Whether a request survived is judged from outside and can be wrong, and one wrong survival cleared a key and ended its quarantine. Survivals are counted now, with weights that fall to 1/e in 30 s: a key is no cause if there is more than one for three crashes, and a quarantine is refuted by two survivals since its begin. A request survives 0.5 s after its answer began; the answers of the recorded crashes began 46 to 118 ms before.

--- a/src/baobabstream/coordination/crash_reports.py
+++ b/src/baobabstream/coordination/crash_reports.py
@@ -1,7 +1,7 @@
 """Combines what the gateways report of crashes of backend servers.
 
 A gateway reports the requests that were running at a server when it crashed, when requests with the
-same keys last survived, and the quarantines that it knows, in case this host has restarted. Times
+same keys survive, and the quarantines that it knows, in case this host has restarted. Times
 are sent as ages, since the hosts' clocks differ.
 """
 
@@ -28,8 +28,8 @@
         Returns whether the suspects or the quarantines have changed.
         """
         attribution, revision_before = self._attribution, self._attribution.revision
-        for key, age_ms in report.survivals.items():
-            attribution.record_survival(key, now_s - age_ms / 1000)
+        for key, weight in report.survivals.items():
+            attribution.set_survivals(key, report.host, weight, now_s)
         for crash in report.crashes:
             crashed_s = now_s - crash.age_ms / 1000
             attribution.record_crash(crash.server_process, crash.requests, crashed_s, now_s)
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -43,7 +43,7 @@
 MAX_CONTROL_AGE_S = 2.0
 # Time in seconds after the first event of an answer from which on a crash of its server is not put
 # down to it. A request that crashes servers does so as its answer begins.
-SURVIVAL_S = 1.0
+SURVIVAL_S = 0.5
 # A response that takes more than this many times the expected time counts as bad for its server's
 # version. Responses of a healthy server vary at random up to two to three times the expected time.
 BAD_RESPONSE_SLOWDOWN = 4.0
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -27,6 +27,8 @@
 PROBE_TIMEOUT_S = 0.5
 # Most crashed requests that are kept for reporting; the oldest are dropped.
 MAX_REPORTS = 256
+# Survivals that weigh less are not reported any more.
+MIN_REPORTED_WEIGHT = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,14 +141,14 @@
         for key in request_keys:
             self._attribution.record_survival(key, now_s)
 
-    def survival_ages_ms(self, suspects: Iterable[str], now_s: float) -> dict[str, int]:
-        """Return for keys that coordination hosts suspect when requests last survived here.
+    def survivals(self, suspects: Iterable[str], now_s: float) -> dict[str, float]:
+        """Return for keys that coordination hosts suspect how many requests survived here lately.
 
-        The result holds the milliseconds since then, without keys that have never survived here.
-        ``now_s`` is the time in seconds.
+        See `CrashAttribution.survival_weight`; ``now_s`` is the time in seconds. Keys without
+        survivals are left out.
         """
-        survived_s = ((key, self._attribution.last_survival_s(key)) for key in suspects)
-        return {key: int((now_s - time_s) * 1000) for key, time_s in survived_s if time_s}
+        weights = ((key, self._attribution.survival_weight(key, now_s)) for key in suspects)
+        return {key: weight for key, weight in weights if weight >= MIN_REPORTED_WEIGHT}
 
     async def check_crash(self, address: str, request_id_header: str) -> bool:
         """Probe a server whose connection was lost, and return whether it is not reachable.
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -250,7 +250,7 @@
                 contact.known_digests
             ),
             crashes=crash_tracker.crash_reports(contact.reported_crashes, now_s),
-            survivals=crash_tracker.survival_ages_ms(contact.suspects, now_s),
+            survivals=crash_tracker.survivals(contact.suspects, now_s),
             quarantines=crash_tracker.quarantine_reports(now_s),
             crash_revision=contact.crash_revision,
         )
--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -3,13 +3,13 @@
 A server that crashes takes all of its requests with it, and only one of them may have caused the
 crash. Each request has several keys: a hash of its whole content, and one for each part of its
 prompt that other prompts may have too. A key whose requests were running at one crash after
-another, and that no request survives, names the cause. Requests with this key are quarantined: they
-are refused instead of being sent to another server.
+another, and that hardly any request survives, names the cause. Requests with this key are
+quarantined: they are refused instead of being sent to another server.
 
 A request survives at a server if the server's process is alive some time after it has begun to
 answer; a request that crashes servers does so when its answer begins. So the parts that sound
 requests share with the cause, such as the beginning of all prompts of a route, are cleared by the
-sound requests.
+sound requests. A single survival clears nothing, since the answer may have been too short.
 
 As long as several keys fit the crashes equally well, since they occurred in the same requests only,
 a request is quarantined only if it has all of them. Each further crash narrows them down, as in a
@@ -24,15 +24,21 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import chain
+from math import exp
 
 __all__ = ["CrashAttribution"]
 
 # Crashes that must have a key in common before its requests are quarantined. Two occur by chance: a
 # request that shared a server with the cause is sent again and may share the next one too.
 MIN_CRASHES = 3
-# The same for a key that survived before the crashes, which is more likely a bystander: while many
-# servers crash, no long answer survives for seconds.
-MIN_CRASHES_AFTER_SURVIVAL = 5
+# Crashes after which one of two keys that explain them equally well is quarantined.
+MAX_AMBIGUOUS_CRASHES = 5
+# Recent survivals for each crash, above which a key is no cause.
+MAX_SURVIVALS_PER_CRASH = 0.34
+# Survivals since a quarantine that refute it: all of them ran before it, so they are few.
+REFUTING_SURVIVALS = 2.0
+# Time in seconds in which the weight of a survival falls to 1/e.
+SURVIVAL_TIME_CONSTANT_S = 30.0
 # Time in seconds from the first report of a crash until it is considered, in which all gateways
 # tell whether requests with its keys survive.
 SETTLING_S = 0.3
@@ -48,7 +54,7 @@
 # Bounds on memory and time; the oldest entries are dropped.
 MAX_CRASHES = 100
 MAX_REQUESTS_PER_CRASH = 64
-MAX_SURVIVALS = 10_000
+MAX_SURVIVING_KEYS = 10_000
 MAX_QUARANTINES = 64
 MAX_SUSPECTS = 256
 
@@ -74,6 +80,18 @@
     requests: set[RequestKeys] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class _Survivals:
+    """Number of survivals, each with a weight that decays with its age, as of a time in seconds."""
+
+    weight: float
+    counted_s: float
+
+    def weight_at(self, now_s: float) -> float:
+        """Return the weight at another time in seconds."""
+        return self.weight * exp(min(0.0, self.counted_s - now_s) / SURVIVAL_TIME_CONSTANT_S)
+
+
 class CrashAttribution:
     """Crashes, survivals and quarantines, as far as one host knows them.
 
@@ -93,10 +111,14 @@
         self._settling_s = settling_s
         # By server process, the oldest first.
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
-        # Time in seconds at which a request with a key last survived, the oldest first.
-        self._survived_s: OrderedDict[str, float] = OrderedDict()
+        # By key, the one that survived longest ago first, and by source of the report.
+        self._survivals: OrderedDict[str, dict[str, _Survivals]] = OrderedDict()
         # Time in seconds since which requests with all of these keys are quarantined.
         self._quarantined_s: dict[RequestKeys, float] = {}
+        # Weight of the survivals of each quarantined key when the quarantine began, and times in
+        # seconds at which quarantines were refuted.
+        self._weights_at_start: dict[RequestKeys, dict[str, float]] = {}
+        self._refuted_s: dict[RequestKeys, float] = {}
         # Whether the evidence has changed since the last search for quarantines, and when that was.
         self._needs_search = False
         self._searched_s = float("-inf")
@@ -131,44 +153,59 @@
             self._needs_search = True
             self.revision += 1
 
-    def record_survival(self, key: str, survived_s: float) -> None:
-        """Record that a request with a key survived at ``survived_s``, a time in seconds.
+    def record_survival(self, key: str, now_s: float) -> None:
+        """Record that a request with a key has survived here at ``now_s``, a time in seconds."""
+        self.set_survivals(key, "", self.survival_weight(key, now_s) + 1.0, now_s)
+
+    def set_survivals(self, key: str, source: str, weight: float, counted_s: float) -> None:
+        """Record how many requests with a key have survived lately at one source.
 
-        It ends the quarantines that name the key: had it been the cause, the request would not have
-        survived.
+        Parameters
+        ----------
+        key
+            Key of the requests.
+        source
+            Name of the host that has counted them; a later count replaces an earlier one.
+        weight
+            Their number, in which older ones weigh less; see `survival_weight`.
+        counted_s
+            Time of the count in seconds.
         """
-        if survived_s <= self._survived_s.get(key, float("-inf")):
-            return
-        self._survived_s[key] = survived_s
-        self._survived_s.move_to_end(key)
-        if len(self._survived_s) > MAX_SURVIVALS:
-            self._survived_s.popitem(last=False)
-        refuted = [
-            keys
-            for keys, quarantined_s in self._quarantined_s.items()
-            if key in keys and survived_s > quarantined_s
-        ]
-        for keys in refuted:
-            del self._quarantined_s[keys]
-        if refuted:
-            self._needs_search = True
-            self.revision += 1
+        self._survivals.setdefault(key, {})[source] = _Survivals(weight, counted_s)
+        self._survivals.move_to_end(key)
+        if len(self._survivals) > MAX_SURVIVING_KEYS:
+            self._survivals.popitem(last=False)
+
+    def survival_weight(self, key: str, now_s: float) -> float:
+        """Return how many requests with a key have survived lately.
+
+        Each counts with a weight that falls to 1/e in ``SURVIVAL_TIME_CONSTANT_S``. ``now_s`` is
+        the present time in seconds.
+        """
+        survivals = self._survivals.get(key, {}).values()
+        return sum(survival.weight_at(now_s) for survival in survivals)
 
     def merge_quarantines(self, quarantined_s: Mapping[RequestKeys, float], now_s: float) -> None:
-        """Take over quarantines of other hosts that are not refuted by a survival.
+        """Take over quarantines of other hosts that have not been refuted here.
 
         So they outlast a restart of any host. The mapping has the keys that requests must have, and
         the time in seconds since which they are quarantined; ``now_s`` is the present time.
         """
         for keys, since_s in quarantined_s.items():
-            if not self._was_refuted(keys, since_s) and since_s + MEMORY_S > now_s:
+            is_refuted = since_s <= self._refuted_s.get(keys, float("-inf"))
+            if not is_refuted and since_s + MEMORY_S > now_s:
                 self._add_quarantine(keys, since_s, now_s)
 
     def update(self, now_s: float) -> None:
         """Search for quarantines if there is new evidence, unless the last search was just now.
 
-        ``now_s`` is the present time in seconds.
+        Quarantines that survivals refute end. ``now_s`` is the present time in seconds.
         """
+        for keys in [keys for keys in self._quarantined_s if self._is_refuted(keys, now_s)]:
+            self._remove_quarantine(keys)
+            self._refuted_s[keys] = now_s
+            self._needs_search = True
+            self.revision += 1
         if self._needs_search and now_s - self._searched_s >= MIN_SEARCH_INTERVAL_S:
             self._searched_s = now_s
             self._search(now_s)
@@ -195,7 +232,7 @@
         """
         crash_counts = Counter(
             chain.from_iterable(
-                {key for keys in crash.requests for key in keys if self._is_suspect(key, crash)}
+                frozenset(chain.from_iterable(crash.requests))
                 for crash in self._crashes.values()
                 if crash.crashed_s + SUSPICION_S > now_s
             )
@@ -205,17 +242,17 @@
         )
         return frozenset(chain(suspects, *self.quarantines(now_s)))
 
-    def last_survival_s(self, key: str) -> float | None:
-        """Return when a request with a key last survived, in seconds, or None."""
-        return self._survived_s.get(key)
-
-    def _is_suspect(self, key: str, crash: _Crash) -> bool:
-        """Return whether no request with a key has survived since a crash."""
-        return crash.crashed_s > self._survived_s.get(key, float("-inf"))
+    def _is_refuted(self, keys: RequestKeys, now_s: float) -> bool:
+        """Return whether requests with a quarantined key have survived since the quarantine."""
+        weights_at_start = self._weights_at_start[keys]
+        return any(
+            self.survival_weight(key, now_s) >= weights_at_start[key] + REFUTING_SURVIVALS
+            for key in keys
+        )
 
-    def _was_refuted(self, keys: RequestKeys, since_s: float) -> bool:
-        """Return whether a request with one of the keys has survived since a time in seconds."""
-        return any(self._survived_s.get(key, float("-inf")) > since_s for key in keys)
+    def _remove_quarantine(self, keys: RequestKeys) -> None:
+        """End the quarantine of requests with some keys."""
+        del self._quarantined_s[keys], self._weights_at_start[keys]
 
     def _add_quarantine(self, keys: RequestKeys, since_s: float, now_s: float) -> None:
         """Quarantine requests with some keys, unless a part of these is quarantined already.
@@ -227,78 +264,88 @@
         since_s, now_s
             Time since which they are quarantined, and the present time, in seconds.
         """
-        self._quarantined_s = self.quarantines(now_s)
+        self._forget_old(now_s)
         if any(known <= keys for known in self._quarantined_s):
             return
         for known in [known for known in self._quarantined_s if keys < known]:
-            del self._quarantined_s[known]
+            self._remove_quarantine(known)
+        if len(self._quarantined_s) >= MAX_QUARANTINES:
+            self._remove_quarantine(min(self._quarantined_s, key=self._quarantined_s.__getitem__))
         self._quarantined_s[keys] = since_s
-        if len(self._quarantined_s) > MAX_QUARANTINES:
-            del self._quarantined_s[min(self._quarantined_s, key=self._quarantined_s.__getitem__)]
+        self._weights_at_start[keys] = {key: self.survival_weight(key, now_s) for key in keys}
         self.revision += 1
 
+    def _forget_old(self, now_s: float) -> None:
+        """Drop crashes and quarantines whose time is over."""
+        for process in [
+            process
+            for process, crash in self._crashes.items()
+            if crash.crashed_s + MEMORY_S <= now_s
+        ]:
+            del self._crashes[process]
+        for keys in self._quarantined_s.keys() - self.quarantines(now_s).keys():
+            self._remove_quarantine(keys)
+        self._refuted_s = {
+            keys: refuted_s
+            for keys, refuted_s in self._refuted_s.items()
+            if refuted_s + MEMORY_S > now_s
+        }
+
     def _search(self, now_s: float) -> None:
         """Quarantine the keys that best explain the crashes, until too few are left unexplained.
 
         ``now_s`` is the present time in seconds.
         """
-        for process, crash in list(self._crashes.items()):
-            if crash.crashed_s + MEMORY_S <= now_s:
-                del self._crashes[process]
+        self._forget_old(now_s)
         unexplained = {
             process: crash
             for process, crash in self._crashes.items()
             if crash.considered_from_s <= now_s
         }
-        while (cause := self._most_likely_cause(unexplained)) is not None:
+        while (cause := self._most_likely_cause(unexplained, now_s)) is not None:
             explained = [
                 process
                 for process, crash in unexplained.items()
-                if self._is_suspect(cause, crash) and cause in chain.from_iterable(crash.requests)
+                if cause in chain.from_iterable(crash.requests)
             ]
             crashes = [unexplained.pop(process) for process in explained]
-            self._add_quarantine(self._common_keys(cause, crashes), now_s, now_s)
+            self._add_quarantine(self._common_keys(cause, crashes, now_s), now_s, now_s)
 
-    def _most_likely_cause(self, crashes: Mapping[str, _Crash]) -> str | None:
+    def _most_likely_cause(self, crashes: Mapping[str, _Crash], now_s: float) -> str | None:
         """Return the key that explains most of some crashes, or None if none explains enough.
 
-        A key that has never survived goes first. If two keys of different requests explain equally
-        many crashes, and these are few, there is none: the next crash tells more. ``crashes`` are
-        given by server process.
+        If two keys of different requests explain equally many crashes, and these are few, there is
+        none: the next crash tells more. ``crashes`` are given by server process, and ``now_s`` is
+        the present time in seconds.
         """
         times_by_key: defaultdict[str, set[float]] = defaultdict(set)
         requests_by_key: defaultdict[str, set[RequestKeys]] = defaultdict(set)
         for crash in crashes.values():
             for keys in crash.requests:
                 for key in keys:
-                    if self._is_suspect(key, crash):
-                        times_by_key[key].add(crash.crashed_s)
-                        requests_by_key[key].add(keys)
-        # By key that explains enough crashes: whether it has never survived, and their number.
-        ranks = {
-            key: (key not in self._survived_s, crash_count)
+                    times_by_key[key].add(crash.crashed_s)
+                    requests_by_key[key].add(keys)
+        crash_counts = {
+            key: crash_count
             for key, times_s in times_by_key.items()
-            if (crash_count := _count_apart(times_s)) >= self._min_crashes(key)
+            if (crash_count := _count_apart(times_s)) >= MIN_CRASHES
+            and self.survival_weight(key, now_s) <= crash_count * MAX_SURVIVALS_PER_CRASH
         }
-        if not ranks:
+        if not crash_counts:
             return None
-        best_rank = max(ranks.values())
-        best_keys = [key for key, rank in ranks.items() if rank == best_rank]
+        most_crashes = max(crash_counts.values())
+        best_keys = [key for key, count in crash_counts.items() if count == most_crashes]
         cause = max(best_keys, key=lambda key: (len(requests_by_key[key]), key))
-        _, crash_count = best_rank
         is_ambiguous = any(
             requests_by_key[key].isdisjoint(requests_by_key[cause]) for key in best_keys
         )
-        return None if is_ambiguous and crash_count < MIN_CRASHES_AFTER_SURVIVAL else cause
-
-    def _min_crashes(self, key: str) -> int:
-        """Return the number of crashes after which requests with a key are quarantined."""
-        return MIN_CRASHES_AFTER_SURVIVAL if key in self._survived_s else MIN_CRASHES
+        return None if is_ambiguous and most_crashes < MAX_AMBIGUOUS_CRASHES else cause
 
-    def _common_keys(self, cause: str, crashes: Iterable[_Crash]) -> RequestKeys:
+    def _common_keys(self, cause: str, crashes: Iterable[_Crash], now_s: float) -> RequestKeys:
         """Return a key and those that were in the same requests at all crashes with it.
 
-        Keys of which any request is known to have survived are left out, as they are not the cause.
+        Keys of which requests have survived lately are left out, as they are not the cause.
+        ``now_s`` is the present time in seconds.
         """
         keys_by_crash = [
             frozenset(chain.from_iterable(keys for keys in crash.requests if cause in keys))
@@ -307,7 +354,8 @@
         return frozenset(
             key
             for key in frozenset.intersection(*keys_by_crash)
-            if key == cause or key not in self._survived_s
+            if key == cause
+            or self.survival_weight(key, now_s) <= len(keys_by_crash) * MAX_SURVIVALS_PER_CRASH
         )
 
 
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -183,10 +183,10 @@
     shall contain the load of the other gateways; one coordination host is enough for that.
 
     ``crashes`` are those that the gateway has seen and this process of the coordination host does
-    not know yet. ``survivals`` are, for keys that the coordination host suspects, the milliseconds
-    since a request with the key last survived. ``quarantines`` are all that the gateway knows.
-    ``crash_revision`` is that of the last reply. The size of the three grows with the crashes of
-    the last minutes, not with the requests.
+    not know yet. ``survivals`` are, for keys that the coordination host suspects, the number of
+    requests with the key that have survived lately, in which older ones weigh less.
+    ``quarantines`` are all that the gateway knows. ``crash_revision`` is that of the last reply.
+    The size of the three grows with the crashes of the last minutes, not with the requests.
     """
 
     host: str
@@ -204,7 +204,7 @@
     session_digests: dict[str, int] = {}
     held_sessions: dict[str, tuple[int, ...]] = {}
     crashes: tuple[ServerCrash, ...] = ()
-    survivals: dict[str, int] = {}
+    survivals: dict[str, float] = {}
     quarantines: tuple[Quarantine, ...] = ()
     crash_revision: int = 0
 
