The log of a rollout says on how many measured streams its decision rests

Whether a version is completed because nothing speaks against it, or because too few of its streams were measured, could not be told from rollout_changed.

--- a/src/baobabstream/coordination/regression_detector.py
+++ b/src/baobabstream/coordination/regression_detector.py
@@ -9,7 +9,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from math import log
+from math import exp, log
 
 from baobabstream.wire.coordination_messages import ServerEvidence
 
@@ -113,6 +113,10 @@
         its share of bad answers is that of the base version plus ``DETECTED_INCREASE`` than if
         both shares are equal; or how much more likely the paces of its streams are if they differ
         from those of the base version as measured than if they don't, whichever is higher.
+    target_streams, base_streams
+        Number of streams of each version whose pace was measured.
+    pace_quotient
+        Typical time between two events of the target, divided by that of the base version.
 
     Notes
     -----
@@ -128,6 +132,9 @@
     base: str
     target: str
     log_ratio: float = 0.0
+    target_streams: int = 0
+    base_streams: int = 0
+    pace_quotient: float = 1.0
     # Ratio of the answers alone.
     _answer_log_ratio: float = 0.0
     # Answers of the target that ``log_ratio`` includes already.
@@ -161,7 +168,11 @@
             (1 - increased_bad_share) / (1 - base_bad_share)
         )
         self._answer_log_ratio = max(0.0, self._answer_log_ratio + log_ratio_change)
-        pace_log_ratio = _pace_log_ratio(totals.get(self.base, {}).values(), target_counts.values())
+        base_counts = totals.get(self.base, {})
+        pace_log_ratio = _pace_log_ratio(base_counts.values(), target_counts.values())
+        self.base_streams, base_log_pace, _ = _log_pace_statistics(base_counts.values())
+        self.target_streams, target_log_pace, _ = _log_pace_statistics(target_counts.values())
+        self.pace_quotient = exp(target_log_pace - base_log_pace)
         self.log_ratio = max(self._answer_log_ratio, pace_log_ratio)
         bad_server_count = sum(counts.bad > 0 for counts in target_counts.values())
         measured_server_count = sum(counts.paces > 0 for counts in target_counts.values())
--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -249,5 +249,8 @@
                 # Rounded to hundredths, for the readers of the decision log.
                 elapsed_s=round(elapsed_s, 2),
                 log_ratio=round(detector.log_ratio, 2),
+                target_streams=detector.target_streams,
+                base_streams=detector.base_streams,
+                pace_quotient=round(detector.pace_quotient, 2),
             )
         return MoveRollout(row.service, row.target, state, share, moves_sessions, elapsed_s)
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -17,7 +17,9 @@
 mean time between the events of a streamed response as a multiple of the expected one; ``run_state``
 whether the backend server executed the request (``yes``, ``no`` or ``unknown``); ``hold_ms`` how
 long a suspected server is avoided; ``log_ratio`` the logarithm of the likelihood ratio of the test
-that stops a bad version; ``away_ms`` how long a dependency did not reply; ``leads`` whether this
+that stops a bad version; ``target_streams`` and ``base_streams`` how many streams of the new and
+the old version were measured for it, and ``pace_quotient`` how many times as long the events of the
+new one take; ``away_ms`` how long a dependency did not reply; ``leads`` whether this
 host is the leader; ``share`` the share of the traffic, 0 to 1, of the new version; ``confidence``
 the value of the response header in which a model states how sure it is of its answer; ``session``
 the identifier of the related requests that this one belongs to; ``in_flight`` the number of
@@ -139,6 +141,9 @@
         "share",
         "elapsed_s",
         "log_ratio",
+        "target_streams",
+        "base_streams",
+        "pace_quotient",
         "reason",
     ),
     DecisionEvent.ORDER_DECIDED: ("order", "outcome", "detail", "elapsed_ms"),
