A version is completed on evidence, not for the lack of it

Cause: the canary got half of its share, since sessions that began before stay on the base; streams that are too slow to reach their tenth event before the end count for nothing; and a target without evidence passed.

Change: the canary is planned by requests, 0.6 of what the limit allows, and its share is raised while it has had fewer; a stream counts as slow after twice the expected time for ten events; a target with fewer than 5 measured streams where 15 were due is suspicious; the answers' ratio, the highest of many, needs 2.5 instead of 1.6.

--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -97,6 +97,18 @@
             )
         return server_counts
 
+    def in_flight(self, service: str, version: str, now_s: float) -> int:
+        """Return the open requests of all active gateways at a version of a service.
+
+        ``now_s`` is the time of the event loop in seconds.
+        """
+        return sum(
+            version_load.in_flight
+            for report in self.active_reports(now_s)
+            for version_load in report.versions
+            if (version_load.service, version_load.version) == (service, version)
+        )
+
 
 def _sum_work(work_of_gateways: Iterable[Mapping[str, ServerWork]]) -> dict[str, ServerWork]:
     """Return the work at each server, summed over the gateways.
--- a/src/baobabstream/coordination/regression_detector.py
+++ b/src/baobabstream/coordination/regression_detector.py
@@ -34,6 +34,12 @@
 MIN_PACES, MIN_LOG_PACE_DIFFERENCE = 5, log(1.4)
 # Lower bound of the variance of the logarithms of the pace. Few streams may be equal by chance.
 MIN_LOG_PACE_VARIANCE = 0.1
+# Natural logarithms of the likelihood ratios that the target is worse than the base version, by its
+# answers and by the pace of its streams, from which on a rollout does not proceed: odds of twelve
+# and of five to one. A rollout that reaches its end at such a ratio is rolled back, since a bad
+# version costs more than a second rollout. The ratio of the answers is the highest of many, one for
+# each answer after which the target may have turned bad, so it needs higher odds.
+SUSPICIOUS_ANSWER_LOG_RATIO, SUSPICIOUS_PACE_LOG_RATIO = 2.5, 1.6
 # Number of servers of the target version that must have given bad answers, so that a single faulty
 # server does not roll back its version. If the version has only one server, that one is enough.
 MIN_BAD_SERVERS = 2
@@ -135,8 +141,11 @@
     target_streams: int = 0
     base_streams: int = 0
     pace_quotient: float = 1.0
-    # Ratio of the answers alone.
+    # Measured streams of the base version before the first call of ``update``.
+    _earlier_base_streams: int | None = None
+    # Ratios of the answers alone, and of the paces alone.
     _answer_log_ratio: float = 0.0
+    _pace_log_ratio: float = 0.0
     # Answers of the target that ``log_ratio`` includes already.
     _counted: AnswerCounts = field(default_factory=AnswerCounts)
 
@@ -169,7 +178,11 @@
         )
         self._answer_log_ratio = max(0.0, self._answer_log_ratio + log_ratio_change)
         base_counts = totals.get(self.base, {})
-        pace_log_ratio = _pace_log_ratio(base_counts.values(), target_counts.values())
+        pace_log_ratio = self._pace_log_ratio = _pace_log_ratio(
+            base_counts.values(), target_counts.values()
+        )
+        if self._earlier_base_streams is None:
+            self._earlier_base_streams = sum(counts.paces for counts in base_counts.values())
         self.base_streams, base_log_pace, _ = _log_pace_statistics(base_counts.values())
         self.target_streams, target_log_pace, _ = _log_pace_statistics(target_counts.values())
         self.pace_quotient = exp(target_log_pace - base_log_pace)
@@ -181,6 +194,22 @@
             self._answer_log_ratio >= REGRESSION_LOG_RATIO and bad_server_count >= min_servers
         ) or (pace_log_ratio >= REGRESSION_LOG_RATIO and measured_server_count >= min_servers)
 
+    def is_suspicious(self, share: float) -> bool:
+        """Return whether the target may be worse than the base version, though not surely bad.
+
+        That is also so if far fewer of its streams were measured than should have been: they may be
+        so slow that the rollout ends first. ``share`` is the share (0 to 1) of the new sessions
+        that the target gets.
+        """
+        if (
+            self._answer_log_ratio >= SUSPICIOUS_ANSWER_LOG_RATIO
+            or self._pace_log_ratio >= SUSPICIOUS_PACE_LOG_RATIO
+        ):
+            return True
+        new_base_streams = self.base_streams - (self._earlier_base_streams or 0)
+        expected_streams = share * new_base_streams
+        return self.target_streams < MIN_PACES and expected_streams >= 3 * MIN_PACES
+
 
 def _bad_share(counts_by_server: Iterable[AnswerCounts]) -> float:
     """Return the share of bad answers (0 to 1), including the prior.
--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -152,8 +152,8 @@
         step = plan_step(
             row,
             elapsed_s,
-            self._exposure(row, totals, now_s - observed_since_s),
-            detector.log_ratio,
+            self._exposure(row, totals, observed_since_s, now_s),
+            detector.is_suspicious(row.share),
         )
         if step.rolls_back:
             return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, detector)
@@ -162,12 +162,16 @@
         return self._apply_step(row, step, elapsed_s, detector)
 
     def _exposure(
-        self, row: RolloutRow, totals: Mapping[str, Mapping[str, AnswerCounts]], observed_s: float
+        self,
+        row: RolloutRow,
+        totals: Mapping[str, Mapping[str, AnswerCounts]],
+        observed_since_s: float,
+        now_s: float,
     ) -> Exposure:
         """Return the limit of the target's requests, with the answers that were counted so far.
 
-        The answers of the service are those since this leader first evaluated the rollout, so that
-        they and ``observed_s`` give the rate of its requests.
+        The answers of the service are those since this leader first evaluated the rollout, which
+        gives the rate of its requests.
 
         Parameters
         ----------
@@ -175,8 +179,8 @@
             The rollout.
         totals
             All answers of the service that the gateways have counted, by version and server.
-        observed_s
-            Seconds since this leader first evaluated the rollout.
+        observed_since_s, now_s
+            Time at which this leader first evaluated the rollout, and the present time, in seconds.
         """
         answers_by_version = {
             version: sum(counts.good + counts.bad for counts in counts_by_server.values())
@@ -188,9 +192,12 @@
         return Exposure(
             limit.allowed_share,
             limit.allowed_extra_requests,
-            target_answers=answers_by_version.get(row.target, 0),
+            target_requests=(
+                answers_by_version.get(row.target, 0)
+                + self._exchange.contacts.in_flight(row.service, row.target, now_s)
+            ),
             service_answers=all_answers - initial_answers,
-            observed_s=observed_s,
+            observed_s=now_s - observed_since_s,
         )
 
     def _apply_step(
--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -13,16 +13,23 @@
 
 from baobabstream.wire.coordination_messages import RolloutRow
 
-__all__ = ["CANARY_FRACTION", "Exposure", "RolloutStep", "full_share_duration_s", "plan_step"]
+__all__ = ["Exposure", "RolloutStep", "canary_share", "full_share_duration_s", "plan_step"]
 
 # Duration of the first step, with a share of 0: two exchanges between gateways and coordination
 # hosts, in which all hosts learn the open sessions, which keep the base version.
 ZERO_SHARE_S = 1.2
-# Fraction of the allowed share that the target gets as a canary. A version may be bad in a way that
-# shows late or only under load, and the limit of exposure covers the whole rollout. So the rest is
-# left for the step with all requests, and for the case that the target gets more requests than its
-# share: a hash assigns sessions to the versions, which is not perfectly even.
-CANARY_FRACTION = 0.45
+# Fraction of the allowed requests that the target gets as a canary. A version may be bad in a way
+# that shows late or only under load, and the limit of exposure covers the whole rollout. So the
+# rest is left for the step with all requests.
+CANARY_FRACTION = 0.6
+# A canary gets fewer requests than its share, as sessions that began before the rollout stay on the
+# base version. For each fraction of the planned requests that it has had at least: the factor by
+# which its share is raised.
+CANARY_FACTORS = ((1.0, 1.0), (0.9, 1.5), (0.0, 2.25))
+# Upper bound of the share of a canary.
+MAX_CANARY_SHARE = 0.3
+# Time of observation after which the rate of requests is known well enough for the share.
+MIN_OBSERVED_S = 1.0
 # A rollout ends this long before its deadline, so that a change of the coordination leader, which
 # commits its end, does not delay it beyond the deadline.
 END_MARGIN_S = 0.8
@@ -36,12 +43,6 @@
 USED_SHARE_FRACTION, USED_EXTRA_FRACTION = 0.85, 0.5
 
 
-# Natural logarithm of the likelihood ratio that the target is worse than the base version, from
-# which on a rollout does not proceed: odds of five to one. A rollout that reaches its end at such a
-# ratio is rolled back, since a bad version costs more than a second rollout.
-SUSPICIOUS_LOG_RATIO = 1.6
-
-
 @dataclass(frozen=True, slots=True)
 class Exposure:
     """Limit of the requests that the target may get, and the answers counted so far.
@@ -51,8 +52,9 @@
     allowed_share, allowed_extra_requests
         The target may get this share (0 to 1) of all requests of the service during a rollout,
         plus this number of requests.
-    target_answers
-        Number of answers of the target version that the gateways have counted.
+    target_requests
+        Number of requests of the target version that the gateways have counted, also those without
+        an answer yet.
     service_answers, observed_s
         Number of answers of all versions of the service since this leader first evaluated the
         rollout, and the seconds since then.
@@ -60,7 +62,7 @@
 
     allowed_share: float
     allowed_extra_requests: float
-    target_answers: int = 0
+    target_requests: int = 0
     service_answers: int = 0
     observed_s: float = 0.0
 
@@ -106,19 +108,58 @@
     )
     if answers_per_s <= 0:
         return MIN_FULL_SHARE_S
-    # Answers of the service during the whole rollout, and those of them that the target may give.
-    expected_answers = answers_per_s * row.duration_s
-    allowed_answers = USED_SHARE_FRACTION * exposure.allowed_share * expected_answers
-    allowed_answers += USED_EXTRA_FRACTION * exposure.allowed_extra_requests
-    remaining_answers = allowed_answers - exposure.target_answers
+    remaining_requests = _usable_requests(row, exposure) - exposure.target_requests
     # The target gets all requests between the end of the rollout and the deadline as well.
     return min(
-        max(remaining_answers / answers_per_s - END_MARGIN_S, MIN_FULL_SHARE_S), MAX_FULL_SHARE_S
+        max(remaining_requests / answers_per_s - END_MARGIN_S, MIN_FULL_SHARE_S), MAX_FULL_SHARE_S
+    )
+
+
+def canary_share(row: RolloutRow, elapsed_s: float, exposure: Exposure) -> float:
+    """Return the share (0 to 1) of the new sessions that the target gets as a canary.
+
+    The canary shall get ``CANARY_FRACTION`` of the requests that the target may get, evenly over
+    the rollout. A service with few requests so gets enough of them to judge the target.
+
+    Parameters
+    ----------
+    row
+        The rollout.
+    elapsed_s
+        Seconds since its start.
+    exposure
+        Limit of the target's requests, and the answers counted so far.
+    """
+    if exposure.observed_s < MIN_OBSERVED_S or not exposure.service_answers:
+        return row.share or CANARY_FRACTION * exposure.allowed_share
+    expected_answers = exposure.service_answers / exposure.observed_s * row.duration_s
+    planned_requests = CANARY_FRACTION * _usable_requests(row, exposure)
+    planned_share = min(MAX_CANARY_SHARE, planned_requests / expected_answers)
+    canary_fraction = (elapsed_s - ZERO_SHARE_S) / max(row.duration_s - ZERO_SHARE_S, ZERO_SHARE_S)
+    planned_so_far = planned_requests * canary_fraction
+    factor = next(
+        factor
+        for least_fraction, factor in CANARY_FACTORS
+        if exposure.target_requests >= least_fraction * planned_so_far
+    )
+    # In hundredths, so that not each change of the rate of requests has to be committed.
+    return min(MAX_CANARY_SHARE, round(planned_share * factor, 2))
+
+
+def _usable_requests(row: RolloutRow, exposure: Exposure) -> float:
+    """Return how many requests the plan sends to the target at the present rate of answers."""
+    expected_answers = exposure.service_answers / exposure.observed_s * row.duration_s
+    return (
+        USED_SHARE_FRACTION * exposure.allowed_share * expected_answers
+        + USED_EXTRA_FRACTION * exposure.allowed_extra_requests
     )
 
 
 def plan_step(
-    row: RolloutRow, elapsed_s: float, exposure: Exposure, log_ratio: float = 0.0
+    row: RolloutRow,
+    elapsed_s: float,
+    exposure: Exposure,
+    is_suspicious: bool = False,
 ) -> RolloutStep:
     """Return the present step of a rollout whose target was not detected as bad.
 
@@ -134,11 +175,9 @@
         Seconds since its start.
     exposure
         Limit of the target's requests, and the answers counted so far.
-    log_ratio
-        Natural logarithm of the likelihood ratio that the target is worse than the base version.
+    is_suspicious
+        Whether the target may be worse than the base version; see `RegressionDetector`.
     """
-    # The target may be worse than the base version, but it was not detected as bad.
-    is_suspicious = log_ratio >= SUSPICIOUS_LOG_RATIO
     # Seconds since the start at which the rollout ends.
     end_s = max(row.duration_s - END_MARGIN_S, ZERO_SHARE_S)
     if elapsed_s >= end_s:
@@ -150,4 +189,4 @@
     is_near_end = elapsed_s >= end_s - full_share_duration_s(row, exposure)
     if row.settled or (is_near_end and not is_suspicious):
         return RolloutStep(1.0, moves_sessions=True)
-    return RolloutStep(CANARY_FRACTION * exposure.allowed_share, moves_sessions=False)
+    return RolloutStep(canary_share(row, elapsed_s, exposure), moves_sessions=False)
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -122,6 +122,11 @@
         failure of the attempt is not counted as a second one; set by the request's execution.
     uncached_prompt_tokens
         Prompt tokens that are probably not in the server's cache.
+    interval_was_reported, provisional_pace
+        Whether the mean interval between the events has been measured; and before that the pace
+        that is recorded for the stream, or None.
+    is_open
+        Whether the attempt has been sent and not closed.
     was_cut
         Whether the attempt was closed before its response was complete.
     event_count, first_event_s
@@ -155,9 +160,11 @@
         # Whether the expected time for the prompt is included in the server's queued time.
         self._is_processing_prompt = False
         self._event_buffer = EventBuffer()
+        self.is_open = False
+        self.provisional_pace: float | None = None
         self.was_cut = False
         self.event_count = 0
-        self._interval_was_reported = False
+        self.interval_was_reported = False
         self.first_event_s: float | None = None
         # Time in seconds at which the last event arrived.
         self._last_event_s = 0.0
@@ -178,6 +185,7 @@
         server.queued_prompt_s += self._expected_prompt_s
         self._is_processing_prompt = True
         self.sent_s = loop.time()
+        self.is_open = True
         try:
             self._connection = await server.pool.acquire(CONNECT_TIMEOUT_S)
         except ConnectFailed as error:
@@ -253,9 +261,9 @@
 
         It is True once, after ``MIN_MEASURED_EVENTS`` events, so that a stream is measured once.
         """
-        if self._interval_was_reported or self.event_count < MIN_MEASURED_EVENTS:
+        if self.interval_was_reported or self.event_count < MIN_MEASURED_EVENTS:
             return False
-        self._interval_was_reported = True
+        self.interval_was_reported = True
         return True
 
     def mean_event_interval_s(self) -> float:
@@ -285,6 +293,7 @@
 
         The pool closes the connection if the response has not arrived completely.
         """
+        self.is_open = False
         self.end_prompt_processing()
         self._response_memory.release(self._buffered_bytes)
         self._buffered_bytes = 0
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -21,7 +21,12 @@
 
 from baobabstream.backends.http_connection import AnswerHead
 from baobabstream.errors.codes import RunState
-from baobabstream.gateway.attempt import MISDIRECTED_STATUS, Attempt, AttemptFailed
+from baobabstream.gateway.attempt import (
+    MIN_MEASURED_EVENTS,
+    MISDIRECTED_STATUS,
+    Attempt,
+    AttemptFailed,
+)
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import BegunAnswer, KnownServer
@@ -97,6 +102,8 @@
             model_or_route, attempt.uncached_prompt_tokens, now_s - attempt.sent_s
         )
         server.record_response(failed=False, slowdown=slowdown, now_s=now_s)
+        if request.route.kind is RouteKind.STREAM:
+            self._watch_event_interval(attempt)
         is_plain = request.route.kind is not RouteKind.STREAM
         if is_plain and slowdown > BAD_RESPONSE_SLOWDOWN:
             server.bad_responses += 1
@@ -137,9 +144,14 @@
         Servers that run the target of a rollout don't contribute to the expected interval, which
         they are compared with. Streams without a model are not measured.
         """
-        interval_s = attempt.mean_event_interval_s()
         if not attempt.model:
             return
+        if attempt.provisional_pace is not None:
+            attempt.server.record_pace(attempt.provisional_pace, count=-1)
+            attempt.server.bad_responses -= 1
+            attempt.server.good_responses += 1
+            attempt.provisional_pace = None
+        interval_s = attempt.mean_event_interval_s()
         updates_estimate = not self._context.runs_rollout_target(attempt.server)
         slowdown = self._context.event_intervals.slowdown(
             attempt.model, attempt.requests_at_send, interval_s, updates_estimate
@@ -150,6 +162,32 @@
             attempt.server.bad_responses += 1
             attempt.server.good_responses -= 1
 
+    def _watch_event_interval(self, attempt: Attempt) -> None:
+        """Count a stream as bad once its events are certainly much slower than expected.
+
+        The streams of a bad version may be so slow that a rollout ends before they are measured. It
+        counts until `record_event_interval` measures it.
+        """
+        if not attempt.model:
+            return
+        expected_s = self._context.event_intervals.expected_s(
+            attempt.model, attempt.requests_at_send
+        )
+
+        def record_provisionally() -> None:
+            """Record the pace that the stream has at best, if it has not been measured yet."""
+            if attempt.is_open and not attempt.interval_was_reported:
+                attempt.provisional_pace = BAD_EVENT_SLOWDOWN
+                attempt.server.record_pace(BAD_EVENT_SLOWDOWN)
+                attempt.server.bad_responses += 1
+                attempt.server.good_responses -= 1
+
+        if expected_s > 0:
+            interval_count = MIN_MEASURED_EVENTS - 1
+            self._loop.call_later(
+                interval_count * expected_s * BAD_EVENT_SLOWDOWN, record_provisionally
+            )
+
     def record_failure(self, attempt: Attempt, failure: AttemptFailed, send_count: int) -> None:
         """Record an attempt without a response that may be forwarded as a success.
 
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -238,12 +238,15 @@
             capped_slowdown = min(slowdown, MAX_AVERAGED_SLOWDOWN)
             self._slowdown += SLOWDOWN_WEIGHT * (capped_slowdown - self._slowdown)
 
-    def record_pace(self, slowdown: float) -> None:
-        """Add the pace of a stream, its mean time between events over the expected one."""
+    def record_pace(self, slowdown: float, count: int = 1) -> None:
+        """Add the pace of a stream, its mean time between events over the expected one.
+
+        A ``count`` of -1 takes back a pace that was added before.
+        """
         log_pace = log(max(slowdown, MIN_PACE))
-        self.paces += 1
-        self.log_pace_sum += log_pace
-        self.log_pace_squares += log_pace * log_pace
+        self.paces += count
+        self.log_pace_sum += count * log_pace
+        self.log_pace_squares += count * log_pace * log_pace
 
     def suspend(self, now_s: float) -> float:
         """Suspend the server from ``now_s`` on, and return for how many seconds.
