--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientConnectorError, ClientError, ClientTimeout
 
 from baobabstream.errors.codes import ResultCode
-from system.cluster import Cluster
+from system.cluster import Cluster, ConnectionUse
 from system.history import CallerRecord
 
 __all__ = ["CONNECTION_BROKEN", "NOT_CONNECTED", "Callers", "send_chat_request", "wall_ms"]
@@ -49,6 +49,7 @@
         result_code=CONNECTION_BROKEN,
         max_tokens=max_tokens,
     )
+    connection = ConnectionUse()
     body = {
         "model": "auto",
         "stream": True,
@@ -61,6 +62,7 @@
             json=body,
             headers={"Authorization": f"Bearer {api_key}"} | (headers or {}),
             timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
+            trace_request_ctx=connection,
         ) as response:
             record = replace(
                 record,
@@ -77,7 +79,7 @@
     except ClientConnectorError:
         return replace(record, result_code=NOT_CONNECTED, run_state="no", ended_ms=wall_ms())
     except (ClientError, TimeoutError, ValueError):
-        return replace(record, ended_ms=wall_ms())
+        return replace(record, ended_ms=wall_ms(), used_open_connection=connection.was_open_before)
 
 
 async def _read_stream(record: CallerRecord, response) -> CallerRecord:
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -15,11 +15,11 @@
 from random import SystemRandom
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TraceConfig
 
 from system.relay import Relay
 
-__all__ = ["BACKEND_KEY", "OPERATOR_KEY", "Cluster", "EngineSpec", "wait_for"]
+__all__ = ["BACKEND_KEY", "OPERATOR_KEY", "Cluster", "ConnectionUse", "EngineSpec", "wait_for"]
 
 PEER_SECRET = "peer-secret-of-the-tests"
 SESSION_SECRET = "session-secret-of-the-tests"
@@ -50,6 +50,32 @@
     options: tuple[str, ...] = ()
 
 
+@dataclass
+class ConnectionUse:
+    """How a request was sent.
+
+    Attributes
+    ----------
+    was_open_before
+        Whether it was sent on a connection that had been open before.
+    """
+
+    was_open_before: bool = False
+
+
+def _connection_trace() -> TraceConfig:
+    """Return a trace that sets the `ConnectionUse` that a request is given as its context."""
+
+    async def record_reuse(_, trace_context, __) -> None:
+        """Record that a request uses a connection that has been open."""
+        if isinstance(trace_context.trace_request_ctx, ConnectionUse):
+            trace_context.trace_request_ctx.was_open_before = True
+
+    trace = TraceConfig()
+    trace.on_connection_reuseconn.append(record_reuse)
+    return trace
+
+
 @dataclass
 class Cluster:
     """A control group, entry hosts and emulated backend servers.
@@ -124,7 +150,9 @@
 
     async def start(self) -> None:
         """Start all processes and wait until the control group has a leader."""
-        self.session = ClientSession(timeout=ClientTimeout(total=10))
+        self.session = ClientSession(
+            timeout=ClientTimeout(total=10), trace_configs=[_connection_trace()]
+        )
         names = [f"{host}/{interface}" for host in self.controls for interface in ("rpc", "http")]
         names += self.entries + [engine.identity for engine in self.engines]
         names += list(self.services)
--- a/tests/system/history.py
+++ b/tests/system/history.py
@@ -49,6 +49,9 @@
         Session that the request belongs to, or empty.
     max_tokens
         Requested length of the answer in tokens.
+    used_open_connection
+        Whether the request was sent on a connection that had been open before. It may cross the
+        close of such a connection at the end of a planned stop.
     """
 
     prompt: str
@@ -63,6 +66,7 @@
     finished: bool = False
     session: str = ""
     max_tokens: int = 0
+    used_open_connection: bool = False
 
 
 @dataclass(frozen=True)
