A request whose deadline passes no longer cancels the checks of servers that it was lost with

asyncio.gather cancels what it waits for, so a crash could go unnoticed: its keys were not reported, and the server was not suspended.

--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -13,8 +13,8 @@
 
 To escalate is to discard a model's answer, because its confidence is low, and to send the request
 to the largest model of the route. A request that crashes servers is quarantined, that is refused. A
-suspended server is one that could not be reached a short time ago. Times are those of
-the event loop's clock, in seconds.
+suspended server is one that could not be reached a short time ago. Times are those of the event
+loop's clock, in seconds.
 """
 
 import asyncio
@@ -197,7 +197,9 @@
         """
         crash_checks = self._recorder.crash_checks
         if len(crash_checks) >= MAX_CRASHES_PER_REQUEST:
-            crash_count = sum(await asyncio.gather(*crash_checks))
+            # Unlike ``gather``, ``wait`` does not cancel the checks if the request is cancelled.
+            finished_checks, _ = await asyncio.wait(crash_checks)
+            crash_count = sum(check.result() for check in finished_checks)
             if crash_count >= MAX_CRASHES_PER_REQUEST:
                 raise RequestRefused(ResultCode.QUARANTINED, f"{crash_count} servers crashed")
         quarantine = self._context.crash_tracker.find_quarantine(
