A server that answers again counts as alive

A server that a gateway could not reach for a while looked as if it had crashed, and no request survived there any more for as long as its process lived, although survivals clear keys of a crash.

--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -12,8 +12,8 @@
 The crash keys of a request are those by which requests that crash servers are recognised: a hash of
 its content, and its shared prompt parts. A request survives at a server if the server's process is
 alive some time after it has begun to answer; a short answer may be complete before its server
-crashes. The shared prefix of a prompt is the part that
-other requests may begin with too, and that a server keeps in its cache once it has processed it.
+crashes. The shared prefix of a prompt is the part that other requests may begin with too, and that
+a server keeps in its cache once it has processed it.
 """
 
 import asyncio
@@ -102,6 +102,8 @@
             model_or_route, attempt.uncached_prompt_tokens, now_s - attempt.sent_s
         )
         server.record_response(failed=False, slowdown=slowdown, now_s=now_s)
+        # A server that was cut off for a while looked as if it had crashed.
+        server.has_crashed = False
         if request.route.kind is RouteKind.STREAM:
             self._watch_event_interval(attempt)
         is_plain = request.route.kind is not RouteKind.STREAM
--- a/tests/gateway/test_crash_checks.py
+++ b/tests/gateway/test_crash_checks.py
@@ -5,7 +5,19 @@
 
 import pytest
 
+from baobabstream.gateway.attempt_recorder import SURVIVAL_S, AttemptRecorder
 from baobabstream.gateway.request_execution import RequestExecution
+from baobabstream.routing.document import RouteKind
+
+
+@pytest.fixture
+def request_of_stream():
+    """Return a request for a stream, with what the recorder reads of it."""
+    return SimpleNamespace(
+        route=SimpleNamespace(kind=RouteKind.STREAM, name="chat"),
+        crash_keys=frozenset({"part/c0"}),
+        shared_prompt_key=lambda _: None,
+    )
 
 
 async def test_cancelled_request_does_not_cancel_the_checks_of_its_servers(context):
@@ -18,3 +30,19 @@
         async with asyncio.timeout(0.05):
             await execution._refuse_if_quarantined()
     assert [await check for check in checks] == [True, True]
+
+
+async def test_server_that_answers_again_counts_as_alive(context, request_of_stream):
+    """Guards against survivals that are ignored since their server had been cut off for a while."""
+    server = context.directory.get("old")
+    server.has_crashed = True
+    server.in_flight = 1
+    attempt = SimpleNamespace(
+        server=server, model="", sent_s=0.0, uncached_prompt_tokens=10, was_cut=False
+    )
+    recorder = AttemptRecorder(request_of_stream, context)
+    recorder.record_response(attempt)
+    recorder.watch_survival(attempt)
+    await asyncio.sleep(SURVIVAL_S + 0.1)
+    now_s = asyncio.get_running_loop().time()
+    assert context.crash_tracker.survivals(["part/c0"], now_s)["part/c0"] > 0.9
