--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -531,7 +531,10 @@
         ]
         unseen_requests = context.directory.unseen_requests(usable_servers, now_s)
         usable_servers[0].arrivals.record_send(now_s)
-        preferred_ids = context.directory.preferred_ids(usable_servers, now_s)
+        # A token for a limited server that is not used now probably expires.
+        preferred_ids = frozenset(
+            server.row.server_id for server in usable_servers if server.limit.rate_per_s is not None
+        ) or context.directory.preferred_ids(usable_servers, now_s)
         chosen_load = choose_server(loads, context.random, unseen_requests, preferred_ids)
         chosen_server = next(
             server for server in usable_servers if server.row.server_id == chosen_load.server_id
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -429,21 +429,23 @@
     def wanted_tokens(self, now_s: float) -> dict[str, int]:
         """Return how many requests this gateway wants to send to limited servers, by process.
 
-        ``now_s`` is the time in seconds.
+        A gateway that prefers some servers of a service asks for tokens of these only, since it
+        would hardly use others. ``now_s`` is the time in seconds.
         """
-        wanted = (
-            (
-                server.process_id,
-                server.limit.wanted_tokens(
-                    server.arrivals.own_rate_per_s(now_s),
-                    len(self._servers_by_service[server.row.service]),
-                    now_s,
-                ),
-            )
-            for server in self._servers.values()
-            if server.limit.rate_per_s is not None
-        )
-        return {process_id: count for process_id, count in wanted if count}
+        wanted_tokens: dict[str, int] = {}
+        for servers_by_id in self._servers_by_service.values():
+            servers = list(servers_by_id.values())
+            if all(server.limit.rate_per_s is None for server in servers):
+                continue
+            preferred_ids = self.preferred_ids(servers, now_s) or servers_by_id.keys()
+            for server in servers:
+                if server.row.server_id in preferred_ids:
+                    count = server.limit.wanted_tokens(
+                        server.arrivals.own_rate_per_s(now_s), len(preferred_ids), now_s
+                    )
+                    if count:
+                        wanted_tokens[server.process_id] = count
+        return wanted_tokens
 
     def apply_limits(
         self, limits: Iterable[ServerLimit], tokens: Mapping[str, int] | None, now_s: float
