A quarantine of a coordination host that is gone ends unless the others keep it

A gateway kept to what each host had sent last, so a wrong quarantine of a host that was lost could not be refuted there for 600 s, while the other hosts had refuted it. Found while reading the diff.

--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -27,6 +27,9 @@
 PROBE_TIMEOUT_S = 0.5
 # Most crashed requests that are kept for reporting; the oldest are dropped.
 MAX_REPORTS = 256
+# Time in seconds without a reply after which the quarantines of a host no longer count, if another
+# host replies. The others have been told of them and hold them too, unless they have refuted them.
+STALE_HOST_S = 5.0
 # Survivals that weigh less are not reported any more.
 MIN_REPORTED_WEIGHT = 0.1
 
@@ -61,9 +64,9 @@
         self._attribution = CrashAttribution(settling_s=0.0)
         self._reports: deque[SuspectRequest] = deque(maxlen=MAX_REPORTS)
         self._report_count = 0
-        # By coordination host, as of its last reply: the keys that a quarantined request has, and
-        # the time in seconds since which it is quarantined.
-        self._quarantines_by_host: dict[str, dict[frozenset[str], float]] = {}
+        # By coordination host: the time of its last reply in seconds; and the keys that a
+        # quarantined request has, with the time in seconds since which it is quarantined.
+        self._quarantines_by_host: dict[str, tuple[float, dict[frozenset[str], float]]] = {}
         # The same of all hosts and of this gateway together.
         self._quarantines: dict[frozenset[str], float] = {}
 
@@ -100,8 +103,14 @@
 
         Returns the sets of keys that are quarantined here now and were not before, and the reverse.
         """
-        self._quarantines_by_host[host] = {
-            frozenset(quarantine.keys): now_s - quarantine.age_s for quarantine in quarantines
+        self._quarantines_by_host[host] = (
+            now_s,
+            {frozenset(quarantine.keys): now_s - quarantine.age_s for quarantine in quarantines},
+        )
+        self._quarantines_by_host = {
+            known_host: (replied_s, host_quarantines)
+            for known_host, (replied_s, host_quarantines) in self._quarantines_by_host.items()
+            if replied_s + STALE_HOST_S > now_s
         }
         return self._combine_quarantines(now_s)
 
@@ -219,7 +228,7 @@
         self._quarantines = dict(
             chain(
                 self._attribution.quarantines(now_s).items(),
-                *(quarantines.items() for quarantines in self._quarantines_by_host.values()),
+                *(quarantines.items() for _, quarantines in self._quarantines_by_host.values()),
             )
         )
         return self._quarantines.keys() - before.keys(), before.keys() - self._quarantines.keys()
