The share of a trial never falls, and a large service keeps time with all requests at the new version

A falling share moves sessions back to the old version. Now it stays in the first half of a rollout and only rises in the second.

test_large_service_gets_time_with_all_requests_at_the_new_version failed with 0.4 s and passes, and so does test_share_never_falls_and_rises_in_the_second_half_only, which came with the change.

--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -21,7 +21,10 @@
 # Fraction of the allowed requests that the target gets as a canary. A version may be bad in a way
 # that shows late or only under load, and the limit of exposure covers the whole rollout. So the
 # rest is left for the step with all requests.
-CANARY_FRACTION = 0.6
+CANARY_FRACTION = 0.75
+# Most requests that a canary is planned to get. They are enough to see a version that is bad at any
+# load; with many requests a second, the rest makes the step with all requests longer.
+MAX_CANARY_REQUESTS = 60
 # A canary gets fewer requests than its share, as sessions that began before the rollout stay on the
 # base version. For each fraction of the planned requests that it has had at least: the factor by
 # which its share is raised.
@@ -119,7 +122,9 @@
     """Return the share (0 to 1) of the new sessions that the target gets as a canary.
 
     The canary shall get ``CANARY_FRACTION`` of the requests that the target may get, evenly over
-    the rollout. A service with few requests so gets enough of them to judge the target.
+    the rollout. A service with few requests so gets enough of them to judge the target. The share
+    never falls, which would move sessions back to the base version, and it rises in the second half
+    only, before which no session may move to the target.
 
     Parameters
     ----------
@@ -130,10 +135,12 @@
     exposure
         Limit of the target's requests, and the answers counted so far.
     """
+    if row.share and elapsed_s < row.duration_s / 2:
+        return row.share
     if exposure.observed_s < MIN_OBSERVED_S or not exposure.service_answers:
         return row.share or CANARY_FRACTION * exposure.allowed_share
     expected_answers = exposure.service_answers / exposure.observed_s * row.duration_s
-    planned_requests = CANARY_FRACTION * _usable_requests(row, exposure)
+    planned_requests = min(CANARY_FRACTION * _usable_requests(row, exposure), MAX_CANARY_REQUESTS)
     planned_share = min(MAX_CANARY_SHARE, planned_requests / expected_answers)
     canary_fraction = (elapsed_s - ZERO_SHARE_S) / max(row.duration_s - ZERO_SHARE_S, ZERO_SHARE_S)
     planned_so_far = planned_requests * canary_fraction
@@ -142,8 +149,11 @@
         for least_fraction, factor in CANARY_FACTORS
         if exposure.target_requests >= least_fraction * planned_so_far
     )
-    # In hundredths, so that not each change of the rate of requests has to be committed.
-    return min(MAX_CANARY_SHARE, round(planned_share * factor, 2))
+    if not row.share:
+        factor = 1.0
+    # Rounded, so that not each change of the rate of requests has to be committed.
+    share = min(MAX_CANARY_SHARE, float(f"{planned_share * factor:.2g}"))
+    return max(row.share, share)
 
 
 def _usable_requests(row: RolloutRow, exposure: Exposure) -> float:
--- a/tests/coordination/test_rollout_decisions.py
+++ b/tests/coordination/test_rollout_decisions.py
@@ -1,6 +1,7 @@
 """Tests when a target version is detected as bad, and the steps of a rollout."""
 
 from dataclasses import replace
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -19,7 +20,8 @@
 )
 from baobabstream.wire.coordination_messages import RolloutRow, RolloutState, ServerEvidence
 
-ROLLOUT = RolloutRow("engine", "v1", "v2", RolloutState.IN_PROGRESS, 0.1, duration_s=20.0)
+ROLLOUT = RolloutRow("engine", "v1", "v2", RolloutState.IN_PROGRESS, duration_s=20.0)
+LIMIT = Exposure(0.15, 30.0)
 
 
 def answers_until_bad(
@@ -127,6 +129,22 @@
     assert timed_steps[-1][0] < ROLLOUT.duration_s
 
 
+def test_large_service_gets_time_with_all_requests_at_the_new_version():
+    """Guards against completing a version that is bad under load only, seen for 0.4 s."""
+    timed_steps = steps(Exposure(0.15, 30.0), 150.0)
+    full_share_s = [elapsed_s for elapsed_s, step in timed_steps if step.moves_sessions]
+    assert full_share_s[-1] - full_share_s[0] >= 1.0
+
+
+@pytest.mark.parametrize("answers_per_s", [5.0, 30.0, 300.0])
+def test_share_never_falls_and_rises_in_the_second_half_only(answers_per_s):
+    """Guards against sessions that change their version as the share of the target changes."""
+    shares = [(elapsed_s, step.share) for elapsed_s, step in steps(LIMIT, answers_per_s)]
+    for (_, earlier_share), (elapsed_s, share) in pairwise(shares):
+        assert share >= earlier_share
+        assert not earlier_share or share == earlier_share or elapsed_s >= ROLLOUT.duration_s / 2
+
+
 def test_sessions_move_in_the_second_half_only():
     """Guards against sessions that change their version early in a rollout."""
     for elapsed_s, step in steps(Exposure(0.15, 30.0), 30.0):
