An exchange does no work for limits while no server names one

Each exchange built the identity of every server's process and passed over the directory once more to ask for tokens.

--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -228,6 +228,7 @@
         """
         context, now_s = self.context, self._loop.time()
         crash_tracker = context.crash_tracker
+        limits = context.directory.known_limits(now_s)
         self._update_pinned_sessions()
         return ExchangeRequest(
             host=self._settings.host,
@@ -253,8 +254,8 @@
             survivals=crash_tracker.survivals(contact.suspects, now_s),
             quarantines=crash_tracker.quarantine_reports(now_s),
             crash_revision=contact.crash_revision,
-            limits=context.directory.known_limits(now_s),
-            wanted_tokens=context.directory.wanted_tokens(now_s),
+            limits=limits,
+            wanted_tokens=context.directory.wanted_tokens(now_s) if limits else {},
         )
 
     @property
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -467,15 +467,16 @@
         list of KnownServer
             Servers whose limits have changed.
         """
-        servers = {server.process_id: server for server in self._servers.values()}
+        limits_by_process = {limit.server_process: limit for limit in limits}
+        # Most of the time there are none, and the identities of all processes need not be built.
         changed_servers = [
             server
-            for limit in limits
-            if (server := servers.get(limit.server_process)) is not None
+            for server in (self._servers.values() if limits_by_process else ())
+            if (limit := limits_by_process.get(server.process_id)) is not None
             and server.limit.observe(limit.rate_per_s, now_s - limit.age_s, now_s)
         ]
         if tokens is not None:
-            for server in servers.values():
+            for server in self._servers.values():
                 if server.limit.rate_per_s is not None:
                     server.limit.add_tokens(tokens.get(server.process_id, 0), now_s)
         return changed_servers
