The plan of a rollout computes the rate of answers once

The rate and the answers expected from it were computed in three places, and the share of a trial was bounded and multiplied twice.

--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -69,6 +69,21 @@
     service_answers: int = 0
     observed_s: float = 0.0
 
+    @property
+    def answers_per_s(self) -> float:
+        """Answers of the service in a second; 0 before there are any."""
+        return self.service_answers / self.observed_s if self.observed_s > 0 else 0.0
+
+    def usable_requests(self, duration_s: float) -> float:
+        """Return how many requests the plan sends to the target in a rollout of a duration.
+
+        ``duration_s`` is in seconds; the present rate of answers is assumed for all of it.
+        """
+        return (
+            USED_SHARE_FRACTION * self.allowed_share * self.answers_per_s * duration_s
+            + USED_EXTRA_FRACTION * self.allowed_extra_requests
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutStep:
@@ -106,16 +121,12 @@
     exposure
         Limit of the target's requests, and the answers counted so far.
     """
-    answers_per_s = (
-        exposure.service_answers / exposure.observed_s if exposure.observed_s > 0 else 0.0
-    )
-    if answers_per_s <= 0:
+    if exposure.answers_per_s <= 0:
         return MIN_FULL_SHARE_S
-    remaining_requests = _usable_requests(row, exposure) - exposure.target_requests
+    remaining_requests = exposure.usable_requests(row.duration_s) - exposure.target_requests
     # The target gets all requests between the end of the rollout and the deadline as well.
-    return min(
-        max(remaining_requests / answers_per_s - END_MARGIN_S, MIN_FULL_SHARE_S), MAX_FULL_SHARE_S
-    )
+    full_share_s = remaining_requests / exposure.answers_per_s - END_MARGIN_S
+    return min(max(full_share_s, MIN_FULL_SHARE_S), MAX_FULL_SHARE_S)
 
 
 def canary_share(row: RolloutRow, elapsed_s: float, exposure: Exposure) -> float:
@@ -139,30 +150,20 @@
         return row.share
     if exposure.observed_s < MIN_OBSERVED_S or not exposure.service_answers:
         return row.share or CANARY_FRACTION * exposure.allowed_share
-    expected_answers = exposure.service_answers / exposure.observed_s * row.duration_s
-    planned_requests = min(CANARY_FRACTION * _usable_requests(row, exposure), MAX_CANARY_REQUESTS)
-    planned_share = min(MAX_CANARY_SHARE, planned_requests / expected_answers)
-    canary_fraction = (elapsed_s - ZERO_SHARE_S) / max(row.duration_s - ZERO_SHARE_S, ZERO_SHARE_S)
-    planned_so_far = planned_requests * canary_fraction
-    factor = next(
-        factor
-        for least_fraction, factor in CANARY_FACTORS
-        if exposure.target_requests >= least_fraction * planned_so_far
+    planned_requests = min(
+        CANARY_FRACTION * exposure.usable_requests(row.duration_s), MAX_CANARY_REQUESTS
     )
-    if not row.share:
-        factor = 1.0
+    share = planned_requests / (exposure.answers_per_s * row.duration_s)
+    if row.share:
+        canary_s = max(row.duration_s - ZERO_SHARE_S, ZERO_SHARE_S)
+        planned_so_far = planned_requests * (elapsed_s - ZERO_SHARE_S) / canary_s
+        share *= next(
+            factor
+            for least_fraction, factor in CANARY_FACTORS
+            if exposure.target_requests >= least_fraction * planned_so_far
+        )
     # Rounded, so that not each change of the rate of requests has to be committed.
-    share = min(MAX_CANARY_SHARE, float(f"{planned_share * factor:.2g}"))
-    return max(row.share, share)
-
-
-def _usable_requests(row: RolloutRow, exposure: Exposure) -> float:
-    """Return how many requests the plan sends to the target at the present rate of answers."""
-    expected_answers = exposure.service_answers / exposure.observed_s * row.duration_s
-    return (
-        USED_SHARE_FRACTION * exposure.allowed_share * expected_answers
-        + USED_EXTRA_FRACTION * exposure.allowed_extra_requests
-    )
+    return max(row.share, min(MAX_CANARY_SHARE, float(f"{share:.2g}")))
 
 
 def plan_step(
