The paces of a rollout's versions are summed once

Each evaluation summed the paces of both versions twice, and the streams of the base a third time. tests/coordination: 55 passed, with the same simulated outcomes.

--- a/src/baobabstream/coordination/regression_detector.py
+++ b/src/baobabstream/coordination/regression_detector.py
@@ -166,7 +166,8 @@
         target_counts = totals.get(self.target, {})
         good = sum(counts.good for counts in target_counts.values())
         bad = sum(counts.bad for counts in target_counts.values())
-        base_bad_share = _bad_share(totals.get(self.base, {}).values())
+        base_counts = totals.get(self.base, {})
+        base_bad_share = _bad_share(base_counts.values())
         increased_bad_share = min(base_bad_share + DETECTED_INCREASE, MAX_BAD_SHARE)
         # The number of good answers may fall: a gateway counts a streamed answer as bad instead if
         # it turns out to be slow after its start.
@@ -177,22 +178,20 @@
             (1 - increased_bad_share) / (1 - base_bad_share)
         )
         self._answer_log_ratio = max(0.0, self._answer_log_ratio + log_ratio_change)
-        base_counts = totals.get(self.base, {})
-        pace_log_ratio = self._pace_log_ratio = _pace_log_ratio(
-            base_counts.values(), target_counts.values()
-        )
+        base_paces = _log_pace_statistics(base_counts.values())
+        target_paces = _log_pace_statistics(target_counts.values())
+        self._pace_log_ratio = _pace_log_ratio(base_paces, target_paces)
         if self._earlier_base_streams is None:
-            self._earlier_base_streams = sum(counts.paces for counts in base_counts.values())
-        self.base_streams, base_log_pace, _ = _log_pace_statistics(base_counts.values())
-        self.target_streams, target_log_pace, _ = _log_pace_statistics(target_counts.values())
-        self.pace_quotient = exp(target_log_pace - base_log_pace)
-        self.log_ratio = max(self._answer_log_ratio, pace_log_ratio)
+            self._earlier_base_streams = base_paces.count
+        self.base_streams, self.target_streams = base_paces.count, target_paces.count
+        self.pace_quotient = exp(target_paces.mean - base_paces.mean)
+        self.log_ratio = max(self._answer_log_ratio, self._pace_log_ratio)
         bad_server_count = sum(counts.bad > 0 for counts in target_counts.values())
         measured_server_count = sum(counts.paces > 0 for counts in target_counts.values())
         min_servers = min(MIN_BAD_SERVERS, len(target_counts))
         return (
             self._answer_log_ratio >= REGRESSION_LOG_RATIO and bad_server_count >= min_servers
-        ) or (pace_log_ratio >= REGRESSION_LOG_RATIO and measured_server_count >= min_servers)
+        ) or (self._pace_log_ratio >= REGRESSION_LOG_RATIO and measured_server_count >= min_servers)
 
     def is_suspicious(self, share: float) -> bool:
         """Return whether the target may be worse than the base version, though not surely bad.
@@ -230,9 +229,16 @@
     )
 
 
-def _pace_log_ratio(
-    base_counts: Iterable[AnswerCounts], target_counts: Iterable[AnswerCounts]
-) -> float:
+@dataclass(frozen=True, slots=True)
+class _LogPaces:
+    """Number, mean and variance of the logarithms of the paces of one version."""
+
+    count: int
+    mean: float
+    variance: float
+
+
+def _pace_log_ratio(base: _LogPaces, target: _LogPaces) -> float:
     """Return the logarithm of the likelihood ratio that the target's streams are slower.
 
     It compares normal distributions of the logarithms of the paces: with the means as measured, and
@@ -241,27 +247,25 @@
 
     Parameters
     ----------
-    base_counts, target_counts
-        Answers of both versions, one element for each server.
+    base, target
+        Paces of both versions.
     """
-    base_count, base_mean, base_variance = _log_pace_statistics(base_counts)
-    target_count, target_mean, target_variance = _log_pace_statistics(target_counts)
-    difference = target_mean - base_mean
-    if min(base_count, target_count) < MIN_PACES or difference < MIN_LOG_PACE_DIFFERENCE:
+    difference = target.mean - base.mean
+    if min(base.count, target.count) < MIN_PACES or difference < MIN_LOG_PACE_DIFFERENCE:
         return 0.0
     # One variance for both versions; that of the target's few streams alone may be small by chance.
-    variance = (base_count * base_variance + target_count * target_variance) / (
-        base_count + target_count
+    variance = (base.count * base.variance + target.count * target.variance) / (
+        base.count + target.count
     )
-    return difference * difference / (2 * variance * (1 / base_count + 1 / target_count))
+    return difference * difference / (2 * variance * (1 / base.count + 1 / target.count))
 
 
-def _log_pace_statistics(counts_by_server: Iterable[AnswerCounts]) -> tuple[int, float, float]:
-    """Return number, mean and variance of the logarithms of the paces of one version."""
+def _log_pace_statistics(counts_by_server: Iterable[AnswerCounts]) -> _LogPaces:
+    """Return the paces of one version, whose answers have one element for each server."""
     all_counts = tuple(counts_by_server)
     count = sum(counts.paces for counts in all_counts)
     if count == 0:
-        return 0, 0.0, MIN_LOG_PACE_VARIANCE
+        return _LogPaces(0, 0.0, MIN_LOG_PACE_VARIANCE)
     mean = sum(counts.log_pace_sum for counts in all_counts) / count
     mean_square = sum(counts.log_pace_squares for counts in all_counts) / count
-    return count, mean, max(mean_square - mean * mean, MIN_LOG_PACE_VARIANCE)
+    return _LogPaces(count, mean, max(mean_square - mean * mean, MIN_LOG_PACE_VARIANCE))
