--- a/src/baobabstream/coordination/crash_reports.py
+++ b/src/baobabstream/coordination/crash_reports.py
@@ -1,11 +1,15 @@
 """Combines what the gateways report of crashes of backend servers.
 
 A gateway reports the requests that were running at a server when it crashed, when requests with the
-same keys survive, and the quarantines that it knows, in case this host has restarted. Times
-are sent as ages, since the hosts' clocks differ.
+same keys survive, and the quarantines that it knows, in case this host has restarted. Times are
+sent as ages, since the hosts' clocks differ.
 """
 
 from baobabstream.routing.crash_attribution import CrashAttribution
+from baobabstream.routing.quarantine_ages import (
+    quarantines_from_messages,
+    quarantines_to_messages,
+)
 from baobabstream.wire.coordination_messages import ExchangeRequest, Quarantine
 
 __all__ = ["CrashReports"]
@@ -33,23 +37,13 @@
         for crash in report.crashes:
             crashed_s = now_s - crash.age_ms / 1000
             attribution.record_crash(crash.server_process, crash.requests, crashed_s, now_s)
-        if report.quarantines:
-            attribution.merge_quarantines(
-                {
-                    frozenset(quarantine.keys): now_s - quarantine.age_s
-                    for quarantine in report.quarantines
-                },
-                now_s,
-            )
+        attribution.merge_quarantines(quarantines_from_messages(report.quarantines, now_s), now_s)
         attribution.update(now_s)
         return attribution.revision != revision_before
 
     def quarantines(self, now_s: float) -> tuple[Quarantine, ...]:
         """Return the quarantines in force at ``now_s``, a time in seconds."""
-        return tuple(
-            Quarantine(tuple(sorted(keys)), now_s - since_s)
-            for keys, since_s in self._attribution.quarantines(now_s).items()
-        )
+        return quarantines_to_messages(self._attribution.quarantines(now_s), now_s)
 
     def suspects(self, now_s: float) -> tuple[str, ...]:
         """Return the keys whose survivals the gateways shall report; ``now_s`` is in seconds."""
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -14,7 +14,11 @@
 from itertools import chain
 
 from baobabstream.backends.http_connection import ConnectFailed, HttpConnection
-from baobabstream.routing.crash_attribution import MEMORY_S, CrashAttribution
+from baobabstream.routing.crash_attribution import MEMORY_S, CrashAttribution, RequestKeys
+from baobabstream.routing.quarantine_ages import (
+    quarantines_from_messages,
+    quarantines_to_messages,
+)
 from baobabstream.wire.coordination_messages import Quarantine, ServerCrash
 
 __all__ = ["CrashTracker", "SuspectRequest"]
@@ -52,7 +56,7 @@
 
     number: int
     server_process: str
-    keys: frozenset[str]
+    keys: RequestKeys
     lost_s: float
 
 
@@ -66,13 +70,13 @@
         self._report_count = 0
         # By coordination host: the time of its last reply in seconds; and the keys that a
         # quarantined request has, with the time in seconds since which it is quarantined.
-        self._quarantines_by_host: dict[str, tuple[float, dict[frozenset[str], float]]] = {}
+        self._quarantines_by_host: dict[str, tuple[float, dict[RequestKeys, float]]] = {}
         # The same of all hosts and of this gateway together.
-        self._quarantines: dict[frozenset[str], float] = {}
+        self._quarantines: dict[RequestKeys, float] = {}
 
     def find_quarantine(
-        self, request_keys: frozenset[str], now_s: float
-    ) -> tuple[frozenset[str], float] | None:
+        self, request_keys: RequestKeys, now_s: float
+    ) -> tuple[RequestKeys, float] | None:
         """Return why a request must not run, or None if it may.
 
         Parameters
@@ -98,14 +102,14 @@
 
     def set_quarantines(
         self, host: str, quarantines: Iterable[Quarantine], now_s: float
-    ) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+    ) -> tuple[set[RequestKeys], set[RequestKeys]]:
         """Replace the quarantines that a coordination host has sent at ``now_s``, in seconds.
 
         Returns the sets of keys that are quarantined here now and were not before, and the reverse.
         """
         self._quarantines_by_host[host] = (
             now_s,
-            {frozenset(quarantine.keys): now_s - quarantine.age_s for quarantine in quarantines},
+            quarantines_from_messages(quarantines, now_s),
         )
         self._quarantines_by_host = {
             known_host: (replied_s, host_quarantines)
@@ -119,11 +123,12 @@
 
         ``now_s`` is the time in seconds.
         """
-        return tuple(
-            Quarantine(tuple(sorted(keys)), now_s - since_s)
+        in_force = {
+            keys: since_s
             for keys, since_s in self._quarantines.items()
             if since_s + MEMORY_S > now_s
-        )
+        }
+        return quarantines_to_messages(in_force, now_s)
 
     def crash_reports(self, after_number: int, now_s: float) -> tuple[ServerCrash, ...]:
         """Return the crashes of the reports after a number, to be sent to a coordination host.
@@ -188,11 +193,11 @@
     def record_crash(
         self,
         server_process: str,
-        requests: Collection[frozenset[str]],
+        requests: Collection[RequestKeys],
         lost_s: float,
         now_s: float,
         is_in_contact: bool,
-    ) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+    ) -> tuple[set[RequestKeys], set[RequestKeys]]:
         """Record that a server crashed while it began to answer some requests.
 
         Parameters
@@ -222,7 +227,7 @@
             self._attribution.update(now_s)
         return self._combine_quarantines(now_s)
 
-    def _combine_quarantines(self, now_s: float) -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+    def _combine_quarantines(self, now_s: float) -> tuple[set[RequestKeys], set[RequestKeys]]:
         """Join the quarantines of all hosts; return the added and the removed sets of keys."""
         before = self._quarantines
         self._quarantines = dict(
--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -26,7 +26,7 @@
 from itertools import chain
 from math import exp
 
-__all__ = ["CrashAttribution"]
+__all__ = ["CrashAttribution", "RequestKeys"]
 
 # Crashes that must have a key in common before its requests are quarantined. Two occur by chance: a
 # request that shared a server with the cause is sent again and may share the next one too.
@@ -58,6 +58,7 @@
 MAX_QUARANTINES = 64
 MAX_SUSPECTS = 256
 
+# Keys by which a request is known, or that quarantined requests have in common.
 RequestKeys = frozenset[str]
 
 
