Crash checks: an answer clears has_crashed where it ends a suspension, and names that say what they hold

KnownServer.record_response already ends what an answer refutes; has_crashed was reset by its caller. BegunAnswer had a time that nothing read, SuspectRequest shared its name with a message of the chat entry, and three places counted a slow stream by hand.

--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -102,12 +102,10 @@
             model_or_route, attempt.uncached_prompt_tokens, now_s - attempt.sent_s
         )
         server.record_response(failed=False, slowdown=slowdown, now_s=now_s)
-        # A server that was cut off for a while looked as if it had crashed.
-        server.has_crashed = False
-        if request.route.kind is RouteKind.STREAM:
+        is_stream = request.route.kind is RouteKind.STREAM
+        if is_stream:
             self._watch_event_interval(attempt)
-        is_plain = request.route.kind is not RouteKind.STREAM
-        if is_plain and slowdown > BAD_RESPONSE_SLOWDOWN:
+        if not is_stream and slowdown > BAD_RESPONSE_SLOWDOWN:
             server.bad_responses += 1
         else:
             server.good_responses += 1
@@ -126,7 +124,7 @@
             Attempt whose answer has begun, or has arrived completely.
         """
         server, tracker, loop = attempt.server, self._context.crash_tracker, self._loop
-        answer = BegunAnswer(self._request.crash_keys, loop.time())
+        answer = BegunAnswer(self._request.crash_keys)
         server.begun_answers.add(answer)
 
         def record_survival() -> None:
@@ -150,8 +148,7 @@
             return
         if attempt.provisional_pace is not None:
             attempt.server.record_pace(attempt.provisional_pace, count=-1)
-            attempt.server.bad_responses -= 1
-            attempt.server.good_responses += 1
+            _count_slow_stream(attempt.server, -1)
             attempt.provisional_pace = None
         interval_s = attempt.mean_event_interval_s()
         updates_estimate = not self._context.runs_rollout_target(attempt.server)
@@ -161,8 +158,7 @@
         self.event_slowdown = slowdown
         attempt.server.record_pace(slowdown)
         if slowdown > BAD_EVENT_SLOWDOWN:
-            attempt.server.bad_responses += 1
-            attempt.server.good_responses -= 1
+            _count_slow_stream(attempt.server)
 
     def _watch_event_interval(self, attempt: Attempt) -> None:
         """Count a stream as bad once its events are certainly much slower than expected.
@@ -181,8 +177,7 @@
             if attempt.is_open and not attempt.interval_was_reported:
                 attempt.provisional_pace = BAD_EVENT_SLOWDOWN
                 attempt.server.record_pace(BAD_EVENT_SLOWDOWN)
-                attempt.server.bad_responses += 1
-                attempt.server.good_responses -= 1
+                _count_slow_stream(attempt.server)
 
         if expected_s > 0:
             interval_count = MIN_MEASURED_EVENTS - 1
@@ -365,6 +360,12 @@
         context.log_quarantines(added, removed, "crashes seen by this gateway")
 
 
+def _count_slow_stream(server: KnownServer, count: int = 1) -> None:
+    """Count a stream as bad that was counted as good when it began; -1 takes that back."""
+    server.bad_responses += count
+    server.good_responses -= count
+
+
 def _parse_pause_s(retry_after: str | None) -> float:
     """Return the seconds in a ``Retry-After`` header, at most ``MAX_PAUSE_S``.
 
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -21,7 +21,7 @@
 )
 from baobabstream.wire.coordination_messages import Quarantine, ServerCrash
 
-__all__ = ["CrashTracker", "SuspectRequest"]
+__all__ = ["CrashTracker"]
 
 # Wait in seconds between the loss of a connection and the probe of the server, so that a process
 # that is crashing has ended.
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SuspectRequest:
+class _CrashedRequest:
     """A request whose server crashed before its response had gone on for long.
 
     Parameters
@@ -66,7 +66,7 @@
     def __init__(self) -> None:
         # All survivals that are recorded here are known at once.
         self._attribution = CrashAttribution(settling_s=0.0)
-        self._reports: deque[SuspectRequest] = deque(maxlen=MAX_REPORTS)
+        self._reports: deque[_CrashedRequest] = deque(maxlen=MAX_REPORTS)
         self._report_count = 0
         # By coordination host: the time of its last reply in seconds; and the keys that a
         # quarantined request has, with the time in seconds since which it is quarantined.
@@ -220,7 +220,7 @@
         for request_keys in requests:
             self._report_count += 1
             self._reports.append(
-                SuspectRequest(self._report_count, server_process, request_keys, lost_s)
+                _CrashedRequest(self._report_count, server_process, request_keys, lost_s)
             )
         self._attribution.record_crash(server_process, requests, lost_s, now_s)
         if not is_in_contact:
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -67,12 +67,14 @@
 NO_WORK = ServerWork(0, 0)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class BegunAnswer:
-    """Keys of a request, and the time in seconds at which a server began to answer it."""
+    """Keys of a request that a server has begun to answer.
+
+    Answers to requests with the same keys are different objects.
+    """
 
     request_keys: frozenset[str]
-    began_s: float
 
 
 class KnownServer:
@@ -224,7 +226,8 @@
         Parameters
         ----------
         failed
-            Whether the server failed the request.
+            Whether the server failed the request. An answer shows that its process is alive; a
+            server that was cut off for a while looked as if it had crashed.
         slowdown
             Response time as a multiple of the expected one, or None if there is no response time.
         now_s
@@ -233,6 +236,8 @@
         self._recover_averages(now_s)
         self._suspension_count = 0
         self.suspended_until_s = 0.0
+        if not failed:
+            self.has_crashed = False
         self._failure_rate += FAILURE_RATE_WEIGHT * (float(failed) - self._failure_rate)
         if slowdown is not None:
             capped_slowdown = min(slowdown, MAX_AVERAGED_SLOWDOWN)
