Tests of crashing prompts and of limits send their traffic by one class

Both had a class of their own that sends requests to all gateways in turn and records what callers saw.

--- /dev/null
+++ b/tests/caller_traffic.py
@@ -0,0 +1,103 @@
+"""Callers that send requests to all gateways of a platform at a steady rate."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from itertools import count
+
+from aiohttp import ClientError
+
+from platform_stand_in import PlatformHarness
+
+__all__ = ["CallerTraffic", "RequestOutcome"]
+
+
+@dataclass(frozen=True)
+class RequestOutcome:
+    """What the caller of one request saw.
+
+    Attributes
+    ----------
+    sent_s, taken_s
+        Time of the event loop at which it was sent, and how long it took, both in seconds.
+    status
+        HTTP status, or 0 without a whole response.
+    retry_after
+        The header ``Retry-After``, or None.
+    """
+
+    sent_s: float
+    taken_s: float
+    status: int
+    retry_after: str | None
+
+
+class CallerTraffic:
+    """Sends requests for streams to all gateways in turn until cancelled; no two are alike.
+
+    Parameters
+    ----------
+    platform
+        Daemons that get the requests.
+    interval_s
+        Seconds between two requests.
+    shared_parts
+        Returns the parts of the prompt of the n-th request, without the last one, which belongs to
+        the request itself.
+    path
+        Returns the path of the n-th request.
+
+    Attributes
+    ----------
+    outcomes
+        Outcomes of the requests that have ended.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformHarness,
+        interval_s: float,
+        shared_parts: Callable[[int], Iterable[str]] = lambda _: (),
+        path: Callable[[int], str] = "/chat/{}".format,
+    ) -> None:
+        self.outcomes: list[RequestOutcome] = []
+        self._platform = platform
+        self._interval_s = interval_s
+        self._shared_parts = shared_parts
+        self._path = path
+
+    async def run(self) -> None:
+        """Send requests, each of which runs on its own."""
+        async with asyncio.TaskGroup() as tasks:
+            for number in count():
+                tasks.create_task(self._send(number))
+                await asyncio.sleep(self._interval_s)
+
+    async def _send(self, number: int) -> None:
+        """Send one request and record its outcome."""
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        name = f"{id(self):x}{number:04x}"
+        parts = [*self._shared_parts(number), name]
+        try:
+            status, headers, _ = await self._platform.send_request(
+                self._path(number),
+                name,
+                gateway_index=number % len(self._platform.gateway_ips),
+                body=name.encode(),
+                **{"X-Prompt-Prefix": ",".join(f"{part}:20" for part in parts)},
+            )
+        except (OSError, ClientError):
+            status, headers = 0, {}
+        self.outcomes.append(
+            RequestOutcome(sent_s, loop.time() - sent_s, status, headers.get("Retry-After"))
+        )
+
+    def outcomes_since(self, since_s: float) -> list[RequestOutcome]:
+        """Return the outcomes of the requests that were sent from a time in seconds on."""
+        return [outcome for outcome in self.outcomes if outcome.sent_s >= since_s]
+
+    def served_fraction_since(self, since_s: float) -> float:
+        """Return the fraction of the requests sent from a time in seconds on that were served."""
+        statuses = [outcome.status for outcome in self.outcomes_since(since_s)]
+        return statuses.count(200) / len(statuses)
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -1,12 +1,11 @@
 """Tests that requests which crash backend servers through a part of their prompt are kept away."""
 
 import asyncio
-from collections.abc import Callable
-from itertools import count
 
 import pytest
 from aiohttp import ClientError
 
+from caller_traffic import CallerTraffic
 from platform_stand_in import FakeBackendServer, PlatformHarness
 from waiting import until
 
@@ -19,70 +18,6 @@
 SOUND_PARTS = ["a1", "a2", "a3", "a4"]
 
 
-class PromptTraffic:
-    """Sends requests with parts of prompts to all gateways in turn until cancelled.
-
-    Parameters
-    ----------
-    platform
-        Daemons that get the requests.
-    shared_parts
-        Returns the parts of the prompt of the n-th request, without the last one, which belongs to
-        the request itself.
-    interval_s
-        Seconds between two requests.
-    path
-        Returns the path of the n-th request.
-
-    Attributes
-    ----------
-    outcomes
-        Of each request the time in seconds at which it was sent and its status, or 0 without one.
-    """
-
-    def __init__(
-        self,
-        platform: PlatformHarness,
-        shared_parts: Callable[[int], list[str]],
-        interval_s: float,
-        path: Callable[[int], str] = "/chat/{}".format,
-    ) -> None:
-        self.outcomes: list[tuple[float, int]] = []
-        self._platform = platform
-        self._shared_parts = shared_parts
-        self._interval_s = interval_s
-        self._path = path
-
-    async def run(self) -> None:
-        """Send requests, each of which runs on its own."""
-        async with asyncio.TaskGroup() as tasks:
-            for number in count():
-                tasks.create_task(self._send(number))
-                await asyncio.sleep(self._interval_s)
-
-    async def _send(self, number: int) -> None:
-        """Send one request, no two of which are alike, and record its outcome."""
-        sent_s = asyncio.get_running_loop().time()
-        name = f"{id(self):x}{number:04x}"
-        parts = [*self._shared_parts(number), name]
-        try:
-            status, _, _ = await self._platform.send_request(
-                self._path(number),
-                name,
-                gateway_index=number % len(self._platform.gateway_ips),
-                body=name.encode(),
-                **{"X-Prompt-Prefix": ",".join(f"{part}:20" for part in parts)},
-            )
-        except (OSError, ClientError):
-            status = 0
-        self.outcomes.append((sent_s, status))
-
-    def served_fraction_since(self, since_s: float) -> float:
-        """Return the fraction of the requests sent from a time in seconds on that were served."""
-        statuses = [status for sent_s, status in self.outcomes if sent_s >= since_s]
-        return statuses.count(200) / len(statuses)
-
-
 @pytest.fixture
 async def platform(tmp_path):
     """Three coordination hosts and three gateways."""
@@ -124,11 +59,11 @@
     ]
     await platform.start_with_backends(*engines, FakeBackendServer("i-app", "app"))
     loop = asyncio.get_running_loop()
-    sound = PromptTraffic(platform, lambda number: ["c0", SOUND_PARTS[number % 4]], 0.05)
-    crashing = PromptTraffic(
+    sound = CallerTraffic(platform, 0.05, lambda number: ["c0", SOUND_PARTS[number % 4]])
+    crashing = CallerTraffic(
         platform,
-        shared_parts,
         0.2,
+        shared_parts,
         lambda number: f"/chat/short/{number}" if number % 2 else f"/chat/{number}",
     )
     sound_task = asyncio.create_task(sound.run())
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -1,11 +1,10 @@
 """Tests that a server gets no more requests a second than the limit that it names."""
 
 import asyncio
-from itertools import count
 
 import pytest
-from aiohttp import ClientError
 
+from caller_traffic import CallerTraffic
 from platform_stand_in import FakeBackendServer, PlatformHarness
 
 # Time within which all gateways must keep to a limit, from the first answer that names it.
@@ -21,46 +20,6 @@
         yield platform
 
 
-class Traffic:
-    """Sends requests to all gateways in turn until cancelled.
-
-    Attributes
-    ----------
-    outcomes
-        Of each request the time in seconds at which it was sent, its status or 0, the seconds that
-        it took, and the ``Retry-After`` of its response or None.
-    """
-
-    def __init__(self, platform: PlatformHarness, rate_per_s: float) -> None:
-        self.outcomes: list[tuple[float, int, float, str | None]] = []
-        self._platform = platform
-        self._interval_s = 1 / rate_per_s
-
-    async def run(self) -> None:
-        """Send requests, each of which runs on its own."""
-        async with asyncio.TaskGroup() as tasks:
-            for number in count():
-                tasks.create_task(self._send(number))
-                await asyncio.sleep(self._interval_s)
-
-    async def _send(self, number: int) -> None:
-        """Send one request and record its outcome."""
-        loop = asyncio.get_running_loop()
-        sent_s = loop.time()
-        gateway_index = number % len(self._platform.gateway_ips)
-        try:
-            status, headers, _ = await self._platform.send_request(
-                f"/chat/{number}", f"r{number}", gateway_index=gateway_index
-            )
-        except (OSError, ClientError):
-            status, headers = 0, {}
-        self.outcomes.append((sent_s, status, loop.time() - sent_s, headers.get("Retry-After")))
-
-    def statuses(self, from_s: float, until_s: float) -> list[int]:
-        """Return the statuses of the requests sent between two times in seconds."""
-        return [status for sent_s, status, *_ in self.outcomes if from_s <= sent_s < until_s]
-
-
 def most_in_window(arrivals_s: list[float], from_s: float) -> int:
     """Return the most requests that arrived within ``WINDOW_S`` after a time in seconds."""
     late_s = [time_s for time_s in arrivals_s if time_s >= from_s]
@@ -88,7 +47,7 @@
     others = [FakeBackendServer(f"i-{n}", "engine", events=2) for n in (2, 3, 4, 5)]
     await platform.start_with_backends(*limited, *others, FakeBackendServer("i-app", "app"))
     loop = asyncio.get_running_loop()
-    traffic = Traffic(platform, 40.0)
+    traffic = CallerTraffic(platform, 1 / 40)
     task = asyncio.create_task(traffic.run())
     began_s = loop.time()
     await asyncio.sleep(CONTACT_S + WINDOW_S)
@@ -104,7 +63,11 @@
         arrivals = most_in_window(server.arrivals_s, began_s + CONTACT_S)
         assert arrivals <= ALLOWED_RATIO * WINDOW_S * server.limit_per_s + ALLOWED_EXTRA
         assert sum(time_s > began_s + CONTACT_S for time_s in server.arrivals_s) > 3
-    statuses = traffic.statuses(began_s + CONTACT_S, began_s + CONTACT_S + WINDOW_S)
+    statuses = [
+        outcome.status
+        for outcome in traffic.outcomes_since(began_s + CONTACT_S)
+        if outcome.sent_s < began_s + CONTACT_S + WINDOW_S
+    ]
     assert statuses.count(200) >= 0.99 * len(statuses)
     for server in limited:
         server.limit_per_s = None
@@ -121,17 +84,17 @@
     servers = [FakeBackendServer(f"i-{n}", "engine", limit_per_s=3.0, events=2) for n in range(2)]
     await platform.start_with_backends(*servers, FakeBackendServer("i-app", "app"))
     loop = asyncio.get_running_loop()
-    traffic = Traffic(platform, 30.0)
+    traffic = CallerTraffic(platform, 1 / 30)
     task = asyncio.create_task(traffic.run())
     began_s = loop.time()
     await asyncio.sleep(CONTACT_S + 2 * WINDOW_S)
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
-    late = [outcome for outcome in traffic.outcomes if outcome[0] > began_s + CONTACT_S]
-    served = sum(status == 200 for _, status, *_ in late)
-    refused = [(taken_s, retry_after) for _, status, taken_s, retry_after in late if status == 503]
+    late = traffic.outcomes_since(began_s + CONTACT_S)
+    served = sum(outcome.status == 200 for outcome in late)
+    refused = [outcome for outcome in late if outcome.status == 503]
     assert served + len(refused) == len(late)
-    assert all(taken_s < 0.5 and float(retry_after) > 0 for taken_s, retry_after in refused)
+    assert all(outcome.taken_s < 0.5 and float(outcome.retry_after) > 0 for outcome in refused)
     for server in servers:
         arrivals = most_in_window(server.arrivals_s, began_s + CONTACT_S)
         assert arrivals <= ALLOWED_RATIO * WINDOW_S * 3.0 + ALLOWED_EXTRA
