--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -6,7 +6,8 @@
 from aiohttp import ClientError
 
 from caller_traffic import CallerTraffic
-from platform_stand_in import FakeBackendServer, PlatformHarness
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import PlatformHarness
 from waiting import until
 
 # Time from the fifth crash within which all gateways must keep such requests away.
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -5,7 +5,8 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientSession, TCPConnector
 
-from platform_stand_in import FRONT_PORT, FakeBackendServer, PlatformHarness, caller_headers
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import FRONT_PORT, PlatformHarness, caller_headers
 from waiting import until
 
 CALLER_COUNT = 30
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -11,7 +11,8 @@
 import pytest
 
 from baobabstream.wire.coordination_messages import ServerState
-from platform_stand_in import FRONT_PORT, HTTP_PORT, FakeBackendServer, PlatformHarness
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import FRONT_PORT, HTTP_PORT, PlatformHarness
 from waiting import until
 
 HUGE_NUMBER = 10**30
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -5,7 +5,8 @@
 import pytest
 
 from caller_traffic import CallerTraffic
-from platform_stand_in import FakeBackendServer, PlatformHarness
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import PlatformHarness
 
 # Time within which all gateways must keep to a limit, from the first answer that names it.
 CONTACT_S = 3.0
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -5,7 +5,8 @@
 import pytest
 
 from baobabstream.wire.coordination_messages import ServerState
-from platform_stand_in import FakeBackendServer, PlatformHarness
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import PlatformHarness
 from waiting import until
 
 
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -5,7 +5,8 @@
 import pytest
 
 from baobabstream.gateway.server_directory import MAX_MISSED_HEARTBEATS
-from platform_stand_in import HEARTBEAT_S, FakeBackendServer, PlatformHarness
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import HEARTBEAT_S, PlatformHarness
 from waiting import until
 
 # Longer than the time after which a silent server counts as lost.
--- a/tests/platform/test_slow_streams.py
+++ b/tests/platform/test_slow_streams.py
@@ -5,7 +5,8 @@
 import pytest
 
 from baobabstream.gateway.request_execution import STALL_GAP_MULTIPLE
-from platform_stand_in import FakeBackendServer, PlatformHarness, make_config
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import PlatformHarness, make_config
 from waiting import until
 
 # Longest allowed time between two events of the streams of these tests.
--- a/tests/platform/test_streams_without_length.py
+++ b/tests/platform/test_streams_without_length.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from platform_stand_in import FakeBackendServer, PlatformHarness
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import PlatformHarness
 
 
 @pytest.fixture
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -11,7 +11,8 @@
 from aiohttp import ClientConnectionError, ClientPayloadError
 
 from baobabstream.wire.coordination_messages import ServerState
-from platform_stand_in import KEY, FakeBackendServer, PlatformHarness, make_config
+from fake_backend_server import FakeBackendServer
+from platform_stand_in import KEY, PlatformHarness, make_config
 from waiting import until
 
 # Time limit of each route of the configuration.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 from random import Random
 
-from platform_stand_in import FakeBackendServer
+from fake_backend_server import FakeBackendServer
 from soak.processes import SHUTDOWN_GRACE_S, ProcessPlatform, SupervisedDaemon
 from soak.promises import DisturbedPeriods
 from soak.proxy import Disturbance, FaultyProxy
