--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -27,16 +27,16 @@
 from baobabstream.backends.http_connection import AnswerHead
 from baobabstream.errors.codes import CODE_TABLE, ResultCode, RunState
 from baobabstream.errors.exceptions import RequestRefused
-from baobabstream.gateway.attempt import Attempt, AttemptFailed, uncached_prompt_tokens
+from baobabstream.gateway.attempt import Attempt, AttemptFailed
 from baobabstream.gateway.attempt_recorder import AttemptRecorder
 from baobabstream.gateway.error_responses import error_response
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.request_reader import CONNECTION_HEADERS
 from baobabstream.gateway.routed_request import REQUEST_KEY_PREFIX, RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
+from baobabstream.gateway.server_selection import ServerSelection
 from baobabstream.routing.document import RouteKind
 from baobabstream.routing.model_cascade import escalation_model, initial_model
-from baobabstream.routing.server_choice import choose_server
 from baobabstream.telemetry.decision_log import DecisionEvent
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.statistics import StatisticName
@@ -109,10 +109,7 @@
         self._context = context
         self._loop = asyncio.get_running_loop()
         self._progress = _Progress(model=initial_model(request.route, request.model))
-        # Identities of the servers at which the current model has been tried, and of those that
-        # refused the request without running it.
-        self._tried_server_ids: set[str] = set()
-        self._refusing_server_ids: set[str] = set()
+        self._selection = ServerSelection(request, context)
         # Server of the last attempt, and the response to the caller once there is one.
         self._server: KnownServer | None = None
         self._response: web.StreamResponse | None = None
@@ -178,7 +175,7 @@
                 return await self._run_attempt(attempt)
             except _EscalateModel as escalation:
                 self._progress.model = escalation.model
-                self._tried_server_ids.clear()
+                self._selection.forget_tried_servers()
             except AttemptFailed as failure:
                 self._record_failure(attempt, failure)
                 self._require_retry(failure)
@@ -325,35 +322,12 @@
         if not request.route.is_repeatable or progress.run_count + 1 >= request.route.max_attempts:
             return
         model = escalation_model(
-            request.route, attempt.model, confidence, self._largest_model_time_fraction()
+            request.route, attempt.model, confidence, self._selection.largest_model_time_fraction()
         )
         if model is not None and self._try_acquire_retry():
             self._record_response(attempt)
             raise _EscalateModel(model)
 
-    def _largest_model_time_fraction(self) -> float:
-        """Return the largest model's expected time to its first event, over the time left.
-
-        The time left is that until the route's latency target. The expected time is that for the
-        prompts that wait at a server and for the prompt of this request; the least one of all
-        servers that may run the request is used. The result is infinite if the target has passed,
-        or the route has no models or no candidate servers.
-        """
-        request, context, now_s = self._request, self._context, self._loop.time()
-        time_left_s = request.arrived_s + request.route.latency_target_s - now_s
-        if time_left_s <= 0 or not request.route.model_names:
-            return float("inf")
-        largest_model = request.route.model_names[-1]
-        zone = context.settings.availability_zone
-        first_event_times_s = (
-            load.queued_prompt_s + load.prompt_s * load.slowdown
-            for load in (
-                server.load(now_s, zone, self._expected_prompt_s(server, largest_model))
-                for server in context.candidates(request.service, request.session, now_s)
-            )
-        )
-        return min(first_event_times_s, default=float("inf")) / time_left_s
-
     async def _relay(self, attempt: Attempt, response: web.StreamResponse, events: bytes) -> None:
         """Write a stream's events to the caller until its end.
 
@@ -482,85 +456,12 @@
         """
         return self._request.last_event_id if self._request.route.is_resumable else ""
 
-    def _choose_server(self) -> tuple[KnownServer, float]:
-        """Choose the server of the next attempt.
-
-        Servers that have asked for a pause, refused the request or have no free connection are
-        excluded. Servers that have not been tried, and those that are not suspended, are preferred.
-        Of the rest, one with a low expected time is chosen; see `choose_server`. The session counts
-        as active at the service from now on.
-
-        Returns
-        -------
-        tuple of KnownServer and float
-            The server, and its expected seconds to process the prompt.
-
-        Raises
-        ------
-        RequestRefused
-            ``NO_BACKEND_SERVER`` if no server is left.
-        """
-        request, context, now_s = self._request, self._context, self._loop.time()
-        servers = context.candidates(request.service, request.session, now_s)
-        accepting_servers = [
-            server for server in servers if server.row.server_id not in self._refusing_server_ids
-        ]
-        untried_servers = [
-            server
-            for server in accepting_servers
-            if server.row.server_id not in self._tried_server_ids
-        ]
-        connectable_servers = [
-            server for server in untried_servers or accepting_servers if not server.pool.is_full
-        ]
-        usable_servers = [
-            server for server in connectable_servers if server.suspended_until_s <= now_s
-        ] or connectable_servers
-        if not usable_servers:
-            for server in context.servers_of_session(request.service, request.session, now_s)[:1]:
-                # Counts towards the tokens that this gateway asks for.
-                server.arrivals.record_send(now_s)
-            raise RequestRefused(
-                ResultCode.NO_BACKEND_SERVER,
-                retry_after_s=context.pause_left_s(request.service, request.session, now_s),
-            )
-        zone = context.settings.availability_zone
-        loads = [
-            server.load(now_s, zone, self._expected_prompt_s(server, self._progress.model))
-            for server in usable_servers
-        ]
-        unseen_requests = context.directory.unseen_requests(usable_servers, now_s)
-        usable_servers[0].arrivals.record_send(now_s)
-        # A token for a limited server that is not used now probably expires.
-        preferred_ids = frozenset(
-            server.row.server_id for server in usable_servers if server.limit.rate_per_s is not None
-        ) or context.directory.preferred_ids(usable_servers, now_s)
-        chosen_load = choose_server(loads, context.random, unseen_requests, preferred_ids)
-        chosen_server = next(
-            server for server in usable_servers if server.row.server_id == chosen_load.server_id
-        )
-        chosen_server.limit.use_token()
-        self._tried_server_ids.add(chosen_load.server_id)
-        context.session_versions.record_request(request.service, request.session, now_s)
-        return chosen_server, chosen_load.prompt_s
-
-    def _expected_prompt_s(self, server: KnownServer, model: str) -> float:
-        """Return the expected seconds for a server to process the prompt with a model.
-
-        It is 0 without a model, since a plain service processes no prompt.
-        """
-        if not model:
-            return 0.0
-        return self._context.response_times.expected_s(
-            model, uncached_prompt_tokens(self._request, server, model)
-        )
-
     def _new_attempt(self, last_event_id: str) -> Attempt:
         """Choose a server and return an attempt there that has not been sent yet.
 
         ``last_event_id`` is the event after which a stream continues, or empty.
         """
-        server, expected_prompt_s = self._choose_server()
+        server, expected_prompt_s = self._selection.choose(self._progress.model)
         return Attempt(
             self._request,
             server,
@@ -581,7 +482,7 @@
     def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         """Record a failed attempt, and whether it ran or was refused without running."""
         if failure.run_state is RunState.NO:
-            self._refusing_server_ids.add(attempt.server.row.server_id)
+            self._selection.exclude(attempt.server)
         else:
             # Adds 1 unless the attempt was counted when its response began.
             self._progress.run_count += not attempt.is_counted_as_run
