--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -250,6 +250,7 @@
                 server=server.row.server_id,
                 reason="the server asked for a pause",
                 hold_ms=int(pause_s * 1000),
+                others_in_flight=server.remote_work.in_flight,
             )
 
     def _suspend(self, server: KnownServer, reason: str, now_s: float) -> None:
@@ -264,6 +265,7 @@
             server=server.row.server_id,
             reason=reason,
             hold_ms=int(suspension_s * 1000),
+            others_in_flight=server.remote_work.in_flight,
         )
 
     def _log_failure(
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -23,7 +23,8 @@
 host is the leader; ``share`` the share of the traffic, 0 to 1, of the new version; ``confidence``
 the value of the response header in which a model states how sure it is of its answer; ``session``
 the identifier of the related requests that this one belongs to; ``in_flight`` the number of
-requests under way at the server; ``fingerprint`` a hash of a request's content; ``shared_parts``
+requests under way at the server, and ``others_in_flight`` that of the other gateways by their last
+reports, which shows that a server that this one does not reach is alive; ``fingerprint`` a hash of a request's content; ``shared_parts``
 the parts of its prompt that other prompts may have too; ``events`` how many events of its answer
 had arrived when its server crashed.
 """
@@ -129,7 +130,7 @@
         "announced_age_ms",
     ),
     DecisionEvent.SERVER_CHANGED: ("server", "service", "address", "state", "version", "reason"),
-    DecisionEvent.SERVER_SUSPECTED: ("server", "reason", "hold_ms"),
+    DecisionEvent.SERVER_SUSPECTED: ("server", "reason", "hold_ms", "others_in_flight"),
     DecisionEvent.SERVER_LIMITED: ("server", "limit_per_s", "reason"),
     DecisionEvent.SERVER_CRASHED: ("server", "request_id", "fingerprint", "shared_parts", "events"),
     DecisionEvent.QUARANTINE_CHANGED: ("added", "removed", "reason"),
