--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -24,9 +24,9 @@
 the value of the response header in which a model states how sure it is of its answer; ``session``
 the identifier of the related requests that this one belongs to; ``in_flight`` the number of
 requests under way at the server, and ``others_in_flight`` that of the other gateways by their last
-reports, which shows that a server that this one does not reach is alive; ``fingerprint`` a hash of a request's content; ``shared_parts``
-the parts of its prompt that other prompts may have too; ``events`` how many events of its answer
-had arrived when its server crashed.
+reports, which shows that a server that this one does not reach is alive; ``fingerprint`` a hash of
+a request's content; ``shared_parts`` the parts of its prompt that other prompts may have too;
+``events`` how many events of its answer had arrived when its server crashed.
 """
 
 import asyncio
--- a/tests/caller_traffic.py
+++ b/tests/caller_traffic.py
@@ -18,6 +18,8 @@
 
     Attributes
     ----------
+    gateway_index
+        Number of the gateway that it was sent to.
     sent_s, taken_s
         Time of the event loop at which it was sent, and how long it took, both in seconds.
     status
@@ -26,6 +28,7 @@
         The header ``Retry-After``, or None.
     """
 
+    gateway_index: int
     sent_s: float
     taken_s: float
     status: int
@@ -79,18 +82,25 @@
         sent_s = loop.time()
         name = f"{id(self):x}{number:04x}"
         parts = [*self._shared_parts(number), name]
+        gateway_index = number % len(self._platform.gateway_ips)
         try:
             status, headers, _ = await self._platform.send_request(
                 self._path(number),
                 name,
-                gateway_index=number % len(self._platform.gateway_ips),
+                gateway_index=gateway_index,
                 body=name.encode(),
                 **{"X-Prompt-Prefix": ",".join(f"{part}:20" for part in parts)},
             )
         except (OSError, ClientError):
             status, headers = 0, {}
         self.outcomes.append(
-            RequestOutcome(sent_s, loop.time() - sent_s, status, headers.get("Retry-After"))
+            RequestOutcome(
+                gateway_index,
+                sent_s,
+                loop.time() - sent_s,
+                status,
+                headers.get("Retry-After"),
+            )
         )
 
     def outcomes_since(self, since_s: float) -> list[RequestOutcome]:
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -23,6 +23,7 @@
 from baobabstream.platform.operator_api import operator_application
 from baobabstream.telemetry.decision_log import DecisionLog
 from fake_backend_server import FakeBackendServer
+from server_links import ServerLinks, run_behind_links
 from waiting import until
 
 __all__ = ["KEY", "PlatformHarness", "caller_headers", "make_config"]
@@ -97,6 +98,8 @@
         Running daemons by IP address.
     backends
         Backend servers by identity.
+    links
+        Links between gateways and backend servers, which tests cut.
     """
 
     def __init__(
@@ -111,11 +114,13 @@
         self.coordinators: dict[str, CoordinationDaemon] = {}
         self.gateways: dict[str, GatewayDaemon] = {}
         self.backends: dict[str, FakeBackendServer] = {}
+        self.links = ServerLinks()
         self._exit_stack = AsyncExitStack()
         self._heartbeat_tasks: dict[str, asyncio.Task[None]] = {}
         self._null_descriptor = os.open(os.devnull, os.O_WRONLY)
 
     async def __aenter__(self) -> "PlatformHarness":
+        self.links.install(asyncio.get_running_loop())
         self.http = await self._exit_stack.enter_async_context(
             ClientSession(timeout=ClientTimeout(total=10))
         )
@@ -175,7 +180,7 @@
         decisions = DecisionLog(ip, self._null_descriptor)
         daemon = GatewayDaemon(settings, HEADERS, READY_PATH, read_document, Random(1), decisions)
         self.gateways[ip] = daemon
-        await daemon.start()
+        await run_behind_links(ip, daemon.start())
 
     async def kill_gateway(self, ip: str) -> None:
         """End a gateway daemon without a planned stop; it cuts its connections."""
@@ -188,6 +193,7 @@
     async def add_backend(self, backend: FakeBackendServer) -> FakeBackendServer:
         """Start a backend server and its heartbeats."""
         await backend.start()
+        self.links.add_server(backend.address)
         self.backends[backend.server_id] = backend
         self._heartbeat_tasks[backend.server_id] = asyncio.create_task(
             self._send_heartbeats(backend)
