Gateways reach servers through other gateways when their own path is lost

Cause: a gateway took a path that it had lost for a lost server, and had no other way to one. Class of the fault: what one host sees from its place is taken for the state of another one.

Weighed: reporting unready, and passing on whole requests.

--- a/src/baobabstream/backends/connection_pool.py
+++ b/src/baobabstream/backends/connection_pool.py
@@ -10,6 +10,7 @@
 
 import asyncio
 
+from baobabstream.backends.connector import Connector, DirectConnector
 from baobabstream.backends.http_connection import ConnectFailed, HttpConnection
 from baobabstream.backends.idle_timeout_estimator import IdleTimeoutEstimator
 
@@ -40,6 +41,8 @@
     idle_timeout_estimator
         Estimated idle timeout of the servers of the same service, usually shared by their pools.
         By default each pool has an estimator of its own.
+    connector
+        Opens the connections; by default directly.
     """
 
     def __init__(
@@ -48,10 +51,9 @@
         request_id_header: str,
         max_connections: int,
         idle_timeout_estimator: IdleTimeoutEstimator | None = None,
+        connector: Connector | None = None,
     ) -> None:
-        ip, _, port = address.partition(":")
-        self._ip, self._port = ip, int(port)
-        self._request_id_header = request_id_header
+        self.connector = connector or DirectConnector(address, request_id_header)
         self.max_connections = max_connections
         self._idle_timeout_estimator = idle_timeout_estimator or IdleTimeoutEstimator()
         # Idle connections, the most recently used last, each with the event loop time in seconds
@@ -90,25 +92,31 @@
         connection = self._pop_reusable()
         if connection is not None:
             return connection
-        connection = HttpConnection(self._request_id_header)
         try:
-            await connection.open(self._ip, self._port, timeout_s)
+            return await self.connector.connect(timeout_s)
         except BaseException:
             self._in_use_count -= 1
-            connection.close()
             raise
-        return connection
+
+    def add_idle(self, connection: HttpConnection) -> None:
+        """Add a new connection that has carried no request."""
+        self._idle_connections.append((asyncio.get_running_loop().time(), connection))
 
     def release(self, connection: HttpConnection) -> None:
         """Give back a connection, which is then idle, or closed if it cannot carry another request.
 
         A reused connection that was lost right after its request was sent had probably been dropped
         while it was idle; its idle time lowers the estimated idle timeout. A connection whose idle
-        time before the request is None was new. One that has not yet handed the whole request
-        to the operating system is closed.
+        time before the request is None was new. A tunnel through another host may have ended with
+        that host, which says nothing about the server. One that has not yet handed the whole
+        request to the operating system is closed.
         """
         self._in_use_count -= 1
-        if connection.lost_immediately and connection.idle_before_request_s is not None:
+        if (
+            connection.lost_immediately
+            and connection.is_direct
+            and connection.idle_before_request_s is not None
+        ):
             now_s = asyncio.get_running_loop().time()
             self._idle_timeout_estimator.record_loss(connection.idle_before_request_s, now_s)
         if connection.is_reusable and connection.has_sent_everything:
@@ -116,6 +124,21 @@
         else:
             connection.close()
 
+    def close_outdated(self) -> None:
+        """Close the idle connections that may not be reused, as their path has changed."""
+        outdated = [
+            connection
+            for _, connection in self._idle_connections
+            if not self.connector.may_reuse(connection)
+        ]
+        self._idle_connections = [
+            (idle_since_s, connection)
+            for idle_since_s, connection in self._idle_connections
+            if connection not in outdated
+        ]
+        for connection in outdated:
+            connection.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         for _, connection in self._idle_connections:
@@ -136,7 +159,8 @@
             # Infinite means that the server has announced no keep-alive timeout.
             if connection.reusable_until_s == float("inf"):
                 reuse_deadline_s = idle_since_s + DEFAULT_IDLE_TIMEOUT_S
-            if connection.is_reusable and now_s < min(reuse_deadline_s, idle_since_s + max_idle_s):
+            is_current = connection.is_reusable and self.connector.may_reuse(connection)
+            if is_current and now_s < min(reuse_deadline_s, idle_since_s + max_idle_s):
                 connection.idle_before_request_s = now_s - idle_since_s
                 return connection
             connection.close()
--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -17,7 +17,13 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 
-__all__ = ["AnswerFailed", "AnswerHead", "ConnectFailed", "HttpConnection"]
+__all__ = [
+    "AnswerFailed",
+    "AnswerHead",
+    "ConnectFailed",
+    "HttpConnection",
+    "configure_socket",
+]
 
 # Reading from the socket pauses while more body bytes than this wait for ``read_part``.
 MAX_READ_AHEAD_BYTES = 256 * 1024
@@ -99,6 +105,8 @@
         connection pool.
     body_ends_at_close
         Whether the last body has no announced length, so that the end of the connection ends it.
+    is_direct
+        Whether this host has opened the connection to the server itself.
     lost_immediately
         Whether the connection ended right after the last request was sent, before any header.
 
@@ -114,6 +122,7 @@
     def __init__(self, request_id_header: str) -> None:
         self.reusable_until_s = float("inf")
         self.idle_before_request_s: float | None = None
+        self.is_direct = True
         self.lost_immediately = False
         # Event loop time in seconds at which the last request was sent.
         self._request_sent_s = 0.0
@@ -240,6 +249,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def retire(self) -> None:
+        """Carry no request after the pending one; an idle connection is closed."""
+        self._is_reuse_forbidden = True
+        if not self._is_answer_pending:
+            self.close()
+
     # Callbacks of asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -248,7 +263,7 @@
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _configure_socket(sock)
+            configure_socket(sock)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading if too many of them wait for ``read_part``.
@@ -400,7 +415,7 @@
             self._wake_future.set_result(None)
 
 
-def _configure_socket(sock: socket.socket) -> None:
+def configure_socket(sock: socket.socket) -> None:
     """Send small writes without delay and set the TCP timeouts that detect a vanished peer.
 
     The option value 1 turns an option on.
--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -273,4 +273,7 @@
                 if self._holds_leader_lease()
                 else None
             ),
+            tunnel_peers=(
+                self.contacts.tunnel_peers(now_s, request.host) if request.wants_work else None
+            ),
         )
--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -6,10 +6,12 @@
 are still waiting. The work of all gateways is summed and sent back to them.
 """
 
+from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
-from itertools import chain
+from itertools import chain, islice
 
+from baobabstream.routing.stable_hashing import stable_hash
 from baobabstream.wire.coordination_messages import ExchangeRequest, ServerWork
 
 __all__ = ["GatewayContacts"]
@@ -20,6 +22,8 @@
 # Time for which the summed work of all gateways is cached; short compared to the age of the
 # reports.
 SUM_LIFETIME_S = 0.05
+# Number of gateways that a reply names for tunnels. Several may have lost their own paths too.
+MAX_TUNNEL_PEERS = 6
 
 
 class GatewayContacts:
@@ -33,6 +37,9 @@
         self._summed_at_s = float("-inf")
         self._work_by_gateway: dict[str, dict[str, ServerWork]] = {}
         self._total_work: dict[str, ServerWork] = {}
+        # Cache of the offered tunnel addresses in an order of their own, and the time of the cache.
+        self._tunnel_addresses: list[str] = []
+        self._tunnels_listed_s = float("-inf")
 
     def record_report(self, report: ExchangeRequest, now_s: float) -> None:
         """Store the report of a gateway; ``now_s`` is the time of the event loop in seconds."""
@@ -79,6 +86,37 @@
         }
         return {server_id: work for server_id, work in remaining_work.items() if work.in_flight > 0}
 
+    def tunnel_peers(self, now_s: float, gateway: str) -> tuple[str, ...]:
+        """Return the tunnel addresses of a few gateways that help another one.
+
+        The gateways form a ring, in which each helps those before it, so that all are asked alike
+        and the size of a reply does not grow with the gateways. The order of the ring is that of a
+        hash, since hosts that fail together often have similar names.
+
+        Parameters
+        ----------
+        now_s
+            Time of the event loop in seconds.
+        gateway
+            Host that asks.
+        """
+        if now_s - self._tunnels_listed_s >= SUM_LIFETIME_S:
+            self._tunnels_listed_s = now_s
+            self._tunnel_addresses = sorted(
+                (
+                    report.tunnel_address
+                    for report in self.active_reports(now_s)
+                    if report.tunnel_address
+                ),
+                key=stable_hash,
+            )
+        _, report = self._reports.get(gateway, (0.0, None))
+        own_address = report.tunnel_address if report is not None else ""
+        position = bisect_left(self._tunnel_addresses, stable_hash(gateway), key=stable_hash)
+        ring = self._tunnel_addresses[position:] + self._tunnel_addresses[:position]
+        others = (address for address in ring if address != own_address)
+        return tuple(islice(others, MAX_TUNNEL_PEERS))
+
     def server_counts(self, now_s: float) -> dict[str, dict[str, int]]:
         """Return the number of servers by service and version.
 
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -27,6 +27,7 @@
 from baobabstream.gateway.response_memory import ResponseMemory
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
+from baobabstream.paths.path_connector import NoPath
 
 __all__ = ["Attempt", "AttemptFailed", "uncached_prompt_tokens"]
 
@@ -76,7 +77,7 @@
         Whether the connection ended, or its stream stalled, while the request was under way; the
         server may have crashed.
     server_unreachable
-        Whether no connection could be opened.
+        Whether the server accepts no connection, of this gateway or another one.
     """
 
     run_state: RunState
@@ -189,7 +190,9 @@
         try:
             self._connection = await server.pool.acquire(CONNECT_TIMEOUT_S)
         except ConnectFailed as error:
-            raise AttemptFailed(RunState.NO, error.detail, server_unreachable=True) from error
+            raise AttemptFailed(
+                RunState.NO, error.detail, server_unreachable=not isinstance(error, NoPath)
+            ) from error
         self._connection.send(self._request.request_id, self._encode(loop.time()))
         try:
             head = await self._connection.read_head()
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -308,8 +308,7 @@
 
         async def suspend_if_crashed() -> bool:
             """Probe the server, suspend it if it has crashed, and return whether by the request."""
-            address, header_name = server.row.address, context.header_names.request_id.lower()
-            if not await context.crash_tracker.check_crash(address, header_name):
+            if not await context.crash_tracker.check_crash(server.pool.connector):
                 return False
             self._suspend(server, "the server refuses connections", self._loop.time())
             context.decisions.record(
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -13,7 +13,9 @@
 from dataclasses import dataclass
 from itertools import chain
 
-from baobabstream.backends.http_connection import ConnectFailed, HttpConnection
+from baobabstream.backends.connector import Connector
+from baobabstream.backends.http_connection import ConnectFailed
+from baobabstream.paths.path_connector import NoPath
 from baobabstream.routing.crash_attribution import MEMORY_S, CrashAttribution, RequestKeys
 from baobabstream.routing.quarantine_ages import (
     quarantines_from_messages,
@@ -164,31 +166,27 @@
         weights = ((key, self._attribution.survival_weight(key, now_s)) for key in suspects)
         return {key: weight for key, weight in weights if weight >= MIN_REPORTED_WEIGHT}
 
-    async def check_crash(self, address: str, request_id_header: str) -> bool:
+    async def check_crash(self, connector: Connector) -> bool:
         """Probe a server whose connection was lost, and return whether it is not reachable.
 
         The probe opens a connection and closes it without sending a request. A server that accepts
         it is alive, so only the response was lost, for instance with a connection that the server
-        had closed as idle.
+        had closed as idle. Nothing is known of a server to which there is no path.
 
         Parameters
         ----------
-        address
-            ``IP:PORT`` of the server.
-        request_id_header
-            Lower-case name of the header with the identity of a request, which every connection
-            object needs although the probe sends no request.
+        connector
+            Opens the connection.
         """
         await asyncio.sleep(PROBE_DELAY_S)
-        ip, _, port = address.partition(":")
-        connection = HttpConnection(request_id_header)
         try:
-            await connection.open(ip, int(port), PROBE_TIMEOUT_S)
+            connection = await connector.connect(PROBE_TIMEOUT_S)
+        except NoPath:
             return False
         except ConnectFailed:
             return True
-        finally:
-            connection.close()
+        connection.close()
+        return False
 
     def record_crash(
         self,
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -37,6 +37,11 @@
 from baobabstream.gateway.load_source import LoadSource
 from baobabstream.gateway.server_directory import ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.paths.path_connector import PathConnector, PathServices
+from baobabstream.paths.path_prober import PathProber
+from baobabstream.paths.server_paths import ServerPaths
+from baobabstream.paths.tunnel_peers import TunnelPeers
+from baobabstream.paths.tunnel_server import TunnelPolicy, TunnelServer
 from baobabstream.routing.document import RoutingDocument
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.session_versions import SessionVersions, rollout_key
@@ -52,6 +57,7 @@
     ServerState,
 )
 from baobabstream.wire.fixed_secret_codec import fixed_secret_codec
+from baobabstream.wire.tunnel_messages import TunnelOutcome
 
 __all__ = ["GatewayDaemon"]
 
@@ -76,7 +82,7 @@
 DocumentReader = Callable[[bytes], RoutingDocument]
 
 
-class GatewayDaemon(ExchangeHandler):
+class GatewayDaemon(ExchangeHandler, TunnelPolicy):
     """Daemon of one entry host, which routes requests by host name and path.
 
     Parameters
@@ -133,10 +139,17 @@
             decisions,
             random,
         )
+        codec = fixed_secret_codec(settings.host)
+        self._paths = ServerPaths()
+        self._path_services = PathServices(
+            self._paths, TunnelPeers(random), codec, decisions, self._adapt_to_paths
+        )
+        self._path_prober = PathProber(self._paths, self._find_pool)
+        self._tunnel_server = TunnelServer(self, codec, decisions.statistics)
         self._coordination_client = CoordinationClient(
             settings.seeds,
             settings.inner_port,
-            fixed_secret_codec(settings.host),
+            codec,
             self,
             decisions,
             LoadSource(settings.host, settings.availability_zone),
@@ -184,6 +197,8 @@
                 self._front_socket or open_listening_socket(settings.ip, settings.front_port)
             )
             await self._metrics.start(settings.ip)
+            if settings.tunnel_port is not None:
+                await self._tunnel_server.start(settings.ip, settings.tunnel_port)
         except OSError as error:
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
         decisions = self.context.decisions
@@ -199,10 +214,13 @@
         stop_began_s = self._loop.time()
         self.context.is_stopping = True
         self.context.decisions.record(DecisionEvent.DAEMON_STOPPING, reason="signal")
+        self._tunnel_server.stop_accepting()
         await asyncio.sleep(STOP_ACCEPTING_AFTER_S)
         await self._frontend.stop_accepting()
         end_s = stop_began_s + self._settings.stop_grace_s - STOP_MARGIN_S
         await self._frontend.finish(end_s)
+        await self._tunnel_server.finish(end_s)
+        self._path_prober.stop()
         await self._coordination_client.stop()
         await self._ready_runner.cleanup()
         await self._metrics.stop()
@@ -256,6 +274,7 @@
             crash_revision=contact.crash_revision,
             limits=limits,
             wanted_tokens=context.directory.wanted_tokens(now_s) if limits else {},
+            tunnel_address=self._tunnel_address(),
         )
 
     @property
@@ -298,6 +317,8 @@
         context.log_quarantines(added, removed, f"coordination host {host}")
         for server in context.directory.apply_limits(reply.limits, reply.tokens, now_s):
             context.log_limit(server, f"coordination host {host}")
+        if reply.tunnel_peers is not None:
+            self._path_services.peers.set_addresses(reply.tunnel_peers)
         context.gateway_count = max(1, reply.gateways)
         context.session_versions.pinned_sessions.merge(reply.held_sessions)
         if reply.rollout_revision > context.rollout_revision:
@@ -321,6 +342,35 @@
         """Restart the expiry of servers, so that they have time to announce themselves again."""
         self.context.directory.restart_expiry(self._loop.time())
 
+    # Method of TunnelPolicy
+
+    def find_obstacle(self, server_process: str, address: str) -> TunnelOutcome | None:
+        """Return why no tunnel to a server may be opened; see `TunnelPolicy.find_obstacle`.
+
+        A tunnel never leads into another one, so that requests cannot go round in circles.
+        """
+        server = self.context.directory.find_process(server_process)
+        if server is None or server.row.address != address:
+            return TunnelOutcome.UNKNOWN_SERVER
+        return TunnelOutcome.NO_PATH if self._paths.needs_tunnel(server_process) else None
+
+    def _tunnel_address(self) -> str:
+        """Return the address for tunnels of other gateways, or empty if none can be taken now."""
+        settings = self._settings
+        can_help = self._tunnel_server.is_available and not self._paths.is_isolated
+        return f"{settings.ip}:{settings.tunnel_port}" if can_help else ""
+
+    def _find_pool(self, server_process: str) -> ConnectionPool | None:
+        """Return the connections to a server, or None if its process is gone."""
+        server = self.context.directory.find_process(server_process)
+        return server.pool if server is not None else None
+
+    def _adapt_to_paths(self) -> None:
+        """Close idle connections of paths that are not used any more, and probe lost paths."""
+        for server in self.context.directory:
+            server.pool.close_outdated()
+        self._path_prober.wake()
+
     def _register_gauges(self) -> None:
         """Register the functions from which the statistics read current values.
 
@@ -332,6 +382,10 @@
         statistics.register_gauge(
             StatisticName.CONTROL_AGE_SECONDS, self._coordination_client.age_s
         )
+        statistics.register_gauge(StatisticName.LOST_PATHS, lambda: len(self._paths.lost_servers))
+        statistics.register_gauge(
+            StatisticName.OPEN_TUNNELS, lambda: self._tunnel_server.open_tunnels
+        )
         statistics.register_gauge(
             StatisticName.DOCUMENT_VERSION,
             lambda: context.route_table.document.version if context.route_table else 0,
@@ -387,9 +441,9 @@
             int(max_connections * USED_CONNECTION_FRACTION / context.gateway_count),
         )
         idle_limit = self._idle_limits[row.service]
-        return ConnectionPool(
-            row.address, context.header_names.request_id.lower(), limit, idle_limit
-        )
+        header_name = context.header_names.request_id.lower()
+        connector = PathConnector(row.process_id, row.address, header_name, self._path_services)
+        return ConnectionPool(row.address, header_name, limit, idle_limit, connector)
 
     async def _handle_ready_check(self, _: web.Request) -> web.Response:
         """Return HTTP status 200 if this host takes requests, else 503."""
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -164,7 +164,7 @@
     @property
     def process_id(self) -> str:
         """Identity of the server's process; another start of the server is another process."""
-        return f"{self.row.server_id}.{self.row.born_ms}"
+        return self.row.process_id
 
     @property
     def is_alive(self) -> bool:
@@ -320,6 +320,11 @@
         """Return the server with an identity, or None if it is unknown."""
         return self._servers.get(server_id)
 
+    def find_process(self, process_id: str) -> KnownServer | None:
+        """Return the server whose process has an identity, or None if it is unknown or gone."""
+        server = self._servers.get(process_id.rpartition(".")[0])
+        return server if server is not None and server.process_id == process_id else None
+
     def merge(self, rows: Iterable[ServerRow], now_s: float) -> list[ServerRow]:
         """Apply announcements from a coordination host.
 
--- a/src/baobabstream/gateway/settings.py
+++ b/src/baobabstream/gateway/settings.py
@@ -34,6 +34,9 @@
     session_s
         Seconds without a request after which a session, a series of requests that a caller marks as
         belonging together, is no longer active.
+    tunnel_port
+        Port at which this host takes tunnels of other gateways to backend servers, or None without
+        a free port for it; then it offers none.
     """
 
     host: str
@@ -49,3 +52,4 @@
     retry_slack: float
     retry_window_s: float
     session_s: float
+    tunnel_port: int | None = None
--- /dev/null
+++ b/src/baobabstream/paths/server_paths.py
@@ -0,0 +1,71 @@
+"""Decides to which backend servers a gateway has lost its own path.
+
+A server that accepts a connection of another gateway, but none of this one, is alive: this
+gateway's path to it is lost. A gateway is isolated if it has lost the paths to several servers and
+reached none since. Times are in seconds.
+"""
+
+__all__ = ["ISOLATION_SERVER_COUNT", "ServerPaths"]
+
+# Number of lost paths from which on the paths to all servers are taken to be lost.
+ISOLATION_SERVER_COUNT = 2
+
+
+class ServerPaths:
+    """Which servers this gateway reaches itself, by the identities of their processes.
+
+    Attributes
+    ----------
+    is_isolated
+        Whether the paths to all servers are taken to be lost.
+    """
+
+    def __init__(self) -> None:
+        self.is_isolated = False
+        # Time in seconds at which each path was found to be lost.
+        self._lost_since_s: dict[str, float] = {}
+        # Time in seconds of the last connection that this gateway opened itself.
+        self._last_direct_s = float("-inf")
+
+    @property
+    def lost_servers(self) -> tuple[str, ...]:
+        """Servers to which the path was found to be lost, the earliest first."""
+        return tuple(self._lost_since_s)
+
+    def needs_tunnel(self, server_process: str) -> bool:
+        """Return whether new connections to a server have to go through another gateway."""
+        return self.is_isolated or server_process in self._lost_since_s
+
+    def record_lost(self, server_process: str, now_s: float) -> bool:
+        """Record that another gateway has reached a server at ``now_s``, and this one has not.
+
+        Returns whether the path was not known to be lost.
+        """
+        is_new = server_process not in self._lost_since_s
+        self._lost_since_s.setdefault(server_process, now_s)
+        lost_since_direct = sum(
+            since_s > self._last_direct_s for since_s in self._lost_since_s.values()
+        )
+        if lost_since_direct >= ISOLATION_SERVER_COUNT:
+            self.is_isolated = True
+        return is_new
+
+    def record_direct(self, server_process: str, now_s: float) -> bool:
+        """Record that this gateway has reached a server itself.
+
+        One that was isolated takes all paths to be restored; those that are not are found again.
+        Returns whether the path was taken to be lost.
+        """
+        was_lost = self.needs_tunnel(server_process)
+        self._last_direct_s = now_s
+        if self.is_isolated:
+            self.is_isolated = False
+            self._lost_since_s.clear()
+        self._lost_since_s.pop(server_process, None)
+        return was_lost
+
+    def forget(self, server_process: str) -> None:
+        """Forget a server that is gone."""
+        self._lost_since_s.pop(server_process, None)
+        if not self._lost_since_s:
+            self.is_isolated = False
--- a/src/baobabstream/platform/settings.py
+++ b/src/baobabstream/platform/settings.py
@@ -71,7 +71,8 @@
     ip: str
     # Availability zone.
     zone: str
-    # Ports for the system's own use, at least one; the first is for the protocol between daemons.
+    # First and last port for the system's own use, or one port. The first is for the protocol
+    # between the daemons, the next one for tunnels between gateways.
     internal_ports: list[int]
     # HTTP addresses of a few coordination hosts as IP:PORT. Only the IP address is used.
     seeds: list[str]
@@ -113,6 +114,7 @@
             retry_slack=bounds.retry_slack,
             retry_window_s=bounds.budget_window_s,
             session_s=bounds.session_s,
+            tunnel_port=self._tunnel_port(),
         )
 
     def _inner_port(self) -> int:
@@ -121,6 +123,14 @@
             raise SettingsError(ResultCode.SETTINGS_INVALID, "internal_ports: a port is required")
         return self.internal_ports[0]
 
+    def _tunnel_port(self) -> int | None:
+        """Return the port after that of the protocol between the daemons, None if it isn't free.
+
+        ``internal_ports`` are the first and the last port of a range.
+        """
+        port = self._inner_port() + 1
+        return port if port <= self.internal_ports[-1] else None
+
     def coordination(self) -> CoordinationSettings:
         """Return the settings of a coordination daemon.
 
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -26,7 +26,10 @@
 requests under way at the server, and ``others_in_flight`` that of the other gateways by their last
 reports, which shows that a server that this one does not reach is alive; ``fingerprint`` a hash of
 a request's content; ``shared_parts`` the parts of its prompt that other prompts may have too;
-``events`` how many events of its answer had arrived when its server crashed.
+``events`` how many events of its answer had arrived when its server crashed; ``path`` whether new
+connections to a server are opened by this gateway (``direct``) or through another one (``tunnel``),
+``lost_paths`` to how many servers it has lost its own path, ``isolated`` whether it takes all of
+them to be lost, and ``peers`` how many gateways it can ask.
 """
 
 import asyncio
@@ -72,6 +75,7 @@
     SERVER_CHANGED = "server_changed"
     SERVER_SUSPECTED = "server_suspected"
     SERVER_LIMITED = "server_limited"
+    PATH_CHANGED = "path_changed"
     SERVER_CRASHED = "server_crashed"
     QUARANTINE_CHANGED = "quarantine_changed"
     DOCUMENT_IN_FORCE = "document_in_force"
@@ -132,6 +136,7 @@
     DecisionEvent.SERVER_CHANGED: ("server", "service", "address", "state", "version", "reason"),
     DecisionEvent.SERVER_SUSPECTED: ("server", "reason", "hold_ms", "others_in_flight"),
     DecisionEvent.SERVER_LIMITED: ("server", "limit_per_s", "reason"),
+    DecisionEvent.PATH_CHANGED: ("server", "path", "reason", "lost_paths", "isolated", "peers"),
     DecisionEvent.SERVER_CRASHED: ("server", "request_id", "fingerprint", "shared_parts", "events"),
     DecisionEvent.QUARANTINE_CHANGED: ("added", "removed", "reason"),
     DecisionEvent.DOCUMENT_IN_FORCE: ("document_version", "routes"),
--- a/src/baobabstream/telemetry/statistics.py
+++ b/src/baobabstream/telemetry/statistics.py
@@ -36,6 +36,10 @@
     OPEN_REQUESTS = "baobabstream_open_requests"
     DOCUMENT_VERSION = "baobabstream_document_version"
     READY_SERVERS = "baobabstream_ready_servers"
+    LOST_PATHS = "baobabstream_lost_paths"
+    TUNNELS_OPENED = "baobabstream_tunnels_opened"
+    TUNNEL_REQUESTS = "baobabstream_tunnel_requests"
+    OPEN_TUNNELS = "baobabstream_open_tunnels"
     CONTROL_AGE_SECONDS = "baobabstream_control_age_seconds"
     ORDERS = "baobabstream_orders"
     ORDER_SECONDS = "baobabstream_order_seconds"
@@ -73,6 +77,14 @@
     StatisticName.OPEN_REQUESTS: Statistic("Requests under way."),
     StatisticName.DOCUMENT_VERSION: Statistic("Version of the configuration in force here."),
     StatisticName.READY_SERVERS: Statistic("Backend servers that take new requests."),
+    StatisticName.LOST_PATHS: Statistic("Backend servers that only other gateways reach."),
+    StatisticName.TUNNELS_OPENED: Statistic(
+        "Tunnels to servers that were asked of other gateways.", ("outcome",)
+    ),
+    StatisticName.TUNNEL_REQUESTS: Statistic(
+        "Tunnels to servers that other gateways asked for.", ("outcome",)
+    ),
+    StatisticName.OPEN_TUNNELS: Statistic("Connections of other gateways for tunnels."),
     StatisticName.CONTROL_AGE_SECONDS: Statistic("Time since a coordination host has answered."),
     StatisticName.ORDERS: Statistic("Orders of operators.", ("order", "outcome")),
     StatisticName.ORDER_SECONDS: Statistic("Time to carry out an order.", ("order",)),
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -64,6 +64,11 @@
     slots: int
     state: ServerState
 
+    @property
+    def process_id(self) -> str:
+        """Identity of the server's process; another start of the server is another process."""
+        return f"{self.server_id}.{self.born_ms}"
+
 
 class RolloutState(StrEnum):
     """State of the last rollout of a service."""
@@ -204,6 +209,9 @@
     ``limits`` are those that the gateway knows, also of limits that ended a while ago, and
     ``wanted_tokens`` the number of requests for which it asks, by server process. Their size grows
     with the servers that name limits.
+
+    ``tunnel_address`` is the IP:PORT at which other gateways may reach backend servers through this
+    one, or empty if they may not now.
     """
 
     host: str
@@ -226,6 +234,7 @@
     crash_revision: int = 0
     limits: tuple[ServerLimit, ...] = ()
     wanted_tokens: dict[str, int] = {}
+    tunnel_address: str = ""
 
 
 class ExchangeReply(Struct, frozen=True, omit_defaults=True, tag="exchange_reply"):
@@ -242,6 +251,8 @@
     ``session_digests`` and ``held_sessions`` are those of the coordination host, with the meaning
     that they have in an exchange request. ``limits`` are those of all gateways. ``tokens`` are the
     requests that the gateway may send, by server process; None if this host does not lead.
+    ``tunnel_peers`` are the tunnel addresses of a few other gateways, as many however many gateways
+    there are, or None if the load was not asked for.
     """
 
     hosts: tuple[str, ...]
@@ -264,6 +275,7 @@
     crash_revision: int = 0
     limits: tuple[ServerLimit, ...] = ()
     tokens: dict[str, int] | None = None
+    tunnel_peers: tuple[str, ...] | None = None
 
 
 class DocumentOrder(Struct, frozen=True, tag="document_order"):
--- a/src/baobabstream/wire/message_union.py
+++ b/src/baobabstream/wire/message_union.py
@@ -44,6 +44,7 @@
     TrialReply,
     TrialRequest,
 )
+from baobabstream.wire.tunnel_messages import TunnelReply, TunnelRequest
 
 __all__ = ["MessageUnion"]
 
@@ -83,4 +84,6 @@
     | RolloutOrder
     | RolloutQuery
     | RolloutReply
+    | TunnelRequest
+    | TunnelReply
 )
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -31,7 +31,7 @@
 # API key of the only client account.
 KEY = "desk-key"
 # Ports of every daemon; the daemons differ in their IP addresses.
-HTTP_PORT, READY_PORT, FRONT_PORT, INNER_PORT = 8229, 8220, 8227, 7340
+HTTP_PORT, READY_PORT, FRONT_PORT, INNER_PORT, TUNNEL_PORT = 8229, 8220, 8227, 7340, 7341
 # Time between two heartbeats of a backend server.
 HEARTBEAT_S = 0.3
 # Time after which a backend server sends its heartbeat to the next host instead.
@@ -176,6 +176,7 @@
             50.0,
             10.0,
             5.0,
+            TUNNEL_PORT,
         )
         decisions = DecisionLog(ip, self._null_descriptor)
         daemon = GatewayDaemon(settings, HEADERS, READY_PATH, read_document, Random(1), decisions)
@@ -187,6 +188,8 @@
         gateway = self.gateways.pop(ip)
         await gateway._coordination_client.stop()
         await gateway._frontend.finish(0)
+        await gateway._tunnel_server.finish(0)
+        gateway._path_prober.stop()
         await gateway._ready_runner.cleanup()
         await gateway._metrics.stop()
 
