A send that finds no connection counts neither as an arrival nor as a run

Cause: a send was counted before its connection was open; the retry budget, which limits what arrives at servers, was used up by connections that failed, and a deadline that passed meanwhile was answered as if the request might have run. tests/platform/test_unsent_requests.py failed before (504 for 503 on all three routes; no retry left after 100 requests that reached no server).

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -128,6 +128,8 @@
         that is recorded for the stream, or None.
     is_open
         Whether the attempt has been sent and not closed.
+    was_transmitted
+        Whether the request has been written to a connection, so that the server may get it.
     was_cut
         Whether the attempt was closed before its response was complete.
     event_count, first_event_s
@@ -162,6 +164,7 @@
         self._is_processing_prompt = False
         self._event_buffer = EventBuffer()
         self.is_open = False
+        self.was_transmitted = False
         self.provisional_pace: float | None = None
         self.was_cut = False
         self.event_count = 0
@@ -193,6 +196,7 @@
             raise AttemptFailed(
                 RunState.NO, error.detail, server_unreachable=not isinstance(error, NoPath)
             ) from error
+        self.was_transmitted = True
         self._connection.send(self._request.request_id, self._encode(loop.time()))
         try:
             head = await self._connection.read_head()
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -70,6 +70,9 @@
     ----------
     send_count, run_count
         Number of sends, and of runs.
+    transmission_count, refusal_count
+        Number of sends that found a connection, and of those that a server refused without running
+        the request.
     may_have_run
         Whether a failed attempt ran or may have run the request.
     model
@@ -82,6 +85,8 @@
 
     send_count: int = 0
     run_count: int = 0
+    transmission_count: int = 0
+    refusal_count: int = 0
     may_have_run: bool = False
     model: str = ""
     confidence: str = ""
@@ -242,6 +247,8 @@
             if failure.head is not None:
                 self._recorder.record_notices(attempt.server, failure.head)
             raise
+        finally:
+            self._progress.transmission_count += attempt.was_transmitted
         self._recorder.record_notices(attempt.server, head)
         return head
 
@@ -482,6 +489,7 @@
     def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         """Record a failed attempt, and whether it ran or was refused without running."""
         if failure.run_state is RunState.NO:
+            self._progress.refusal_count += attempt.was_transmitted
             self._selection.exclude(attempt.server)
         else:
             # Adds 1 unless the attempt was counted when its response began.
@@ -493,7 +501,8 @@
         """Return if the request may be sent again; else raise its final error.
 
         It may if the failed attempt has not run, or the route allows a second run, and neither the
-        limits of runs and sends nor the retry budget are exhausted.
+        limits of runs and sends nor the retry budget are exhausted. The budget limits what arrives
+        at servers, so a send that found no connection uses none of it.
         """
         request, progress = self._request, self._progress
         may_repeat = failure.run_state is RunState.NO or request.route.is_repeatable
@@ -501,7 +510,7 @@
             not may_repeat
             or progress.run_count >= request.route.max_attempts
             or progress.send_count >= MAX_SENDS
-            or not self._try_acquire_retry()
+            or (progress.transmission_count and not self._try_acquire_retry())
         ):
             self._raise_final_error(failure)
 
@@ -578,13 +587,14 @@
     def _respond_timed_out(self) -> web.StreamResponse:
         """Return the response to a request whose deadline has passed.
 
-        The connection is closed if a stream has begun. A request that was sent to a server may have
-        run.
+        The connection is closed if a stream has begun. A request may have run unless each server
+        that got it has refused it.
         """
         self._outcome = "timed out"
         if self._response is not None and self._response.prepared:
             return self._abort_stream()
-        may_have_run = self._progress.may_have_run or self._progress.send_count > 0
+        progress = self._progress
+        may_have_run = progress.transmission_count > progress.refusal_count
         code = ResultCode.TIMED_OUT if may_have_run else ResultCode.NO_BACKEND_SERVER
         return self._respond(error_response(RequestRefused(code)))
 
