Requests are refused at once while no server of theirs can be reached

Callers of hosts that reached no server waited 0.6 s for each connection, up to five times, and at worst until their deadline. Cause: suspended servers were tried by requests, as nothing else tried them.

--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -39,7 +39,6 @@
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.paths.path_connector import PathConnector, PathServices
 from baobabstream.paths.path_prober import PathProber
-from baobabstream.paths.server_paths import ServerPaths
 from baobabstream.paths.tunnel_peers import TunnelPeers
 from baobabstream.paths.tunnel_server import TunnelPolicy, TunnelServer
 from baobabstream.routing.document import RoutingDocument
@@ -140,11 +139,16 @@
             random,
         )
         codec = fixed_secret_codec(settings.host)
-        self._paths = ServerPaths()
+        self._paths = self.context.paths
+        self._path_prober = PathProber(self._paths, self._find_pool)
         self._path_services = PathServices(
-            self._paths, TunnelPeers(random), codec, decisions, self._adapt_to_paths
+            self._paths,
+            TunnelPeers(random),
+            codec,
+            decisions,
+            self._adapt_to_paths,
+            self._path_prober.wake,
         )
-        self._path_prober = PathProber(self._paths, self._find_pool)
         self._tunnel_server = TunnelServer(self, codec, decisions.statistics)
         self._coordination_client = CoordinationClient(
             settings.seeds,
@@ -361,9 +365,13 @@
         return f"{settings.ip}:{settings.tunnel_port}" if can_help else ""
 
     def _find_pool(self, server_process: str) -> ConnectionPool | None:
-        """Return the connections to a server, or None if its process is gone."""
-        server = self.context.directory.find_process(server_process)
-        return server.pool if server is not None else None
+        """Return the connections to a server, or None if its process takes no requests."""
+        directory = self.context.directory
+        server = directory.find_process(server_process)
+        if server is None:
+            return None
+        ready_servers = directory.ready_servers(server.row.service, self._loop.time())
+        return server.pool if server in ready_servers else None
 
     def _adapt_to_paths(self) -> None:
         """Close idle connections of paths that are not used any more, and probe lost paths."""
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -20,6 +20,7 @@
 from baobabstream.gateway.response_memory import ResponseMemory
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.paths.server_paths import ServerPaths
 from baobabstream.routing.response_time_estimator import ResponseTimeEstimator
 from baobabstream.routing.retry_budget import RetryBudget
 from baobabstream.routing.route_table import RouteTable
@@ -72,6 +73,8 @@
         Memory for the responses that are being buffered.
     background_tasks
         Tasks that outlive the request that started them.
+    paths
+        Servers that this gateway does not reach, or not by its own path.
     """
 
     settings: GatewaySettings
@@ -92,6 +95,7 @@
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
     response_memory: ResponseMemory = field(default_factory=ResponseMemory)
     background_tasks: set[asyncio.Task] = field(default_factory=set)
+    paths: ServerPaths = field(default_factory=ServerPaths)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, and create it at the first call.
--- a/src/baobabstream/gateway/server_selection.py
+++ b/src/baobabstream/gateway/server_selection.py
@@ -49,9 +49,9 @@
     def choose(self, model: str) -> tuple[KnownServer, float]:
         """Choose the server of the next attempt.
 
-        Servers that have asked for a pause, refused the request or have no free connection are
-        excluded, and so are those whose limits allow no request. Servers that have not been tried,
-        and those that are not suspended, are preferred. Of the rest, one with a low expected time
+        Servers that have asked for a pause, refused the request, have no free connection or cannot
+        be reached are excluded, and so are those whose limits allow no request. Servers that have
+        not been tried, and those that are not suspended, are preferred. Of the rest, one with a low expected time
         is chosen; see `choose_server`. The session counts as active at the service from now on.
 
         Parameters
@@ -141,9 +141,15 @@
         connectable_servers = [
             server for server in untried_servers or accepting_servers if not server.pool.is_full
         ]
+        paths = self._context.paths
+        reachable_servers = [
+            server
+            for server in connectable_servers
+            if not paths.is_unreachable(server.process_id, now_s)
+        ]
         return [
-            server for server in connectable_servers if server.suspended_until_s <= now_s
-        ] or connectable_servers
+            server for server in reachable_servers if server.suspended_until_s <= now_s
+        ] or reachable_servers
 
     def _expected_prompt_s(self, server: KnownServer, model: str) -> float:
         """Return the expected seconds for a server to process the prompt with a model.
--- a/src/baobabstream/paths/path_connector.py
+++ b/src/baobabstream/paths/path_connector.py
@@ -48,6 +48,8 @@
         Log of decisions.
     on_change
         Called after a path was lost or restored.
+    on_failure
+        Called after a server has accepted no connection.
     """
 
     paths: ServerPaths
@@ -55,6 +57,7 @@
     codec: WireCodec
     decisions: DecisionLog
     on_change: Callable[[], None]
+    on_failure: Callable[[], None]
 
     def report_change(self, server_process: str, path: str, reason: str) -> None:
         """Write a changed path to the decision log, and adapt to it."""
@@ -109,8 +112,28 @@
         ConnectFailed
             If the server cannot be reached.
         """
-        if self._services.paths.needs_tunnel(self.server_process):
-            return await self._connect_by_peer(timeout_s)
+        began_s = asyncio.get_running_loop().time()
+        paths = self._services.paths
+        try:
+            if paths.needs_tunnel(self.server_process):
+                connection = await self._connect_by_peer(timeout_s)
+            else:
+                connection = await self._connect_by_either(timeout_s)
+        except ConnectFailed:
+            paths.record_failed(self.server_process, began_s)
+            self._services.on_failure()
+            raise
+        paths.record_reached(self.server_process)
+        return connection
+
+    async def _connect_by_either(self, timeout_s: float) -> HttpConnection:
+        """Open a connection by the own path, and through another gateway if that is slow or fails.
+
+        Raises
+        ------
+        ConnectFailed
+            If neither opens one within ``timeout_s`` seconds.
+        """
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         direct = asyncio.create_task(self.connect_directly(timeout_s))
@@ -139,6 +162,7 @@
         """
         connection = await self._direct.connect(timeout_s)
         now_s = asyncio.get_running_loop().time()
+        self._services.paths.record_reached(self.server_process)
         if self._services.paths.record_direct(self.server_process, now_s):
             self._services.report_change(
                 self.server_process, "direct", "the server accepts connections"
--- a/src/baobabstream/paths/path_prober.py
+++ b/src/baobabstream/paths/path_prober.py
@@ -1,7 +1,9 @@
-"""Finds out when a gateway's own path to a backend server is restored."""
+"""Finds out when a gateway reaches a backend server again."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
+from itertools import chain
 
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.backends.http_connection import ConnectFailed
@@ -13,21 +15,25 @@
 
 _log = get_logger("path_prober")
 
-# Time between two probes, of one server each, and the longest wait for a connection.
+# Time between two rounds of probes, and the longest wait for a connection.
 PROBE_INTERVAL_S, PROBE_TIMEOUT_S = 0.5, 0.5
+# Most servers that are probed in a round, so that the cost does not grow with the servers.
+MAX_PROBES = 4
 
 
 class PathProber:
-    """Opens connections to the servers of lost paths in turn, while there are any.
+    """Opens connections to servers that were not reached, in turn, while there are any.
 
-    A connection that a server accepts is kept for the next request.
+    Servers to which the own path is lost are probed by it, and the others by all paths. A
+    connection that a server accepts is kept for the next request.
 
     Parameters
     ----------
     paths
-        Servers to which the own path is lost.
+        Servers that were not reached.
     find_pool
-        Returns the connections to a server, by the identity of its process, or None if it is gone.
+        Returns the connections to a server, by the identity of its process, or None if it takes no
+        requests any more.
     """
 
     def __init__(
@@ -36,10 +42,12 @@
         self._paths = paths
         self._find_pool = find_pool
         self._task: asyncio.Task[None] | None = None
+        # Servers of the present turn that have not been probed yet.
+        self._turn: deque[str] = deque()
 
     def wake(self) -> None:
-        """Start to probe, unless this is under way or no path is lost."""
-        if self._paths.lost_servers and (self._task is None or self._task.done()):
+        """Start to probe, unless this is under way or all servers were reached."""
+        if self._targets() and (self._task is None or self._task.done()):
             self._task = asyncio.create_task(self._run())
 
     def stop(self) -> None:
@@ -47,21 +55,31 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _targets(self) -> tuple[str, ...]:
+        """Return the servers to probe, each once."""
+        return tuple(dict.fromkeys(chain(self._paths.lost_servers, self._paths.failing_servers)))
+
     async def _run(self) -> None:
-        """Probe until no path is lost."""
-        while lost_servers := self._paths.lost_servers:
-            for server_process in lost_servers:
-                await asyncio.sleep(PROBE_INTERVAL_S)
-                if server_process in self._paths.lost_servers:
-                    await self._probe(server_process)
+        """Probe until all servers were reached."""
+        while targets := self._targets():
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            if not self._turn:
+                self._turn.extend(targets)
+            round_size = min(MAX_PROBES, len(self._turn))
+            servers = [self._turn.popleft() for _ in range(round_size)]
+            await asyncio.gather(*map(self._probe, servers))
 
     async def _probe(self, server_process: str) -> None:
-        """Open a connection to one server, or forget a server that is gone."""
+        """Open a connection to one server, or forget a server that takes no requests any more."""
+        if server_process not in self._targets():
+            return
         pool = self._find_pool(server_process)
         if pool is None or not isinstance(pool.connector, PathConnector):
             self._paths.forget(server_process)
             return
+        needs_tunnel = self._paths.needs_tunnel(server_process)
+        connect = pool.connector.connect_directly if needs_tunnel else pool.connector.connect
         try:
-            pool.add_idle(await pool.connector.connect_directly(PROBE_TIMEOUT_S))
+            pool.add_idle(await connect(PROBE_TIMEOUT_S))
         except ConnectFailed as error:
-            _log.debug("The path to %s is still lost: %s", server_process, error.detail)
+            _log.debug("Server %s is still not reached: %s", server_process, error.detail)
--- a/src/baobabstream/paths/server_paths.py
+++ b/src/baobabstream/paths/server_paths.py
@@ -1,7 +1,8 @@
-"""Decides to which backend servers a gateway has lost its own path.
+"""Decides to which backend servers a gateway has lost its own path, and which it cannot reach.
 
 A server that accepts a connection of another gateway, but none of this one, is alive: this
-gateway's path to it is lost. A gateway is isolated if it has lost the paths to several servers and
+gateway's path to it is lost. A server that accepts no connection by any path for a while is
+unreachable. A gateway is isolated if it has lost the paths to several servers and
 reached none since. Times are in seconds.
 """
 
@@ -9,6 +10,9 @@
 
 # Number of lost paths from which on the paths to all servers are taken to be lost.
 ISOLATION_SERVER_COUNT = 2
+# Time for which a server must have accepted no connection to count as unreachable. A sound server
+# may be silent for a second.
+UNREACHABLE_AFTER_S = 1.5
 
 
 class ServerPaths:
@@ -24,6 +28,8 @@
         self.is_isolated = False
         # Time in seconds at which each path was found to be lost.
         self._lost_since_s: dict[str, float] = {}
+        # Time in seconds since which each server has accepted no connection by any path.
+        self._failing_since_s: dict[str, float] = {}
         # Time in seconds of the last connection that this gateway opened itself.
         self._last_direct_s = float("-inf")
 
@@ -32,6 +38,24 @@
         """Servers to which the path was found to be lost, the earliest first."""
         return tuple(self._lost_since_s)
 
+    @property
+    def failing_servers(self) -> tuple[str, ...]:
+        """Servers that have accepted no connection at the last attempt, by any path."""
+        return tuple(self._failing_since_s)
+
+    def is_unreachable(self, server_process: str, now_s: float) -> bool:
+        """Return whether a server has accepted no connection for a while."""
+        failing_since_s = self._failing_since_s.get(server_process)
+        return failing_since_s is not None and now_s - failing_since_s >= UNREACHABLE_AFTER_S
+
+    def record_failed(self, server_process: str, began_s: float) -> None:
+        """Record that a server has accepted no connection that was begun at a time."""
+        self._failing_since_s.setdefault(server_process, began_s)
+
+    def record_reached(self, server_process: str) -> None:
+        """Record that a server has accepted a connection by any path."""
+        self._failing_since_s.pop(server_process, None)
+
     def needs_tunnel(self, server_process: str) -> bool:
         """Return whether new connections to a server have to go through another gateway."""
         return self.is_isolated or server_process in self._lost_since_s
@@ -66,6 +90,7 @@
 
     def forget(self, server_process: str) -> None:
         """Forget a server that is gone."""
+        self._failing_since_s.pop(server_process, None)
         self._lost_since_s.pop(server_process, None)
         if not self._lost_since_s:
             self.is_isolated = False
--- a/tests/caller_traffic.py
+++ b/tests/caller_traffic.py
@@ -18,8 +18,8 @@
 
     Attributes
     ----------
-    gateway_index
-        Number of the gateway that it was sent to.
+    request_id, path, gateway_index
+        Identity and path of the request, and the number of the gateway that it was sent to.
     sent_s, taken_s
         Time of the event loop at which it was sent, and how long it took, both in seconds.
     status
@@ -28,6 +28,8 @@
         The header ``Retry-After``, or None.
     """
 
+    request_id: str
+    path: str
     gateway_index: int
     sent_s: float
     taken_s: float
@@ -95,6 +97,8 @@
             status, headers = 0, {}
         self.outcomes.append(
             RequestOutcome(
+                name,
+                self._path(number),
                 gateway_index,
                 sent_s,
                 loop.time() - sent_s,
--- a/tests/paths/test_server_paths.py
+++ b/tests/paths/test_server_paths.py
@@ -41,3 +41,14 @@
     assert paths.is_isolated
     paths.forget("b.1")
     assert not paths.is_isolated
+
+
+def test_server_that_is_silent_for_a_second_stays_in_use():
+    """Guards against requests that are refused as their only server pauses for a moment."""
+    paths = ServerPaths()
+    paths.record_failed("a.1", 1.0)
+    paths.record_failed("a.1", 1.9)
+    assert not paths.is_unreachable("a.1", 2.0)
+    assert paths.is_unreachable("a.1", 3.0)
+    paths.record_reached("a.1")
+    assert not paths.is_unreachable("a.1", 3.0)
