--- a/src/baobabstream/gateway/server_selection.py
+++ b/src/baobabstream/gateway/server_selection.py
@@ -51,8 +51,9 @@
 
         Servers that have asked for a pause, refused the request, have no free connection or cannot
         be reached are excluded, and so are those whose limits allow no request. Servers that have
-        not been tried, and those that are not suspended, are preferred. Of the rest, one with a low expected time
-        is chosen; see `choose_server`. The session counts as active at the service from now on.
+        not been tried, and those that are not suspended, are preferred. Of the rest, one with a low
+        expected time is chosen; see `choose_server`. The session counts as active at the service
+        from now on.
 
         Parameters
         ----------
