Brittle servers get no more requests than they have places for

Servers that say Server-Brittle fall over when they have to reject too many requests in a second. No part of the gateway read the header; eight or more requests beyond a server's slots were sent on stale reports.

The number of gateways is now the highest that any host has counted in the last 2 s, since a host that has just started knows only a few.

--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -233,8 +233,9 @@
         ``rollouts`` are all rollouts; each is empty if the gateway has the newest. ``rows`` are the
         changed announcements, and ``refreshed`` the identities of servers that have announced
         themselves again without a change, so that the gateway does not consider them lost.
-        ``gateways`` is the number of active gateways. ``work`` is the work of all other gateways by
-        server; the gateway itself knows its own better than by its last report.
+        ``gateways`` is the number of active gateways, and ``gateway_position`` that of this one.
+        ``work`` is the work of all other gateways by server; the gateway itself knows its own
+        better than by its last report.
         ``session_digests`` are the digests of this host's sets of pinned sessions, and
         ``held_sessions`` holds those sets that differ from the gateway's.
         """
@@ -242,6 +243,7 @@
         delta = self._feed.delta(request.epoch, request.position)
         has_newer_document = self._has_newer_document(request)
         has_newer_rollouts = self._has_newer_rollouts(request)
+        rank = self.contacts.rank(now_s, request.host)
         return ExchangeReply(
             hosts=self._member_hosts(),
             document_version=state.document_version,
@@ -252,7 +254,8 @@
             position=delta.position,
             rows=delta.rows,
             refreshed=delta.refreshed,
-            gateways=len(self.contacts.active_reports(now_s)),
+            gateways=rank.count,
+            gateway_position=rank.position,
             # The work of all gateways but the one on ``request.host``, which asks.
             work=(
                 self.contacts.work_by_server(now_s, request.host) if request.wants_work else None
--- a/src/baobabstream/coordination/gateway_contacts.py
+++ b/src/baobabstream/coordination/gateway_contacts.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from itertools import chain, islice
 
+from baobabstream.routing.gateway_ranks import GatewayRank
 from baobabstream.routing.stable_hashing import stable_hash
 from baobabstream.wire.coordination_messages import ExchangeRequest, ServerWork
 
@@ -37,9 +38,11 @@
         self._summed_at_s = float("-inf")
         self._work_by_gateway: dict[str, dict[str, ServerWork]] = {}
         self._total_work: dict[str, ServerWork] = {}
-        # Cache of the offered tunnel addresses in an order of their own, and the time of the cache.
+        # Cache of the names of the active gateways, and of their tunnel addresses in the order of a
+        # hash; and the time of the cache in seconds.
+        self._active_hosts: list[str] = []
         self._tunnel_addresses: list[str] = []
-        self._tunnels_listed_s = float("-inf")
+        self._active_listed_s = float("-inf")
 
     def record_report(self, report: ExchangeRequest, now_s: float) -> None:
         """Store the report of a gateway; ``now_s`` is the time of the event loop in seconds."""
@@ -86,6 +89,27 @@
         }
         return {server_id: work for server_id, work in remaining_work.items() if work.in_flight > 0}
 
+    def rank(self, now_s: float, gateway: str) -> GatewayRank:
+        """Return the position of a gateway among the active ones, by name, and their number.
+
+        ``now_s`` is the time of the event loop in seconds.
+        """
+        self._refresh_active(now_s)
+        position = bisect_left(self._active_hosts, gateway)
+        return GatewayRank(position, max(1, len(self._active_hosts)))
+
+    def _refresh_active(self, now_s: float) -> None:
+        """Update what is cached of the active gateways, after ``SUM_LIFETIME_S``."""
+        if now_s - self._active_listed_s < SUM_LIFETIME_S:
+            return
+        self._active_listed_s = now_s
+        reports = self.active_reports(now_s)
+        self._active_hosts = sorted(report.host for report in reports)
+        self._tunnel_addresses = sorted(
+            (report.tunnel_address for report in reports if report.tunnel_address),
+            key=stable_hash,
+        )
+
     def tunnel_peers(self, now_s: float, gateway: str) -> tuple[str, ...]:
         """Return the tunnel addresses of a few gateways that help another one.
 
@@ -100,16 +124,7 @@
         gateway
             Host that asks.
         """
-        if now_s - self._tunnels_listed_s >= SUM_LIFETIME_S:
-            self._tunnels_listed_s = now_s
-            self._tunnel_addresses = sorted(
-                (
-                    report.tunnel_address
-                    for report in self.active_reports(now_s)
-                    if report.tunnel_address
-                ),
-                key=stable_hash,
-            )
+        self._refresh_active(now_s)
         _, report = self._reports.get(gateway, (0.0, None))
         own_address = report.tunnel_address if report is not None else ""
         position = bisect_left(self._tunnel_addresses, stable_hash(gateway), key=stable_hash)
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -221,9 +221,9 @@
         """Record what the head of a response says about the server beside the response itself.
 
         A server that is leaving gets no more requests, and one that has refused a request and names
-        a time gets none until then. One that names a limit gets no more requests than that, for as
-        long as its responses say so. A response from another server at the address says nothing
-        about this one.
+        a time gets none until then. One that names a limit gets no more requests than that, and one
+        that is brittle no more than it has room for, as long as its responses say so. A response
+        from another server at the address says nothing about this one.
         """
         if head.status == MISDIRECTED_STATUS:
             return
@@ -239,9 +239,15 @@
                 version=server.row.version,
                 reason="a response said that the server is leaving",
             )
-        limit_per_s = _parse_limit_per_s(head.get(header_names.server_limit))
+        limit_per_s = _parse_rate_per_s(head.get(header_names.server_limit))
         if server.limit.observe(limit_per_s, now_s, now_s):
             self._context.log_limit(server, "an answer")
+        max_rejections_per_s = _parse_rate_per_s(head.get(header_names.server_brittle))
+        if self._context.directory.observe_brittleness(server, max_rejections_per_s):
+            self._context.log_brittleness(server)
+        if head.status == UNAVAILABLE_STATUS and head.get(header_names.not_run) is not None:
+            gateway_count = self._context.ranks.current(now_s).count
+            server.rejection_guard.record_rejection(gateway_count, now_s)
         pause_s = _parse_pause_s(head.get(header_names.retry_after))
         if head.status == UNAVAILABLE_STATUS and pause_s > 0:
             server.refuses_until_s = max(server.refuses_until_s, now_s + pause_s)
@@ -380,10 +386,10 @@
     return min(seconds, MAX_PAUSE_S) if seconds > 0 else 0.0
 
 
-def _parse_limit_per_s(server_limit: str | None) -> float | None:
-    """Return the requests a second in a ``Server-Limit`` header, or None without a valid number."""
+def _parse_rate_per_s(rate: str | None) -> float | None:
+    """Return the number a second in a header of a server, or None without a valid one."""
     try:
-        limit_per_s = float(server_limit) if server_limit is not None else None
+        rate_per_s = float(rate) if rate is not None else None
     except ValueError:
         return None
-    return limit_per_s if limit_per_s is not None and 0 <= limit_per_s < float("inf") else None
+    return rate_per_s if rate_per_s is not None and 0 <= rate_per_s < float("inf") else None
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -42,6 +42,7 @@
 from baobabstream.paths.tunnel_peers import TunnelPeers
 from baobabstream.paths.tunnel_server import TunnelPolicy, TunnelServer
 from baobabstream.routing.document import RoutingDocument
+from baobabstream.routing.gateway_ranks import GatewayRank
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.session_versions import SessionVersions, rollout_key
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
@@ -323,7 +324,8 @@
             context.log_limit(server, f"coordination host {host}")
         if reply.tunnel_peers is not None:
             self._path_services.peers.set_addresses(reply.tunnel_peers)
-        context.gateway_count = max(1, reply.gateways)
+        rank = GatewayRank(reply.gateway_position, max(1, reply.gateways))
+        context.ranks.record(host, rank, now_s)
         context.session_versions.pinned_sessions.merge(reply.held_sessions)
         if reply.rollout_revision > context.rollout_revision:
             context.rollout_revision = reply.rollout_revision
@@ -444,9 +446,10 @@
         service = context.route_table.services.get(row.service) if context.route_table else None
         # 100 is also the number for a service whose configuration states none.
         max_connections = service.max_connections if service is not None else 100
+        gateway_count = context.ranks.current(self._loop.time()).count
         limit = max(
             MIN_CONNECTIONS,
-            int(max_connections * USED_CONNECTION_FRACTION / context.gateway_count),
+            int(max_connections * USED_CONNECTION_FRACTION / gateway_count),
         )
         idle_limit = self._idle_limits[row.service]
         header_name = context.header_names.request_id.lower()
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -21,6 +21,7 @@
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.paths.server_paths import ServerPaths
+from baobabstream.routing.gateway_ranks import GatewayRanks
 from baobabstream.routing.response_time_estimator import ResponseTimeEstimator
 from baobabstream.routing.retry_budget import RetryBudget
 from baobabstream.routing.route_table import RouteTable
@@ -63,8 +64,8 @@
         State of the last rollout of each service, by service.
     rollout_revision
         Revision of ``rollouts``; it rises with each change.
-    gateway_count
-        Number of active gateways, this one included.
+    ranks
+        Position of this gateway among the active ones, by the replies of the coordination hosts.
     is_stopping
         Whether the daemon has been asked to stop.
     retry_budgets
@@ -90,7 +91,7 @@
     route_table: RouteTable | None = None
     rollouts: dict[str, RolloutRow] = field(default_factory=dict)
     rollout_revision: int = 0
-    gateway_count: int = 1
+    ranks: GatewayRanks = field(default_factory=GatewayRanks)
     is_stopping: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
     response_memory: ResponseMemory = field(default_factory=ResponseMemory)
@@ -158,6 +159,14 @@
             reason=reason,
         )
 
+    def log_brittleness(self, server: KnownServer) -> None:
+        """Write to the decision log whether a server is brittle now."""
+        self.decisions.record(
+            DecisionEvent.SERVER_BRITTLE,
+            server=server.row.server_id,
+            max_rejections_per_s=server.rejection_guard.max_rejections_per_s,
+        )
+
     def is_in_service(self, server: KnownServer) -> bool:
         """Return whether a server is announced as ready, and its version in use.
 
@@ -174,25 +183,34 @@
     def candidates(self, service: str, session: str, now_s: float) -> list[KnownServer]:
         """Return the servers that may run a request of a session and take requests now.
 
-        These are the ones of `servers_of_session` that have not asked for a pause, and whose limits
-        allow one more request.
+        These are the ones of `servers_of_session` that have not asked for a pause, whose limits
+        allow one more request, and that have a place for it if they are brittle.
         """
+        rank = self.ranks.current(now_s)
         return [
             server
             for server in self.servers_of_session(service, session, now_s)
             if server.refuses_until_s <= now_s
-            and server.limit.allows_request(now_s, self.gateway_count)
+            and server.limit.allows_request(now_s, rank.count)
+            and server.rejection_guard.allows_request(
+                server.in_flight, server.row.slots, server.process_id, rank, now_s
+            )
         ]
 
     def pause_left_s(self, service: str, session: str, now_s: float) -> float | None:
         """Return the seconds until a server that takes no request now will probably take one.
 
-        A server has asked for a pause, or names a limit. The time is that of the first one that may
+        A server has asked for a pause, names a limit, or is brittle and has rejected a request. The
+        time is that of the first one that may
         run a request of the session, or None if none of them has done so. The parameters are those
         of `candidates`.
         """
         pauses_s = (
-            max(server.refuses_until_s - now_s, server.limit.seconds_to_next_request())
+            max(
+                server.refuses_until_s - now_s,
+                server.limit.seconds_to_next_request(),
+                server.rejection_guard.seconds_paused(now_s),
+            )
             for server in self.servers_of_session(service, session, now_s)
         )
         return min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
--- a/src/baobabstream/gateway/header_names.py
+++ b/src/baobabstream/gateway/header_names.py
@@ -45,6 +45,8 @@
         Set to ``1`` on all responses of a server that is about to leave.
     server_limit
         Requests a second that a server in need takes from all gateways together.
+    server_brittle
+        Requests a second that a brittle server may have to reject for want of room.
     retry_after
         Seconds for which a server that refuses a request wants no further ones from this gateway.
     confidence
@@ -67,6 +69,7 @@
     server_signature: str
     server_leaving: str
     server_limit: str
+    server_brittle: str
     retry_after: str
     confidence: str
     owned_by_system: frozenset[str]
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -545,15 +545,15 @@
 
     def _budget_allows_retry(self) -> bool:
         """Return whether the service's budget allows one more retry, without using it."""
-        context = self._context
+        context, now_s = self._context, self._loop.time()
         budget = context.retry_budget(self._request.service)
-        return budget.allows_retry(self._loop.time(), context.gateway_count)
+        return budget.allows_retry(now_s, context.ranks.current(now_s).count)
 
     def _try_acquire_retry(self) -> bool:
         """Use one retry of the service's budget, and return whether the budget allows it."""
-        context = self._context
+        context, now_s = self._context, self._loop.time()
         budget = context.retry_budget(self._request.service)
-        return budget.try_acquire(self._loop.time(), context.gateway_count)
+        return budget.try_acquire(now_s, context.ranks.current(now_s).count)
 
     def _raise_final_error(self, failure: AttemptFailed) -> None:
         """Raise the error that the caller gets after the last failed attempt.
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -21,6 +21,7 @@
 from baobabstream.routing.announcements import AnnouncementTable
 from baobabstream.routing.arrival_estimator import ArrivalEstimator
 from baobabstream.routing.preferred_servers import PreferenceKey, preferred_server_ids
+from baobabstream.routing.rejection_guard import RejectionGuard
 from baobabstream.routing.request_limit import RequestLimit
 from baobabstream.routing.server_choice import ServerLoad
 from baobabstream.routing.stable_hashing import hash_fraction
@@ -115,6 +116,8 @@
         service are compared during a rollout, in which one version replaces another.
     limit
         Requests a second that the server takes from all gateways, if it names a limit.
+    rejection_guard
+        Keeps the rejections of the server low while it is brittle.
     has_crashed
         Whether this process of the server has ended without notice.
     begun_answers
@@ -146,6 +149,7 @@
         self.good_responses = 0
         self.bad_responses = 0
         self.limit = RequestLimit()
+        self.rejection_guard = RejectionGuard()
         self.has_crashed = False
         self.begun_answers: set[BegunAnswer] = set()
         self.paces = 0
@@ -395,6 +399,17 @@
         age_s = MEAN_REPORT_AGE_S + now_s - self._remote_work_received_s
         return servers[0].arrivals.arrivals(open_requests, age_s)
 
+    def observe_brittleness(self, server: KnownServer, max_rejections_per_s: float | None) -> bool:
+        """Take over what an answer of a server says of its brittleness.
+
+        The servers of a service are brittle together, so it holds for all of them. Returns whether
+        it has changed for the server itself.
+        """
+        for other in self._servers_by_service[server.row.service].values():
+            if other is not server:
+                other.rejection_guard.observe(max_rejections_per_s)
+        return server.rejection_guard.observe(max_rejections_per_s)
+
     def version_loads(self) -> tuple[VersionLoad, ...]:
         """Return the number of servers and requests of each version of each service.
 
--- a/src/baobabstream/platform/names.py
+++ b/src/baobabstream/platform/names.py
@@ -56,6 +56,8 @@
     server_leaving="Server-Leaving",
     # Requests a second, also fractions of one, that a server takes from all gateways together.
     server_limit="Server-Limit",
+    # Rejections a second for want of room, beyond which a server falls over.
+    server_brittle="Server-Brittle",
     # Seconds, also fractions of one, for which a server wants no requests from this gateway.
     retry_after="Retry-After",
     # Confidence that a model states in its answer, 0 to 100.
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -75,6 +75,7 @@
     SERVER_CHANGED = "server_changed"
     SERVER_SUSPECTED = "server_suspected"
     SERVER_LIMITED = "server_limited"
+    SERVER_BRITTLE = "server_brittle"
     PATH_CHANGED = "path_changed"
     SERVER_CRASHED = "server_crashed"
     QUARANTINE_CHANGED = "quarantine_changed"
@@ -136,6 +137,7 @@
     DecisionEvent.SERVER_CHANGED: ("server", "service", "address", "state", "version", "reason"),
     DecisionEvent.SERVER_SUSPECTED: ("server", "reason", "hold_ms", "others_in_flight"),
     DecisionEvent.SERVER_LIMITED: ("server", "limit_per_s", "reason"),
+    DecisionEvent.SERVER_BRITTLE: ("server", "max_rejections_per_s"),
     DecisionEvent.PATH_CHANGED: ("server", "path", "reason", "lost_paths", "isolated", "peers"),
     DecisionEvent.SERVER_CRASHED: ("server", "request_id", "fingerprint", "shared_parts", "events"),
     DecisionEvent.QUARANTINE_CHANGED: ("added", "removed", "reason"),
--- a/src/baobabstream/wire/coordination_messages.py
+++ b/src/baobabstream/wire/coordination_messages.py
@@ -243,9 +243,10 @@
     ``hosts`` are the coordination hosts. ``document`` is the compressed configuration, or empty if
     the gateway has this version already. ``rows`` are the announcements that changed; ``refreshed``
     are the ids of servers that announced again without a change. ``gateways`` is the number of
-    active gateways and ``work`` the summed load of the other gateways by server id, or None if it
-    was not asked for. ``quarantines`` are those in force, ``suspects`` the keys of recent crashes
-    whose survivals the gateway shall report, or None if they have not changed, and
+    active gateways, ``gateway_position`` the position of this one among them, from 0, and ``work``
+    the summed load of the other gateways by server id, or None if it was not asked for.
+    ``quarantines`` are those in force, ``suspects`` the keys of recent crashes whose survivals the
+    gateway shall report, or None if they have not changed, and
     ``crash_revision`` rises with changes of the two.
     ``availability_zone`` is that of the coordination host, or empty if it is not known.
     ``session_digests`` and ``held_sessions`` are those of the coordination host, with the meaning
@@ -266,6 +267,7 @@
     rows: tuple[ServerRow, ...]
     refreshed: tuple[str, ...]
     gateways: int
+    gateway_position: int = 0
     work: dict[str, ServerWork] | None = None
     availability_zone: str = ""
     session_digests: dict[str, int] = {}
--- a/tests/fake_backend_server.py
+++ b/tests/fake_backend_server.py
@@ -44,6 +44,11 @@
         Time in seconds between two events of a stream.
     limit_per_s
         Requests a second that its answers name as its limit, or None.
+    brittle_rejections_per_s
+        Rejections a second for want of room, named in its answers, beyond which it crashes; None if
+        it is not brittle.
+    most_running
+        Number of requests that it runs at once, or None without a limit; others are rejected.
     ends_at_close
         Whether streams have neither a length nor chunks and end with their connection.
     ends_before_events
@@ -78,6 +83,8 @@
         Number of crashes.
     crash_part_arrivals
         Event loop times in seconds at which requests with ``crash_part`` arrived.
+    rejections_s
+        Event loop times in seconds of the rejections for want of room.
     address
         IP:PORT at which it listens.
     born_ms
@@ -100,6 +107,8 @@
     comment_gap_s: float = 0.0
     event_gap_s: float = 0.0
     limit_per_s: float | None = None
+    brittle_rejections_per_s: float | None = None
+    most_running: int | None = None
     ends_at_close: bool = False
     ends_before_events: int = 0
     crash_part: str = ""
@@ -116,6 +125,8 @@
     crash_part_arrivals: list[float] = field(default_factory=list)
     address: str = ""
     born_ms: int = 1
+    rejections_s: list[float] = field(default_factory=list)
+    _running_count: int = 0
     _sequence: int = 0
     _writers: set = field(default_factory=set)
     _restart_task: asyncio.Task | None = None
@@ -201,6 +212,36 @@
             extra = f"X-Not-Executed: 1\r\n{pause}{notices}"
             writer.write(encode_answer(request_id, status=503, extra=extra))
             return
+        if self.most_running is not None and self._running_count >= self.most_running:
+            self._reject_for_want_of_room(request_id, writer)
+            return
+        self._running_count += 1
+        try:
+            await self._run(request_line, headers, crashes, writer)
+        finally:
+            self._running_count -= 1
+
+    def _reject_for_want_of_room(self, request_id: str, writer) -> None:
+        """Reject a request, and crash if there were too many rejections in a second."""
+        now_s = asyncio.get_running_loop().time()
+        self.rejections_s.append(now_s)
+        writer.write(
+            encode_answer(request_id, status=503, extra=f"X-Not-Executed: 1\r\n{self._notices()}")
+        )
+        recent_count = sum(time_s > now_s - 1.0 for time_s in self.rejections_s)
+        if (
+            self.brittle_rejections_per_s is not None
+            and recent_count > self.brittle_rejections_per_s
+            and self.is_running
+        ):
+            self.crash()
+
+    async def _run(self, request_line: str, headers: dict[str, str], crashes: bool, writer) -> None:
+        """Run one request, with the faults that are set.
+
+        Raises ConnectionResetError to close the connection without an answer.
+        """
+        request_id, notices = headers["x-request-id"], self._notices()
         self.run_counts[request_id] += 1
         self.models.append(headers.get("x-model", ""))
         if self.unanswered_left:
@@ -228,7 +269,12 @@
         """Return the header lines in which the server says something of itself."""
         leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
         limit = f"Server-Limit: {self.limit_per_s}\r\n" if self.limit_per_s is not None else ""
-        return leaving + limit
+        brittle = (
+            f"Server-Brittle: {self.brittle_rejections_per_s}\r\n"
+            if self.brittle_rejections_per_s is not None
+            else ""
+        )
+        return leaving + limit + brittle
 
     async def _write_first_event_and_crash(self, headers: dict[str, str], writer) -> None:
         """Write the beginning of a stream, up to its first event, and crash."""
