A server that is silent for a second keeps its connections

Cause: TCP_USER_TIMEOUT was 2 s on connections to servers. On Linux it also decides when keep-alive probes give up, whatever their count, so a connection ended at the first probe after 2 s: a sound server that fell silent for 1 s just before a probe lost its streams and requests. Change: the timeout is now derived from the probes, 3 s; such a server may be silent for 2 s, and one that has vanished is still noticed within 3 s. tests/backends/test_silent_connections.py: two of three failed before (1.0 s of silence; 2 s of timeout against 3 s of probes). No library in use sets the option by itself: read back from the sockets of uvloop, aiohttp and nng, all 0.

--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -35,11 +35,14 @@
 MAX_OVERHEAD_BYTES = 256 * 1024
 # Framing that each part of a body may have; a chunk usually has less than 10 bytes of it.
 FRAMING_ALLOWANCE_BYTES = 64
-# TCP timeouts that detect a peer that vanished without a reset. The first applies to data that is
-# not acknowledged, the others to keep-alive probes on a connection without traffic: the time before
-# the first probe, the time between two, and the number of unanswered ones that ends the connection.
-UNACKNOWLEDGED_TIMEOUT_MS = 2000
+# TCP timeouts that detect a peer that vanished without a reset. Keep-alive probes are sent on a
+# connection without traffic: the time before the first one, the time between two, and the number of
+# unanswered ones that ends the connection. A server that is silent for less than two seconds
+# answers one of them.
 KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBE_COUNT = 1, 1, 2
+# Time for which sent data may stay unacknowledged. It also ends a connection whose last probe was
+# not answered, whatever their number, so it must not be shorter than all of them take.
+UNACKNOWLEDGED_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_PROBE_COUNT * KEEPALIVE_INTERVAL_S)
 # A connection that ends within this time after a request was sent counts as dropped by the server
 # while it was idle: the reset of such a connection takes one round trip. A crash of the server
 # rarely falls into this short time.
