Soak: gateways lose their links to the backend servers, in series with all other faults

Each daemon of the soak runs behind links that a file cuts: hung, reset, or new connections refused.

--- a/tests/server_links.py
+++ b/tests/server_links.py
@@ -11,12 +11,12 @@
 from enum import StrEnum
 from functools import partial
 
-__all__ = ["CutKind", "ServerLinks", "run_behind_links"]
+__all__ = ["CutKind", "ServerLinks", "current_gateway", "run_behind_links"]
 
 # Time for which the bytes of a connection are held up before the kernel of a host gives it up.
 HELD_UP_TIMEOUT_S = 3.0
 # IP address of the gateway whose code runs, or empty.
-_current_gateway: ContextVar[str] = ContextVar("current_gateway", default="")
+current_gateway: ContextVar[str] = ContextVar("current_gateway", default="")
 
 
 class CutKind(StrEnum):
@@ -33,7 +33,7 @@
 async def run_behind_links(gateway: str, start: Awaitable[None]) -> None:
     """Start a gateway so that its connections are known to be its own."""
     context = copy_context()
-    context.run(_current_gateway.set, gateway)
+    context.run(current_gateway.set, gateway)
     await asyncio.get_running_loop().create_task(start, context=context)  # type: ignore[arg-type]
 
 
@@ -57,7 +57,7 @@
         """Lead the connections that are opened on an event loop through the links."""
         create_connection = loop.create_connection
         loop.create_connection = partial(  # type: ignore[method-assign]
-            self._create_connection, create_connection
+            self.create_connection, create_connection
         )
 
     def add_server(self, address: str) -> None:
@@ -65,6 +65,10 @@
         ip, _, port = address.partition(":")
         self._servers.add((ip, int(port)))
 
+    def is_server(self, host: str | None, port: int | None) -> bool:
+        """Return whether connections to an address are cut with the links."""
+        return (host, port) in self._servers
+
     def cut(self, gateway: str, kind: CutKind) -> None:
         """Cut a gateway from all backend servers."""
         self._cuts[gateway] = kind
@@ -79,7 +83,7 @@
         self._healed.set()
         self._healed = asyncio.Event()
 
-    async def _create_connection(
+    async def create_connection(
         self,
         create_connection: Callable,
         protocol_factory: Callable,
@@ -88,8 +92,8 @@
         **kwargs,
     ):
         """Open a connection like the event loop, subject to the cuts."""
-        gateway = _current_gateway.get()
-        if not gateway or (host, port) not in self._servers:
+        gateway = current_gateway.get()
+        if not gateway or not self.is_server(host, port):
             return await create_connection(protocol_factory, host, port, **kwargs)
         while (kind := self._cuts.get(gateway)) is not None:
             if kind is not CutKind.HANG:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from fake_backend_server import FakeBackendServer
+from server_links import CutKind
 from soak.processes import SHUTDOWN_GRACE_S, ProcessPlatform, SupervisedDaemon
 from soak.promises import DisturbedPeriods
 from soak.proxy import Disturbance, FaultyProxy
@@ -73,6 +74,7 @@
         """End the faults that last until they are ended explicitly."""
         for daemon in self._platform.daemons.values():
             daemon.send_signal(signal.SIGCONT)
+            daemon.cut_links(None)
         for backend in self._backends:
             backend.break_after_event, backend.lost_answers_left = None, 0
 
@@ -98,6 +100,31 @@
             target = await inject()
             self.injected.append(f"{began_s:.2f} {inject.__name__[1:]} {target}")
 
+    async def cut_links_repeatedly(self, duration_s: float, random: Random) -> None:
+        """Cut gateways from all backend servers for a while, again and again.
+
+        Parameters
+        ----------
+        duration_s
+            Time in seconds after which no further cut begins.
+        random
+            Source of the choices. It is not that of the other faults, whose order it would change.
+        """
+        ips = self._platform.gateway_ips
+        end_s = self._loop.time() + duration_s
+        while self._loop.time() < end_s:
+            await asyncio.sleep(random.uniform(0.1, 1.5))
+            cut_ips = random.sample(ips, random.randint(1, len(ips)))
+            kind = random.choice(list(CutKind))
+            began_s = self._loop.time()
+            for ip in cut_ips:
+                self._platform.daemons[ip].cut_links(kind)
+            await asyncio.sleep(random.uniform(0.3, 3.0))
+            for ip in cut_ips:
+                self._platform.daemons[ip].cut_links(None)
+                self._record_disturbance(ip, began_s)
+            self.injected.append(f"{began_s:.2f} cut_links {kind} {' '.join(cut_ips)}")
+
     def _random_gateway(self) -> SupervisedDaemon:
         return self._platform.daemons[self._random.choice(self._platform.gateway_ips)]
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -16,10 +16,15 @@
     READY_PORT,
     PlatformHarness,
 )
+from server_links import CutKind
 
 __all__ = ["SHUTDOWN_GRACE_S", "ProcessPlatform", "SupervisedDaemon"]
 
 SOURCE_FOLDER = Path(__file__).parents[2] / "src"
+# Names the file whose text is the kind of cut in effect, or empty.
+CUT_FILE_VARIABLE = "SOAK_CUT_FILE"
+# Runs a daemon with links to the backend servers that can be cut.
+DAEMON_SCRIPT = Path(__file__).with_name("daemon_behind_links.py")
 # Pause before a process that ended is started again.
 RESTART_DELAY_S = 0.3
 # Setting ``grace_s`` of every daemon: time for open requests to finish after SIGTERM.
@@ -63,8 +68,9 @@
         environment = os.environ | {
             "PYTHONPATH": str(SOURCE_FOLDER),
             SETTINGS_PATH_VARIABLE: str(self.folder / "local.toml"),
+            CUT_FILE_VARIABLE: str(self.folder / "cut"),
         }
-        command = (sys.executable, "-m", "baobabstream.platform", self.role)
+        command = (sys.executable, str(DAEMON_SCRIPT), self.role)
         while not self._is_stopped:
             self.started_s = asyncio.get_running_loop().time()
             with (self.folder / "log").open("ab") as log:
@@ -92,6 +98,10 @@
         process.send_signal(signal_number)
         return True
 
+    def cut_links(self, kind: CutKind | None) -> None:
+        """Cut the links of this host to all backend servers, or restore them with None."""
+        (self.folder / "cut").write_text(kind or "")
+
     def stop_for_good(self) -> None:
         """Kill the process and do not start it again."""
         self._is_stopped = True
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -94,6 +94,11 @@
             async with asyncio.TaskGroup() as group:
                 for _ in range(FAULT_SERIES_COUNT):
                     group.create_task(fault_injector.run(self._duration_s))
+                group.create_task(
+                    fault_injector.cut_links_repeatedly(
+                        self._duration_s, Random(f"links {report.seed}")
+                    )
+                )
                 group.create_task(self._change_configuration_repeatedly())
             fault_injector.end_lasting_faults()
             await self._check_recovery()
