Paths are probed whatever else is known of a server; response times count from the send

Seen once in three runs of tests/platform/test_lost_server_paths.py [3-refuse new], and again in one of eight: a cut gateway refused 37 of 173 requests within 5 ms. Cause: a server whose path was lost, and which no gateway had reached for a moment, was probed by the own path only, so it counted as unreachable until the cut ended. tests/paths/test_path_prober.py failed before; eight runs beside each other pass.

Same class, found while looking for it: a gateway that reaches some servers but not others took all paths to be lost for as long as no new connection was opened (some_servers failed before); a server counted as slow, also for the judgement of its version, by the time in which a path to it was found (tests/gateway/test_attempt_times.py failed before with 0.3 s).

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -115,7 +115,8 @@
     Attributes
     ----------
     sent_s
-        Time in seconds at which `send` began, before a connection was open.
+        Time in seconds at which the request was written to its connection; before that the time at
+        which `send` began. The time to find a path to the server says nothing about the server.
     requests_at_send
         Number of requests of all gateways at the server just before this one was sent.
     is_counted_as_run
@@ -197,7 +198,8 @@
                 RunState.NO, error.detail, server_unreachable=not isinstance(error, NoPath)
             ) from error
         self.was_transmitted = True
-        self._connection.send(self._request.request_id, self._encode(loop.time()))
+        self.sent_s = loop.time()
+        self._connection.send(self._request.request_id, self._encode(self.sent_s))
         try:
             head = await self._connection.read_head()
         except AnswerFailed as error:
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -141,7 +141,7 @@
         )
         codec = fixed_secret_codec(settings.host)
         self._paths = self.context.paths
-        self._path_prober = PathProber(self._paths, self._find_pool)
+        self._path_prober = PathProber(self._paths, self._list_server_processes, self._find_pool)
         self._path_services = PathServices(
             self._paths,
             TunnelPeers(random),
@@ -366,14 +366,20 @@
         can_help = self._tunnel_server.is_available and not self._paths.is_isolated
         return f"{settings.ip}:{settings.tunnel_port}" if can_help else ""
 
+    def _list_server_processes(self) -> list[str]:
+        """Return the identities of the processes of all servers that take requests."""
+        directory, now_s = self.context.directory, self._loop.time()
+        return [
+            server.process_id for server in directory if directory.takes_requests(server, now_s)
+        ]
+
     def _find_pool(self, server_process: str) -> ConnectionPool | None:
         """Return the connections to a server, or None if its process takes no requests."""
         directory = self.context.directory
         server = directory.find_process(server_process)
-        if server is None:
+        if server is None or not directory.takes_requests(server, self._loop.time()):
             return None
-        ready_servers = directory.ready_servers(server.row.service, self._loop.time())
-        return server.pool if server in ready_servers else None
+        return server.pool
 
     def _adapt_to_paths(self) -> None:
         """Close idle connections of paths that are not used any more, and probe lost paths."""
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -525,10 +525,16 @@
         return [
             server
             for server in self._servers_by_service.get(service, {}).values()
-            if server.row.state is ServerState.READY
+            if self.takes_requests(server, now_s)
+        ]
+
+    def takes_requests(self, server: KnownServer, now_s: float) -> bool:
+        """Return whether a server is ready, and neither leaving nor silent for too long."""
+        return (
+            server.row.state is ServerState.READY
             and not server.is_leaving
             and not self._is_expired(server, now_s)
-        ]
+        )
 
     def _is_expired(self, server: KnownServer, now_s: float) -> bool:
         """Return whether a server has missed too many announcements."""
--- a/src/baobabstream/paths/path_connector.py
+++ b/src/baobabstream/paths/path_connector.py
@@ -145,7 +145,7 @@
                 tasks.append(asyncio.create_task(self._connect_by_peer(left_s)))
             used = await _first_success(tasks) or direct
             if used is not direct:
-                self._record_lost(direct)
+                self._record_lost(direct, began_s)
             return used.result()
         finally:
             for task in tasks:
@@ -169,10 +169,12 @@
             )
         return connection
 
-    def _record_lost(self, direct: asyncio.Task[HttpConnection]) -> None:
-        """Record that another gateway has reached the server before this one, in ``direct``."""
-        now_s = asyncio.get_running_loop().time()
-        if self._services.paths.record_lost(self.server_process, now_s):
+    def _record_lost(self, direct: asyncio.Task[HttpConnection], began_s: float) -> None:
+        """Record that another gateway has reached the server before this one.
+
+        ``direct`` opens the own connection since the time ``began_s``.
+        """
+        if self._services.paths.record_lost(self.server_process, began_s):
             reason = str(direct.exception()) if direct.done() else "no answer"
             self._services.report_change(self.server_process, "tunnel", reason)
 
--- a/src/baobabstream/paths/path_prober.py
+++ b/src/baobabstream/paths/path_prober.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import chain
 
 from baobabstream.backends.connection_pool import ConnectionPool
@@ -24,22 +24,29 @@
 class PathProber:
     """Opens connections to servers that were not reached, in turn, while there are any.
 
-    Servers to which the own path is lost are probed by it, and the others by all paths. A
-    connection that a server accepts is kept for the next request.
+    Servers to which the own path is lost are probed by it, and those that were reached by no path
+    by all. A gateway that takes all paths to be lost probes all servers. A connection that a server
+    accepts is kept for the next request.
 
     Parameters
     ----------
     paths
         Servers that were not reached.
+    list_servers
+        Returns the identities of the processes of all servers that take requests.
     find_pool
         Returns the connections to a server, by the identity of its process, or None if it takes no
         requests any more.
     """
 
     def __init__(
-        self, paths: ServerPaths, find_pool: Callable[[str], ConnectionPool | None]
+        self,
+        paths: ServerPaths,
+        list_servers: Callable[[], Iterable[str]],
+        find_pool: Callable[[str], ConnectionPool | None],
     ) -> None:
         self._paths = paths
+        self._list_servers = list_servers
         self._find_pool = find_pool
         self._task: asyncio.Task[None] | None = None
         # Servers of the present turn that have not been probed yet.
@@ -57,7 +64,9 @@
 
     def _targets(self) -> tuple[str, ...]:
         """Return the servers to probe, each once."""
-        return tuple(dict.fromkeys(chain(self._paths.lost_servers, self._paths.failing_servers)))
+        paths = self._paths
+        all_servers = self._list_servers() if paths.is_isolated else ()
+        return tuple(dict.fromkeys(chain(paths.lost_servers, paths.failing_servers, all_servers)))
 
     async def _run(self) -> None:
         """Probe until all servers were reached."""
@@ -77,9 +86,16 @@
         if pool is None or not isinstance(pool.connector, PathConnector):
             self._paths.forget(server_process)
             return
-        needs_tunnel = self._paths.needs_tunnel(server_process)
-        connect = pool.connector.connect_directly if needs_tunnel else pool.connector.connect
-        try:
-            pool.add_idle(await connect(PROBE_TIMEOUT_S))
-        except ConnectFailed as error:
-            _log.debug("Server %s is still not reached: %s", server_process, error.detail)
+        connector, paths = pool.connector, self._paths
+        began_s = asyncio.get_running_loop().time()
+        if paths.needs_tunnel(server_process):
+            try:
+                pool.add_idle(await connector.connect_directly(PROBE_TIMEOUT_S))
+            except ConnectFailed as error:
+                _log.debug("The path to %s is still lost: %s", server_process, error.detail)
+                paths.record_lost(server_process, began_s)
+        if server_process in paths.failing_servers:
+            try:
+                pool.add_idle(await connector.connect(PROBE_TIMEOUT_S))
+            except ConnectFailed as error:
+                _log.debug("Server %s is still not reached: %s", server_process, error.detail)
--- a/src/baobabstream/paths/server_paths.py
+++ b/src/baobabstream/paths/server_paths.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.is_isolated = False
-        # Time in seconds at which each path was found to be lost.
+        # Time in seconds of the first connection that failed for each path that is lost.
         self._lost_since_s: dict[str, float] = {}
         # Time in seconds since which each server has accepted no connection by any path.
         self._failing_since_s: dict[str, float] = {}
@@ -60,13 +60,23 @@
         """Return whether new connections to a server have to go through another gateway."""
         return self.is_isolated or server_process in self._lost_since_s
 
-    def record_lost(self, server_process: str, now_s: float) -> bool:
-        """Record that another gateway has reached a server at ``now_s``, and this one has not.
+    def record_lost(self, server_process: str, began_s: float) -> bool:
+        """Record that this gateway has not reached a server which another one probably reaches.
 
-        Returns whether the path was not known to be lost.
+        Parameters
+        ----------
+        server_process
+            Identity of the server's process.
+        began_s
+            Time at which this gateway began to open its connection.
+
+        Returns
+        -------
+        bool
+            Whether the path was not known to be lost.
         """
         is_new = server_process not in self._lost_since_s
-        self._lost_since_s.setdefault(server_process, now_s)
+        self._lost_since_s.setdefault(server_process, began_s)
         lost_since_direct = sum(
             since_s > self._last_direct_s for since_s in self._lost_since_s.values()
         )
@@ -75,16 +85,14 @@
         return is_new
 
     def record_direct(self, server_process: str, now_s: float) -> bool:
-        """Record that this gateway has reached a server itself.
+        """Record that this gateway has reached a server itself, so that it is not isolated.
 
-        One that was isolated takes all paths to be restored; those that are not are found again.
+        Other paths that were found to be lost count as lost until their servers are reached too.
         Returns whether the path was taken to be lost.
         """
         was_lost = self.needs_tunnel(server_process)
         self._last_direct_s = now_s
-        if self.is_isolated:
-            self.is_isolated = False
-            self._lost_since_s.clear()
+        self.is_isolated = False
         self._lost_since_s.pop(server_process, None)
         return was_lost
 
--- a/tests/paths/test_server_paths.py
+++ b/tests/paths/test_server_paths.py
@@ -23,13 +23,17 @@
     assert paths.needs_tunnel("b.1")
 
 
-def test_first_server_that_is_reached_again_restores_all_paths():
-    """Guards against detours that go on after the links are back."""
+def test_gateway_that_reaches_a_server_is_not_isolated():
+    """Guards against detours to all servers while the paths to some of them are there."""
     paths = ServerPaths()
     paths.record_lost("a.1", 1.0)
     paths.record_lost("b.1", 1.0)
-    assert paths.record_direct("b.1", 2.0)
-    assert not any(paths.needs_tunnel(server) for server in ("a.1", "b.1", "c.1"))
+    assert paths.record_direct("c.1", 2.0)
+    assert [paths.needs_tunnel(server) for server in ("a.1", "b.1", "c.1")] == [True, True, False]
+    paths.record_lost("d.1", 3.0)
+    assert not paths.is_isolated
+    paths.record_direct("a.1", 4.0)
+    assert paths.lost_servers == ("b.1", "d.1")
 
 
 def test_servers_that_are_gone_do_not_keep_a_gateway_isolated():
--- a/tests/platform/test_lost_server_paths.py
+++ b/tests/platform/test_lost_server_paths.py
@@ -59,10 +59,14 @@
     """Check that callers of cut gateways are served about as often as the others."""
     cut = [outcome for outcome in outcomes if outcome.gateway_index in cut_gateways]
     others = [outcome for outcome in outcomes if outcome.gateway_index not in cut_gateways]
-    failed = sum(outcome.status != 200 for outcome in cut)
+    failures = [
+        (outcome.gateway_index, outcome.path, outcome.status, round(outcome.taken_s, 3))
+        for outcome in cut
+        if outcome.status != 200
+    ]
     assert len(cut) > 2 * ALLOWED_FAILURES
     assert served_fraction(cut) >= LEAST_RATIO * served_fraction(others)
-    assert failed <= ALLOWED_FAILURES + ALLOWED_FAILURE_RATIO * len(cut)
+    assert len(failures) <= ALLOWED_FAILURES + ALLOWED_FAILURE_RATIO * len(cut), failures
 
 
 @pytest.mark.parametrize("kind", list(CutKind))
@@ -141,6 +145,21 @@
         assert max(backend.run_counts.values()) == 1 or backend.service != "app"
 
 
+async def test_gateway_that_reaches_some_servers_goes_on_to_use_them_itself(platform, traffic):
+    """Guards against requests that all take a detour as the paths to some servers are lost."""
+    ip = platform.gateway_ips[0]
+    reached = ("i-0", "a-0")
+    addresses = [platform.backends[server_id].address for server_id in reached]
+    platform.links.cut(ip, CutKind.RESET, addresses)
+    await asyncio.sleep(CONTACT_S)
+    paths = platform.gateways[ip].context.paths
+    for _ in range(20):
+        await asyncio.sleep(0.1)
+        assert not paths.is_isolated
+        assert not {process.partition(".")[0] for process in paths.lost_servers} & set(reached)
+    platform.links.heal(ip)
+
+
 async def test_non_idempotent_requests_run_once_whatever_way_they_take(platform, traffic):
     """Guards against a request that is sent again since its tunnel ended without an answer."""
     cut_ip, *helpers = platform.gateway_ips
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -190,6 +190,8 @@
         await gateway._frontend.finish(0)
         await gateway._tunnel_server.finish(0)
         gateway._path_prober.stop()
+        for server in gateway.context.directory:
+            server.pool.close()
         await gateway._ready_runner.cleanup()
         await gateway._metrics.stop()
 
--- a/tests/server_links.py
+++ b/tests/server_links.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextvars import ContextVar, copy_context
 from enum import StrEnum
 from functools import partial
@@ -37,6 +37,12 @@
     await asyncio.get_running_loop().create_task(start, context=context)  # type: ignore[arg-type]
 
 
+def _split_address(address: str) -> tuple[str, int]:
+    """Return IP address and port of an address ``IP:PORT``."""
+    ip, _, port = address.partition(":")
+    return ip, int(port)
+
+
 class ServerLinks:
     """Links of all gateways to the backend servers.
 
@@ -50,6 +56,8 @@
         self.open_count: dict[str, int] = {}
         self._servers: set[tuple[str, int]] = set()
         self._cuts: dict[str, CutKind] = {}
+        # By gateway, the servers that a cut leaves reachable.
+        self._spared: dict[str, frozenset[tuple[str, int]]] = {}
         self._connections: dict[str, set[_LinkProtocol]] = {}
         self._healed = asyncio.Event()
 
@@ -62,18 +70,19 @@
 
     def add_server(self, address: str) -> None:
         """Let the connections to an address, ``IP:PORT``, be cut."""
-        ip, _, port = address.partition(":")
-        self._servers.add((ip, int(port)))
+        self._servers.add(_split_address(address))
 
     def is_server(self, host: str | None, port: int | None) -> bool:
         """Return whether connections to an address are cut with the links."""
         return (host, port) in self._servers
 
-    def cut(self, gateway: str, kind: CutKind) -> None:
-        """Cut a gateway from all backend servers."""
+    def cut(self, gateway: str, kind: CutKind, spared_addresses: Iterable[str] = ()) -> None:
+        """Cut a gateway from all backend servers but those at some addresses, ``IP:PORT``."""
         self._cuts[gateway] = kind
+        self._spared[gateway] = frozenset(map(_split_address, spared_addresses))
         for connection in list(self._connections.get(gateway, ())):
-            connection.apply(kind)
+            if connection.address not in self._spared[gateway]:
+                connection.apply(kind)
 
     def heal(self, gateway: str) -> None:
         """Restore the links of a gateway; bytes that were held up arrive now."""
@@ -95,14 +104,17 @@
         gateway = current_gateway.get()
         if not gateway or not self.is_server(host, port):
             return await create_connection(protocol_factory, host, port, **kwargs)
-        while (kind := self._cuts.get(gateway)) is not None:
+        while (kind := self._cuts.get(gateway)) and (host, port) not in self._spared[gateway]:
             if kind is not CutKind.HANG:
                 raise ConnectionRefusedError(111, "the link is cut")
             await self._healed.wait()
         self.open_count[gateway] = self.open_count.get(gateway, 0) + 1
         connections = self._connections.setdefault(gateway, set())
         transport, link = await create_connection(
-            lambda: _LinkProtocol(protocol_factory(), connections), host, port, **kwargs
+            lambda: _LinkProtocol(protocol_factory(), connections, (host, port)),
+            host,
+            port,
+            **kwargs,
         )
         return transport, link.inner
 
@@ -116,10 +128,18 @@
         Protocol that the gateway uses.
     connections
         Open connections of the gateway.
+    address
+        IP address and port of the server.
     """
 
-    def __init__(self, inner: asyncio.Protocol, connections: set["_LinkProtocol"]) -> None:
+    def __init__(
+        self,
+        inner: asyncio.Protocol,
+        connections: set["_LinkProtocol"],
+        address: tuple[str | None, int | None],
+    ) -> None:
         self.inner = inner
+        self.address = address
         self.is_hung = False
         self._connections = connections
         self._held_received: list[bytes] = []
