A rollout ends later if its target has had nearly all the requests that it may get

Cause: a burst in the second half of the trial gave the target 118 requests where 60 were planned, and a rollout always ended 0.8 s before its deadline, from which on the target gets all requests. Change: the end moves towards the deadline, up to 0.3 s before it, by what the limit leaves. A change of the leader in that time may then delay the end of such a rollout beyond its deadline.

test_peak_during_the_trial_does_not_break_the_limit_at_the_end failed before (124 requests for 120).

--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -34,12 +34,17 @@
 # Time of observation after which the rate of requests is known well enough for the share.
 MIN_OBSERVED_S = 1.0
 # A rollout ends this long before its deadline, so that a change of the coordination leader, which
-# commits its end, does not delay it beyond the deadline.
-END_MARGIN_S = 0.8
+# commits its end, does not delay it beyond the deadline. From its end to the deadline the target
+# gets all requests; if the limit does not allow as many, it ends later, up to the lower bound, in
+# which its end is still evaluated and committed.
+MIN_END_MARGIN_S, END_MARGIN_S = 0.3, 0.8
 # Bounds of the time for which the target gets all requests before the end of the rollout. The lower
 # one is enough to check its answers under full load, and for most short requests that still run on
 # the base version to end.
 MIN_FULL_SHARE_S, MAX_FULL_SHARE_S = 0.4, 2.0
+# Fraction of the allowed requests that the end of a rollout is planned for. The rest is for those
+# that are not counted yet.
+USED_END_FRACTION = 0.95
 # Fractions of the allowed share and of the allowed extra requests that the plan uses. The rest is
 # left because requests in flight are not counted yet, and because the rate of requests, from which
 # the allowed number is computed, may fall during the rest of the rollout.
@@ -84,6 +89,10 @@
             + USED_EXTRA_FRACTION * self.allowed_extra_requests
         )
 
+    def allowed_requests(self, duration_s: float) -> float:
+        """Return how many requests the limit allows in a rollout of a duration in seconds."""
+        return self.allowed_share * self.answers_per_s * duration_s + self.allowed_extra_requests
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutStep:
@@ -107,6 +116,30 @@
     rolls_back: bool = False
 
 
+def end_margin_s(row: RolloutRow, exposure: Exposure) -> float:
+    """Return for how many seconds before its deadline a rollout may end.
+
+    That is the time in which the target, after the least time with all requests, gets what the
+    limit leaves, within the bounds of this module.
+
+    Parameters
+    ----------
+    row
+        The rollout.
+    exposure
+        Limit of the target's requests, and the answers counted so far.
+    """
+    if exposure.answers_per_s <= 0:
+        return END_MARGIN_S
+    remaining_requests = (
+        USED_END_FRACTION * exposure.allowed_requests(row.duration_s) - exposure.target_requests
+    )
+    margin_s = remaining_requests / exposure.answers_per_s - (
+        0.0 if row.settled else MIN_FULL_SHARE_S
+    )
+    return min(max(margin_s, MIN_END_MARGIN_S), END_MARGIN_S)
+
+
 def full_share_duration_s(row: RolloutRow, exposure: Exposure) -> float:
     """Return for how many seconds before its end a rollout may send all requests to the target.
 
@@ -190,7 +223,7 @@
         Whether the target may be worse than the base version; see `RegressionDetector`.
     """
     # Seconds since the start at which the rollout ends.
-    end_s = max(row.duration_s - END_MARGIN_S, ZERO_SHARE_S)
+    end_s = max(row.duration_s - end_margin_s(row, exposure), ZERO_SHARE_S)
     if elapsed_s >= end_s:
         if is_suspicious:
             return RolloutStep(0.0, moves_sessions=False, rolls_back=True)
--- a/tests/coordination/test_rollout_decisions.py
+++ b/tests/coordination/test_rollout_decisions.py
@@ -97,9 +97,14 @@
     assert (server_counts.good, server_counts.bad) == (6, 3)
 
 
-def steps(limit: Exposure, answers_per_s: float) -> list[tuple[float, RolloutStep]]:
-    """Return the steps of ``ROLLOUT``, evaluated five times a second, with their times."""
-    row, timed_steps, target_answers = ROLLOUT, [], 0.0
+def steps(
+    limit: Exposure, answers_per_s: float, peak_requests: int = 0
+) -> list[tuple[float, RolloutStep]]:
+    """Return the steps of ``ROLLOUT``, evaluated five times a second, with their times.
+
+    ``peak_requests`` is the number of requests that the target got beside its share.
+    """
+    row, timed_steps, target_answers = ROLLOUT, [], float(peak_requests)
     for tick in range(int(ROLLOUT.duration_s * 5)):
         elapsed_s = tick / 5
         exposure = replace(
@@ -129,6 +134,19 @@
     assert timed_steps[-1][0] < ROLLOUT.duration_s
 
 
+def test_peak_during_the_trial_does_not_break_the_limit_at_the_end():
+    """Guards against a rollout that ends early although its target has had nearly all it may get.
+
+    From its end to the deadline the target gets all requests.
+    """
+    answers_per_s, peak_requests = 30.0, 35
+    timed_steps = steps(Exposure(0.15, 30.0), answers_per_s, peak_requests)
+    exposed = peak_requests + sum(step.share * answers_per_s / 5 for _, step in timed_steps)
+    exposed += (ROLLOUT.duration_s - timed_steps[-1][0] - 1 / 5) * answers_per_s
+    assert timed_steps[-1][1].completes
+    assert exposed <= 0.15 * answers_per_s * ROLLOUT.duration_s + 30
+
+
 def test_large_service_gets_time_with_all_requests_at_the_new_version():
     """Guards against completing a version that is bad under load only, seen for 0.4 s."""
     timed_steps = steps(Exposure(0.15, 30.0), 150.0)
