Test of refusals counts the requests that were sent, not those that a quiet machine would send

It now asks that nine tenths of the requests that were sent have ended, which is as strict on the gateways and does not depend on the machine.

--- a/src/baobabstream/paths/server_paths.py
+++ b/src/baobabstream/paths/server_paths.py
@@ -2,8 +2,8 @@
 
 A server that accepts a connection of another gateway, but none of this one, is alive: this
 gateway's path to it is lost. A server that accepts no connection by any path for a while is
-unreachable. A gateway is isolated if it has lost the paths to several servers and
-reached none since. Times are in seconds.
+unreachable. A gateway is isolated if it has lost the paths to several servers and reached none
+since. Times are in seconds.
 """
 
 __all__ = ["ISOLATION_SERVER_COUNT", "ServerPaths"]
--- a/tests/caller_traffic.py
+++ b/tests/caller_traffic.py
@@ -56,6 +56,8 @@
     ----------
     outcomes
         Outcomes of the requests that have ended.
+    sent_times_s
+        Times of the event loop at which requests were sent, in seconds.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         path: Callable[[int], str] = "/chat/{}".format,
     ) -> None:
         self.outcomes: list[RequestOutcome] = []
+        self.sent_times_s: list[float] = []
         self._platform = platform
         self._interval_s = interval_s
         self._shared_parts = shared_parts
@@ -82,6 +85,7 @@
         """Send one request and record its outcome."""
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
+        self.sent_times_s.append(sent_s)
         name = f"{id(self):x}{number:04x}"
         parts = [*self._shared_parts(number), name]
         gateway_index = number % len(self._platform.gateway_ips)
--- a/tests/platform/test_lost_server_paths.py
+++ b/tests/platform/test_lost_server_paths.py
@@ -98,11 +98,12 @@
     began_s = asyncio.get_running_loop().time()
     await asyncio.sleep(CONTACT_S + COMPARED_S)
     outcomes = traffic.outcomes_since(began_s + CONTACT_S)
+    sent_count = sum(sent_s >= began_s + CONTACT_S for sent_s in traffic.sent_times_s)
     for ip in platform.gateway_ips:
         platform.links.heal(ip)
     healed_s = asyncio.get_running_loop().time()
     await asyncio.sleep(CONTACT_S)
-    assert len(outcomes) > 0.9 * COMPARED_S / INTERVAL_S
+    assert len(outcomes) > 0.9 * sent_count
     assert {outcome.status for outcome in outcomes} == {503}
     assert sorted(outcome.taken_s for outcome in outcomes)[len(outcomes) * 9 // 10] < AT_ONCE_S
     assert served_fraction(traffic.outcomes_since(healed_s + RESTORED_S)) > 0.95
