--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -135,8 +135,7 @@
             f'readiness = "{self.ip}:{deployment.ready_port}"'
         )
         seeds = ", ".join(f'"{m.ip}:{deployment.control_port}"' for m in deployment.cores[:3])
-        (self.folder / "local.toml").write_text(
-            f"""node_name = "{self.name}"
+        (self.folder / "local.toml").write_text(f"""node_name = "{self.name}"
 role = "{self.role}"
 machine_class = "{'core' if is_core else 'edge'}"
 serves = ["{'control' if is_core else 'edge'}"]
@@ -192,8 +191,7 @@
 pass_ms = 120
 reuse_window_s = 8.9
 session_s = 5
-"""
-        )
+""")
 
 
 class Deployment:
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -99,7 +99,9 @@
             self.next_core += 1
             status, _ = await self.deployment.call_control(machine, "POST", path, body)
             verb = path.rpartition("/")[2]
-            self.log(f"{verb} {body.get('state', '')} seq {body.get('seq')} to {machine.name}: {status}")
+            self.log(
+                f"{verb} {body.get('state', '')} seq {body.get('seq')} to {machine.name}: {status}"
+            )
             if 200 <= status < 300:
                 return machine
         return None
@@ -174,7 +176,11 @@
         self.write_answer(writer, request, 200, b"record of " + request.target.encode(), extra)
 
     def write_answer(
-        self, writer: asyncio.StreamWriter, request: Request, status: int, body: bytes,
+        self,
+        writer: asyncio.StreamWriter,
+        request: Request,
+        status: int,
+        body: bytes,
         extra: str = "",
     ) -> None:
         """Write an answer with a length."""
