--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,6 +24,8 @@
 # Time that a sound server works on a request, and the route's time-out.
 WORK_S, TIMEOUT_S = 0.25, 1.5
 REQUESTS_PER_S = 20
+# Delay of the link between entry machines and servers, each way, as between zones of the site.
+LINK_DELAY_S = 0.0014
 # Time from the 50th bad answer in which the version must be out of use: ``rollback_ms``.
 BAD_ANSWERS, ROLLBACK_S = 50, 5.0
 # Time after the deadline of the rollout for which requests are sent.
@@ -66,6 +68,7 @@
 
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Run a request, and answer 504 if that takes longer than ``X-Deadline-Ms`` says."""
+        await asyncio.sleep(LINK_DELAY_S)
         work_s = WORK_S * (SLOWNESS if random.random() < self.slow_share else 1.0)
         deadline_s = int(request.headers["x-deadline-ms"]) / 1000
         began_s = self.deployment.record.now_s()
@@ -76,6 +79,7 @@
             # The connection may have closed before, if the gateway has given up the request.
             if self.deployment.record.now_s() - began_s > 2 * WORK_S:
                 self.late_s.append(self.deployment.record.now_s())
+        await asyncio.sleep(LINK_DELAY_S)
         if work_s > deadline_s:
             self.write_answer(writer, request, 504, b"", extra)
         else:
