--- a/tests/fake_backend_server.py
+++ b/tests/fake_backend_server.py
@@ -8,6 +8,8 @@
 
 __all__ = ["FakeBackendServer"]
 
+# Key by which a request that crashes the server by its body is marked among its headers.
+CRASHES_BY_BODY = ":crashes"
 # Time from the first event of an answer to the crash that its request causes.
 CRASH_DELAY_S = 0.05
 
@@ -60,6 +62,15 @@
     completes_before_crash
         Whether the answer to a short request, whose path contains ``short``, is complete before the
         crash.
+    crash_body
+        Body of requests, all alike, that crash the server; or empty.
+    crash_begin_s, crash_delay_s
+        Seconds from the begin of such a request to the first part of its answer, if there is one,
+        and from there to the crash.
+    begins_answer_before_crash
+        Whether the server sends the first part of the answer before such a crash.
+    runs_on_when_closed
+        Whether such a request runs on, up to the crash, after its connection has ended.
     restart_delay_s
         Seconds from a crash to the next start.
     confidence
@@ -83,6 +94,9 @@
         Number of crashes.
     crash_part_arrivals
         Event loop times in seconds at which requests with ``crash_part`` arrived.
+    crash_body_arrivals, crash_body_crashes_s
+        Event loop times in seconds at which requests with ``crash_body`` arrived, with the identity
+        of each, and at which they crashed the server.
     rejections_s
         Event loop times in seconds of the rejections for want of room.
     address
@@ -113,6 +127,11 @@
     ends_before_events: int = 0
     crash_part: str = ""
     completes_before_crash: bool = False
+    crash_body: bytes = b""
+    crash_begin_s: float = 0.0
+    crash_delay_s: float = CRASH_DELAY_S
+    begins_answer_before_crash: bool = False
+    runs_on_when_closed: bool = False
     restart_delay_s: float = 1.0
     confidence: dict[str, str] = field(default_factory=dict)
     state: str = "ready"
@@ -123,6 +142,8 @@
     arrivals_s: list[float] = field(default_factory=list)
     crash_count: int = 0
     crash_part_arrivals: list[float] = field(default_factory=list)
+    crash_body_arrivals: list[tuple[float, str]] = field(default_factory=list)
+    crash_body_crashes_s: list[float] = field(default_factory=list)
     address: str = ""
     born_ms: int = 1
     rejections_s: list[float] = field(default_factory=list)
@@ -183,7 +204,11 @@
         self._writers.add(writer)
         try:
             while True:
-                request_line, headers, _ = await read_request(reader)
+                request_line, headers, body = await read_request(reader)
+                if self.crash_body and body == self.crash_body:
+                    now_s = asyncio.get_running_loop().time()
+                    self.crash_body_arrivals.append((now_s, headers["x-request-id"]))
+                    headers[CRASHES_BY_BODY] = "1"
                 await self._answer(request_line, headers, writer)
         except (EOFError, ConnectionError):
             self.ended_connection_count += 1
@@ -247,6 +272,8 @@
         if self.unanswered_left:
             self.unanswered_left -= 1
             await asyncio.sleep(60)
+        if CRASHES_BY_BODY in headers:
+            await self._run_and_crash(request_line, headers, writer)
         await asyncio.sleep(self.answer_delay_s)
         if self.lost_answers_left:
             self.lost_answers_left -= 1
@@ -265,6 +292,32 @@
             extra_headers = f"{stamp}Keep-Alive: timeout=5\r\n{notices}"
             writer.write(encode_answer(request_id, self.server_id.encode(), extra=extra_headers))
 
+    async def _run_and_crash(self, request_line: str, headers: dict[str, str], writer) -> None:
+        """Crash by a request with ``crash_body``, unless it is dropped as its connection ends.
+
+        Raises
+        ------
+        ConnectionResetError
+            Always, to end the connection.
+        """
+        await asyncio.sleep(self.crash_begin_s)
+        if self.begins_answer_before_crash and "/chat/" in request_line:
+            self._write_stream_head(headers, writer)
+            self._write_stream_data(b"id: 1\ndata: piece 1\n\n", writer)
+        elif self.begins_answer_before_crash:
+            answer = encode_answer(
+                headers["x-request-id"],
+                self.server_id.encode(),
+                extra=f"X-Replica-Stamp: {self.server_id}\r\n",
+            )
+            writer.write(answer[:-1])
+        await asyncio.sleep(self.crash_delay_s)
+        is_dropped = writer.transport.is_closing() and not self.runs_on_when_closed
+        if self.is_running and not is_dropped:
+            self.crash_body_crashes_s.append(asyncio.get_running_loop().time())
+            self.crash()
+        raise ConnectionResetError
+
     def _notices(self) -> str:
         """Return the header lines in which the server says something of itself."""
         leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
