Log who is held responsible for the crash of a server

The line server_crashed named a request that was running, but not whether it counts against it. To tell a crash that is counted as one with others from one that is put down to nobody, the line now has the age of the answer, the number of suspects and whether the server was in use.

--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -317,6 +317,10 @@
             if not await context.crash_tracker.check_crash(server.pool.connector):
                 return False
             self._suspend(server, "the server refuses connections", self._loop.time())
+            suspects = {answer.request_keys for answer in server.begun_answers}
+            if is_suspect:
+                suspects.add(request.crash_keys)
+            is_in_service = context.is_in_service(server)
             context.decisions.record(
                 DecisionEvent.SERVER_CRASHED,
                 server=server.row.server_id,
@@ -324,13 +328,15 @@
                 fingerprint=request.fingerprint,
                 shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
                 events=attempt.event_count,
+                answer_age_ms=(
+                    int((lost_s - first_event_s) * 1000) if first_event_s is not None else None
+                ),
+                suspects=len(suspects),
+                in_service=is_in_service,
             )
             server.has_crashed = True
-            if not context.is_in_service(server):
+            if not is_in_service:
                 return False
-            suspects = {answer.request_keys for answer in server.begun_answers}
-            if is_suspect:
-                suspects.add(request.crash_keys)
             server.begun_answers.clear()
             self._record_crash(server, suspects, lost_s)
             return is_suspect
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -26,7 +26,10 @@
 requests under way at the server, and ``others_in_flight`` that of the other gateways by their last
 reports, which shows that a server that this one does not reach is alive; ``fingerprint`` a hash of
 a request's content; ``shared_parts`` the parts of its prompt that other prompts may have too;
-``events`` how many events of its answer had arrived when its server crashed; ``path`` whether new
+``events`` how many events of its answer had arrived when its server crashed,
+``answer_age_ms`` how long before that the answer had begun, ``suspects`` how many requests this
+gateway holds responsible for the crash, and ``in_service`` whether the server was in use, so that
+its end was not expected; ``path`` whether new
 connections to a server are opened by this gateway (``direct``) or through another one (``tunnel``),
 ``lost_paths`` to how many servers it has lost its own path, ``isolated`` whether it takes all of
 them to be lost, and ``peers`` how many gateways it can ask.
@@ -139,7 +142,16 @@
     DecisionEvent.SERVER_LIMITED: ("server", "limit_per_s", "reason"),
     DecisionEvent.SERVER_BRITTLE: ("server", "max_rejections_per_s"),
     DecisionEvent.PATH_CHANGED: ("server", "path", "reason", "lost_paths", "isolated", "peers"),
-    DecisionEvent.SERVER_CRASHED: ("server", "request_id", "fingerprint", "shared_parts", "events"),
+    DecisionEvent.SERVER_CRASHED: (
+        "server",
+        "request_id",
+        "fingerprint",
+        "shared_parts",
+        "events",
+        "answer_age_ms",
+        "suspects",
+        "in_service",
+    ),
     DecisionEvent.QUARANTINE_CHANGED: ("added", "removed", "reason"),
     DecisionEvent.DOCUMENT_IN_FORCE: ("document_version", "routes"),
     DecisionEvent.ROLLOUT_CHANGED: (
--- a/tests/crashing_copies.py
+++ b/tests/crashing_copies.py
@@ -200,7 +200,7 @@
 
 @dataclass(frozen=True)
 class _Restarts:
-    """Times in seconds at which hosts were ready again: by number of the gateway, and of the others.
+    """Times in seconds at which hosts were ready again: by gateway number, and of the others.
 
     For a while after them the copies that a host sends are not counted.
     """
