Count crashes at one moment one by one for copies of a request

Cause: crashes within 0.1 s of each other counted as one, so that the end of a version or a loss of power quarantines nothing. Copies that come at one moment at many gateways crash all servers at once; each wave counted as one crash, and three waves were needed. Why it works: the same request runs at several servers at one moment only if copies were sent there; one that also runs to its end elsewhere is cleared by that. Parts of prompts had the same fault: many servers that end at one moment now count one by one for a part if other parts of the same requests survive, which a loss of power doesn't allow. That the end of all servers at once quarantines nothing stays tested.

--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -32,9 +32,10 @@
 from baobabstream.gateway.error_responses import error_response
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.request_reader import CONNECTION_HEADERS
-from baobabstream.gateway.routed_request import REQUEST_KEY_PREFIX, RoutedRequest
+from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.gateway.server_selection import ServerSelection
+from baobabstream.routing.crash_attribution import REQUEST_KEY_PREFIX
 from baobabstream.routing.document import RouteKind
 from baobabstream.routing.model_cascade import escalation_model, initial_model
 from baobabstream.telemetry.decision_log import DecisionEvent
--- a/src/baobabstream/gateway/routed_request.py
+++ b/src/baobabstream/gateway/routed_request.py
@@ -11,12 +11,10 @@
 
 from dataclasses import dataclass
 
+from baobabstream.routing.crash_attribution import PART_KEY_PREFIX, REQUEST_KEY_PREFIX
 from baobabstream.routing.document import ClientAccount, Route
 
-__all__ = ["REQUEST_KEY_PREFIX", "PromptPart", "RoutedRequest"]
-
-# Beginnings of the keys of a whole request, and of a part of its prompt.
-REQUEST_KEY_PREFIX, PART_KEY_PREFIX = "request/", "part/"
+__all__ = ["PromptPart", "RoutedRequest"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -16,17 +16,23 @@
 search for the most specific hypothesis that covers all positive examples (T. Mitchell, "Machine
 Learning", 1997, chapter 2).
 
-Servers that end at the same moment, for instance when a rollout replaces them, were hardly ended by
-their requests; their crashes count as one.
+Servers that end at the same moment, for instance when a rollout replaces them, have parts of
+prompts in common without being ended by these; for a part their crashes count as one. They count
+one by one if they are many and other keys of the same requests survive, since a loss of power
+spares none. For a whole request they always count one by one: it runs at several servers at the
+same moment only if copies of it were sent to these.
 """
 
 from collections import Counter, OrderedDict, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import chain
 from math import exp
 
-__all__ = ["CrashAttribution", "RequestKeys"]
+__all__ = ["PART_KEY_PREFIX", "REQUEST_KEY_PREFIX", "CrashAttribution", "RequestKeys"]
+
+# Beginnings of the keys of a whole request, and of a part of its prompt.
+REQUEST_KEY_PREFIX, PART_KEY_PREFIX = "request/", "part/"
 
 # Crashes that must have a key in common before its requests are quarantined. Two occur by chance: a
 # request that shared a server with the cause is sent again and may share the next one too.
@@ -42,8 +48,10 @@
 # Time in seconds from the first report of a crash until it is considered, in which all gateways
 # tell whether requests with its keys survive.
 SETTLING_S = 0.3
-# Crashes within this time in seconds count as one.
+# Crashes within this time in seconds are at the same moment.
 MIN_CRASH_INTERVAL_S = 0.1
+# Weight of the survivals of a key from which on it shows that not all requests end with a server.
+MIN_SPARED_WEIGHT = 1.0
 # Shortest time in seconds between two searches for quarantines, which take some milliseconds.
 MIN_SEARCH_INTERVAL_S = 0.04
 # Crashes, and quarantines, are forgotten after this time in seconds. A quarantined request never
@@ -74,11 +82,14 @@
         Time in seconds from which the crash counts.
     requests
         Keys of each request that ran there, whose answer had not begun or had just begun.
+    keys
+        Keys of all these requests.
     """
 
     crashed_s: float
     considered_from_s: float
     requests: set[RequestKeys] = field(default_factory=set)
+    keys: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +162,7 @@
         new_requests = {frozenset(keys) for keys in requests} - crash.requests
         if new_requests and len(crash.requests) < MAX_REQUESTS_PER_CRASH:
             crash.requests |= new_requests
+            crash.keys.update(*new_requests)
             self._needs_search = True
             self.revision += 1
 
@@ -233,7 +245,7 @@
         """
         crash_counts = Counter(
             chain.from_iterable(
-                frozenset(chain.from_iterable(crash.requests))
+                crash.keys
                 for crash in self._crashes.values()
                 if crash.crashed_s + SUSPICION_S > now_s
             )
@@ -304,11 +316,7 @@
             if crash.considered_from_s <= now_s
         }
         while (cause := self._most_likely_cause(unexplained, now_s)) is not None:
-            explained = [
-                process
-                for process, crash in unexplained.items()
-                if cause in chain.from_iterable(crash.requests)
-            ]
+            explained = [process for process, crash in unexplained.items() if cause in crash.keys]
             crashes = [unexplained.pop(process) for process in explained]
             self._add_quarantine(self._common_keys(cause, crashes, now_s), now_s, now_s)
 
@@ -319,29 +327,48 @@
         none: the next crash tells more. ``crashes`` are given by server process, and ``now_s`` is
         the present time in seconds.
         """
-        times_by_key: defaultdict[str, set[float]] = defaultdict(set)
-        requests_by_key: defaultdict[str, set[RequestKeys]] = defaultdict(set)
+        crashes_by_key: defaultdict[str, list[_Crash]] = defaultdict(list)
         for crash in crashes.values():
-            for keys in crash.requests:
-                for key in keys:
-                    times_by_key[key].add(crash.crashed_s)
-                    requests_by_key[key].add(keys)
+            for key in crash.keys:
+                crashes_by_key[key].append(crash)
         crash_counts = {
             key: crash_count
-            for key, times_s in times_by_key.items()
-            if (crash_count := _count_apart(times_s)) >= MIN_CRASHES
+            for key, crashes_with_key in crashes_by_key.items()
+            if len(crashes_with_key) >= MIN_CRASHES
+            and (crash_count := self._independent_crash_count(key, crashes_with_key, now_s))
+            >= MIN_CRASHES
             and self.survival_weight(key, now_s) <= crash_count * MAX_SURVIVALS_PER_CRASH
         }
         if not crash_counts:
             return None
         most_crashes = max(crash_counts.values())
         best_keys = [key for key, count in crash_counts.items() if count == most_crashes]
+        requests_by_key = {
+            key: {keys for crash in crashes_by_key[key] for keys in crash.requests if key in keys}
+            for key in best_keys
+        }
         cause = max(best_keys, key=lambda key: (len(requests_by_key[key]), key))
         is_ambiguous = any(
             requests_by_key[key].isdisjoint(requests_by_key[cause]) for key in best_keys
         )
         return None if is_ambiguous and most_crashes < MAX_AMBIGUOUS_CRASHES else cause
 
+    def _independent_crash_count(self, key: str, crashes: Collection[_Crash], now_s: float) -> int:
+        """Return how many crashes speak against a key, all of which have it.
+
+        ``now_s`` is the present time in seconds.
+        """
+        if key.startswith(REQUEST_KEY_PREFIX):
+            return len(crashes)
+        count_apart = _count_apart(crash.crashed_s for crash in crashes)
+        if count_apart >= MIN_CRASHES or len(crashes) < MAX_AMBIGUOUS_CRASHES:
+            return count_apart
+        other_keys = frozenset(chain.from_iterable(crash.keys for crash in crashes)) - {key}
+        spares_others = any(
+            self.survival_weight(other_key, now_s) >= MIN_SPARED_WEIGHT for other_key in other_keys
+        )
+        return len(crashes) if spares_others else count_apart
+
     def _common_keys(self, cause: str, crashes: Iterable[_Crash], now_s: float) -> RequestKeys:
         """Return a key and those that were in the same requests at all crashes with it.
 
--- a/tests/routing/test_crash_attribution.py
+++ b/tests/routing/test_crash_attribution.py
@@ -197,3 +197,37 @@
         requests = [f"topic{n} r{number}-{n}" for n in range(100)]
         crash(attribution, number, number * 0.2, *requests, update=False)
     assert len(attribution.suspects(60.0)) <= MAX_SUSPECTS
+
+
+def test_copies_of_a_request_at_one_moment_quarantine_it(attribution):
+    """Guards against copies of a request that crash many servers at once and count as one crash."""
+    for number in range(MIN_CRASHES):
+        crash(attribution, number, 1.0 + number * 0.01, "request/r0 common", f"request/s{number}")
+    attribution.update(2.0)
+    assert quarantined(attribution, 2.0) == {"common request/r0"}
+
+
+def test_part_that_crashes_many_servers_at_one_moment_is_quarantined(attribution):
+    """Guards against requests with a bad part that come at once and count as one crash.
+
+    The other parts of these requests survive elsewhere, so no loss of power ended the servers.
+    """
+    survive(attribution, "part/common", 1.0)
+    for number in range(MAX_AMBIGUOUS_CRASHES):
+        crash(
+            attribution,
+            number,
+            1.0 + number * 0.01,
+            f"part/common part/bad request/r{number}",
+        )
+    attribution.update(2.0)
+    assert quarantined(attribution, 2.0) == {"part/bad"}
+
+
+def test_part_at_few_servers_that_end_at_one_moment_is_not_quarantined(attribution):
+    """Guards against taking the loss of power of some servers for crashes by a part they share."""
+    survive(attribution, "part/common", 1.0)
+    for number in range(MAX_AMBIGUOUS_CRASHES - 1):
+        crash(attribution, number, 1.0 + number * 0.01, f"part/common part/a1 request/r{number}")
+    attribution.update(2.0)
+    assert quarantined(attribution, 2.0) == set()
