Hold a request responsible for a crash at any time of its run

Cause: a request was no suspect once its answer had begun 0.5 s before the crash, and counted as a survival by then, so that each crash cleared it. That window comes from parts of prompts, which crash a server as the answer begins. Why it works: a whole request is a suspect as long as it runs, and is cleared by a complete answer only; the parts of its prompt keep their window, so the parts of sound streams that are long are still cleared early.

--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -10,10 +10,12 @@
 runs a model and sends a stream of events.
 
 The crash keys of a request are those by which requests that crash servers are recognised: a hash of
-its content, and its shared prompt parts. A request survives at a server if the server's process is
-alive some time after it has begun to answer; a short answer may be complete before its server
-crashes. The shared prefix of a prompt is the part that other requests may begin with too, and that
-a server keeps in its cache once it has processed it.
+its content, and its shared prompt parts. A part crashes a server as the answer begins, so it
+survives if the server's process is alive some time after that; a short answer may be complete
+before its server crashes. A whole request may crash a server at any time of its run, so it survives
+only if the process is alive some time after the answer is complete. The shared prefix of a prompt
+is the part that other requests may begin with too, and that a server keeps in its cache once it has
+processed it.
 """
 
 import asyncio
@@ -47,7 +49,7 @@
 # Time in seconds without a reply after which no coordination host decides for this gateway.
 MAX_CONTROL_AGE_S = 2.0
 # Time in seconds after the first event of an answer from which on a crash of its server is not put
-# down to it. A request that crashes servers does so as its answer begins.
+# down to a part of its prompt, and after the end of an answer, to the request.
 SURVIVAL_S = 0.5
 # A response that takes more than this many times the expected time counts as bad for its server's
 # version. Responses of a healthy server vary at random up to two to three times the expected time.
@@ -74,7 +76,7 @@
         Mean time between the events of the last measured stream as a multiple of the expected one;
         None before a measurement. A value above 1 means slower than expected.
     crash_checks
-        Tasks that return whether a server has crashed while it began to answer the request.
+        Tasks that return whether a server has crashed that was beginning to answer the request.
     """
 
     def __init__(self, request: RoutedRequest, context: GatewayContext) -> None:
@@ -113,8 +115,8 @@
         if shared_prompt_key is not None:
             server.record_cached_prompt(shared_prompt_key)
 
-    def watch_survival(self, attempt: Attempt) -> None:
-        """Record ``SURVIVAL_S`` after the begin of an answer whether its request survives.
+    def watch_survival(self, attempt: Attempt, surviving_keys: frozenset[str]) -> None:
+        """Record ``SURVIVAL_S`` from now that some keys survive, unless the server crashes.
 
         An answer that is cut earlier, as its caller has left, says nothing.
 
@@ -122,6 +124,9 @@
         ----------
         attempt
             Attempt whose answer has begun, or has arrived completely.
+        surviving_keys
+            Keys of the request that the survival clears: those of the parts of its prompt when the
+            answer has begun, and that of its content when the answer is complete.
         """
         server, tracker, loop = attempt.server, self._context.crash_tracker, self._loop
         answer = BegunAnswer(self._request.crash_keys)
@@ -131,7 +136,7 @@
             """Record a survival unless the answer was cut, or the server may have crashed."""
             server.begun_answers.discard(answer)
             if server.is_alive and not attempt.was_cut:
-                tracker.record_survival(answer.request_keys, loop.time())
+                tracker.record_survival(surviving_keys, loop.time())
 
         loop.call_later(SURVIVAL_S, record_survival)
 
@@ -305,21 +310,21 @@
 
         Called after the connection to the server ended, or its stream stalled, while a request was
         under way. The request itself does not wait for the task, which may take longer than the
-        request. A crash counts against the request unless its answer had gone on for a while, or
-        the server was about to end anyway.
+        request. A crash counts against the request unless the server was about to end anyway, but
+        not against the parts of its prompt if the answer had gone on for a while.
         """
         context, request, server = self._context, self._request, attempt.server
         lost_s, first_event_s = self._loop.time(), attempt.first_event_s
-        is_suspect = first_event_s is None or lost_s - first_event_s < SURVIVAL_S
+        has_just_begun = first_event_s is None or lost_s - first_event_s < SURVIVAL_S
+        suspect_keys = request.crash_keys if has_just_begun else request.content_keys
 
         async def suspend_if_crashed() -> bool:
-            """Probe the server, suspend it if it has crashed, and return whether by the request."""
+            """Probe the server, suspend it if it has crashed, and return whether it has."""
             if not await context.crash_tracker.check_crash(server.pool.connector):
                 return False
             self._suspend(server, "the server refuses connections", self._loop.time())
             suspects = {answer.request_keys for answer in server.begun_answers}
-            if is_suspect:
-                suspects.add(request.crash_keys)
+            suspects.add(suspect_keys)
             is_in_service = context.is_in_service(server)
             context.decisions.record(
                 DecisionEvent.SERVER_CRASHED,
@@ -339,13 +344,13 @@
                 return False
             server.begun_answers.clear()
             self._record_crash(server, suspects, lost_s)
-            return is_suspect
+            return True
 
         # The set keeps the task alive until it is done; the event loop holds only a weak reference.
         task = asyncio.create_task(suspend_if_crashed())
         context.background_tasks.add(task)
         task.add_done_callback(context.background_tasks.discard)
-        if is_suspect:
+        if has_just_begun:
             self.crash_checks.append(task)
 
     def _record_crash(
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -229,7 +229,7 @@
             head = await self._send(attempt)
             body = await attempt.read_whole()
         self._record_response(attempt)
-        self._recorder.watch_survival(attempt)
+        self._recorder.watch_survival(attempt, self._request.crash_keys)
         self._outcome = "served"
         response = web.Response(body=body, status=head.status, headers=_forwarded_headers(head))
         return self._respond(response)
@@ -274,7 +274,7 @@
         async with self._hang_timeout(attempt):
             events = await attempt.read_events()
         self._record_response(attempt)
-        self._recorder.watch_survival(attempt)
+        self._recorder.watch_survival(attempt, self._request.part_keys)
         response = web.StreamResponse(status=head.status, headers=_forwarded_headers(head))
         response.enable_chunked_encoding()
         self._response = response
@@ -368,6 +368,7 @@
                         events = await self._read_events(attempt, last_event_id)
                         if attempt.interval_became_ready():
                             self._recorder.record_event_interval(attempt)
+                    self._recorder.watch_survival(attempt, self._request.content_keys)
                     await response.write_eof()
                     self._outcome = "served"
                     return
--- a/src/baobabstream/gateway/routed_request.py
+++ b/src/baobabstream/gateway/routed_request.py
@@ -89,13 +89,19 @@
         return f"{model}/{self.prompt_parts[-2].part_id}"
 
     @property
-    def crash_keys(self) -> frozenset[str]:
-        """Keys by which requests that crash servers are compared.
+    def content_keys(self) -> frozenset[str]:
+        """The one key by which copies of this request that crash servers are recognised."""
+        return frozenset((f"{REQUEST_KEY_PREFIX}{self.fingerprint}",))
 
-        They are the fingerprint, and the prompt parts that other requests may have too.
-        """
-        parts = (f"{PART_KEY_PREFIX}{part.part_id}" for part in self.prompt_parts[:-1])
-        return frozenset((f"{REQUEST_KEY_PREFIX}{self.fingerprint}", *parts))
+    @property
+    def part_keys(self) -> frozenset[str]:
+        """Keys of the prompt parts that other requests may have too."""
+        return frozenset(f"{PART_KEY_PREFIX}{part.part_id}" for part in self.prompt_parts[:-1])
+
+    @property
+    def crash_keys(self) -> frozenset[str]:
+        """All keys by which requests that crash servers are compared."""
+        return self.content_keys | self.part_keys
 
     @property
     def shared_tokens(self) -> int:
--- a/tests/crashing_copies.py
+++ b/tests/crashing_copies.py
@@ -184,7 +184,8 @@
             async with _in_background(lambda: _send_waves(platform, scenario)):
                 third_crash_s = await _wait_for_crashes(servers)
                 await _restart_hosts(platform, scenario, restarts)
-                await asyncio.sleep(max(0.0, third_crash_s + CONTACT_S - loop.time()))
+                if third_crash_s < float("inf"):
+                    await asyncio.sleep(max(0.0, third_crash_s + CONTACT_S - loop.time()))
                 await asyncio.sleep(scenario.duration_s)
         end_s = loop.time()
     arrivals = chain.from_iterable(server.crash_body_arrivals for server in servers)
@@ -248,7 +249,7 @@
 async def _wait_for_crashes(servers: list[FakeBackendServer]) -> float:
     """Wait for the third crash by a copy, and return its time in seconds.
 
-    Without a third crash it is the time at which the wait ends.
+    It is infinite if there is none after ``MAX_CRASH_WAIT_S``.
     """
     loop = asyncio.get_running_loop()
 
@@ -260,7 +261,7 @@
     await until(
         lambda: len(crashes_s()) >= COUNTED_CRASHES or loop.time() > limit_s, MAX_CRASH_WAIT_S + 5
     )
-    return crashes_s()[COUNTED_CRASHES - 1] if len(crashes_s()) >= COUNTED_CRASHES else loop.time()
+    return crashes_s()[COUNTED_CRASHES - 1] if loop.time() <= limit_s else float("inf")
 
 
 async def _send_waves(platform: PlatformHarness, scenario: CopiesScenario) -> None:
--- a/tests/gateway/test_crash_checks.py
+++ b/tests/gateway/test_crash_checks.py
@@ -42,7 +42,19 @@
     )
     recorder = AttemptRecorder(request_of_stream, context)
     recorder.record_response(attempt)
-    recorder.watch_survival(attempt)
+    recorder.watch_survival(attempt, request_of_stream.crash_keys)
     await asyncio.sleep(SURVIVAL_S + 0.1)
     now_s = asyncio.get_running_loop().time()
     assert context.crash_tracker.survivals(["part/c0"], now_s)["part/c0"] > 0.9
+
+
+async def test_begun_answer_clears_the_parts_of_the_prompt_but_not_the_request(context):
+    """Guards against a request that clears itself as its server ends long after its first event."""
+    request = SimpleNamespace(crash_keys=frozenset({"part/c0", "request/r0"}))
+    server = context.directory.get("old")
+    server.in_flight = 1
+    attempt = SimpleNamespace(server=server, was_cut=False)
+    AttemptRecorder(request, context).watch_survival(attempt, frozenset({"part/c0"}))
+    await asyncio.sleep(SURVIVAL_S + 0.1)
+    now_s = asyncio.get_running_loop().time()
+    assert context.crash_tracker.survivals(request.crash_keys, now_s).keys() == {"part/c0"}
