Hold requests responsible for crashes after they were given up

Cause: a crash counted only against requests whose connection was open at that moment. A server that runs a request on after its connection has ended crashes when nobody is left to be blamed, and often nobody notices the crash before the next connection is refused. Why it works: a server keeps the keys of what was given up there, up to the deadline that it was told. They count if a crash is seen, and also if the server refuses the next connection.

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -29,7 +29,7 @@
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.paths.path_connector import NoPath
 
-__all__ = ["Attempt", "AttemptFailed", "uncached_prompt_tokens"]
+__all__ = ["SURVIVAL_S", "Attempt", "AttemptFailed", "uncached_prompt_tokens"]
 
 # The round trip to a server takes milliseconds; one that takes this long to accept a connection
 # counts as unreachable.
@@ -37,6 +37,9 @@
 # Largest body that is buffered. Responses of plain services are buffered until they are known to be
 # complete, so that the request can be sent again if one breaks off.
 MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
+# Time in seconds after the first event of an answer from which on a crash of its server is not put
+# down to a part of its prompt, and after the end of an answer, to the request.
+SURVIVAL_S = 0.5
 # Number of different ranks that engines accept in the urgency header: 0, the first, to 9.
 URGENCY_RANKS = 10
 # Number of events after which the mean interval between events is measured. The mean over fewer
@@ -166,6 +169,8 @@
         self._event_buffer = EventBuffer()
         self.is_open = False
         self.was_transmitted = False
+        # Whether the server has begun to answer.
+        self._has_head = False
         self.provisional_pace: float | None = None
         self.was_cut = False
         self.event_count = 0
@@ -206,6 +211,7 @@
             raise AttemptFailed(
                 RunState.UNKNOWN, error.detail, connection_lost=error.connection_lost
             ) from error
+        self._has_head = True
         return await self._validate(head)
 
     async def read_whole(self) -> bytes:
@@ -265,6 +271,21 @@
         """Identity of the last complete event that was read and had one, or empty."""
         return self._event_buffer.last_event_id
 
+    @property
+    def may_be_beginning_answer(self) -> bool:
+        """Whether the answer has not begun, or began less than ``SURVIVAL_S`` ago."""
+        now_s = asyncio.get_running_loop().time()
+        return self.first_event_s is None or now_s - self.first_event_s < SURVIVAL_S
+
+    @property
+    def suspect_keys(self) -> frozenset[str]:
+        """Keys of the request to which a crash of the server would be put down now.
+
+        A part of the prompt crashes a server only as the answer begins.
+        """
+        request = self._request
+        return request.crash_keys if self.may_be_beginning_answer else request.content_keys
+
     def interval_became_ready(self) -> bool:
         """Return whether the mean interval can be measured now and was not reported before.
 
@@ -310,9 +331,25 @@
         self.server.arrivals.record_end(asyncio.get_running_loop().time() - self.sent_s)
         if self._connection is not None:
             self.was_cut = self._connection.is_answer_pending
+            if self.was_cut:
+                self._record_abandoned_run()
             self.server.pool.release(self._connection)
             self._connection = None
 
+    def _record_abandoned_run(self) -> None:
+        """Let the request count as a suspect as long as the server may still work on it.
+
+        The server has been told the deadline. A part of the prompt is a suspect only until shortly
+        after the answer has begun.
+        """
+        request = self._request
+        if self._has_head:
+            begin_ends_s = asyncio.get_running_loop().time() + SURVIVAL_S
+            self.server.record_abandoned_run(self.suspect_keys, begin_ends_s)
+            self.server.record_abandoned_run(request.content_keys, request.deadline_s)
+        else:
+            self.server.record_abandoned_run(request.crash_keys, request.deadline_s)
+
     async def _read_part(self) -> bytes:
         """Return the next bytes of the body, or nothing at its end.
 
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -26,6 +26,7 @@
 from baobabstream.gateway.attempt import (
     MIN_MEASURED_EVENTS,
     MISDIRECTED_STATUS,
+    SURVIVAL_S,
     Attempt,
     AttemptFailed,
 )
@@ -48,9 +49,6 @@
 MAX_PAUSE_S = 300.0
 # Time in seconds without a reply after which no coordination host decides for this gateway.
 MAX_CONTROL_AGE_S = 2.0
-# Time in seconds after the first event of an answer from which on a crash of its server is not put
-# down to a part of its prompt, and after the end of an answer, to the request.
-SURVIVAL_S = 0.5
 # A response that takes more than this many times the expected time counts as bad for its server's
 # version. Responses of a healthy server vary at random up to two to three times the expected time.
 BAD_RESPONSE_SLOWDOWN = 4.0
@@ -216,6 +214,7 @@
             server.bad_responses += 1
         if failure.server_unreachable:
             self._suspend(server, failure.reason, now_s)
+            self._record_unnoticed_crash(attempt)
         if failure.head is not None and failure.head.status == MISDIRECTED_STATUS:
             self._suspend(server, "another server has its address", now_s)
         if failure.connection_lost:
@@ -313,61 +312,82 @@
         request. A crash counts against the request unless the server was about to end anyway, but
         not against the parts of its prompt if the answer had gone on for a while.
         """
-        context, request, server = self._context, self._request, attempt.server
-        lost_s, first_event_s = self._loop.time(), attempt.first_event_s
-        has_just_begun = first_event_s is None or lost_s - first_event_s < SURVIVAL_S
-        suspect_keys = request.crash_keys if has_just_begun else request.content_keys
+        context, server, lost_s = self._context, attempt.server, self._loop.time()
+        suspect_keys, may_be_beginning = attempt.suspect_keys, attempt.may_be_beginning_answer
 
         async def suspend_if_crashed() -> bool:
             """Probe the server, suspend it if it has crashed, and return whether it has."""
             if not await context.crash_tracker.check_crash(server.pool.connector):
                 return False
             self._suspend(server, "the server refuses connections", self._loop.time())
-            suspects = {answer.request_keys for answer in server.begun_answers}
-            suspects.add(suspect_keys)
-            is_in_service = context.is_in_service(server)
-            context.decisions.record(
-                DecisionEvent.SERVER_CRASHED,
-                server=server.row.server_id,
-                request_id=request.request_id,
-                fingerprint=request.fingerprint,
-                shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
-                events=attempt.event_count,
-                answer_age_ms=(
-                    int((lost_s - first_event_s) * 1000) if first_event_s is not None else None
-                ),
-                suspects=len(suspects),
-                in_service=is_in_service,
-            )
-            server.has_crashed = True
-            if not is_in_service:
-                return False
-            server.begun_answers.clear()
-            self._record_crash(server, suspects, lost_s)
-            return True
+            suspects = server.take_crash_suspects(self._loop.time()) | {suspect_keys}
+            self._log_crash(attempt, len(suspects), lost_s)
+            return self._record_crash(server, suspects, lost_s)
 
         # The set keeps the task alive until it is done; the event loop holds only a weak reference.
         task = asyncio.create_task(suspend_if_crashed())
         context.background_tasks.add(task)
         task.add_done_callback(context.background_tasks.discard)
-        if has_just_begun:
+        if may_be_beginning:
             self.crash_checks.append(task)
 
+    def _record_unnoticed_crash(self, attempt: Attempt) -> None:
+        """Record that a server has ended while it ran requests that nobody waited for any more.
+
+        Called if the server accepts no connection. The request of the attempt is no suspect, as it
+        was not sent.
+        """
+        now_s = self._loop.time()
+        suspects = attempt.server.take_crash_suspects(now_s)
+        if suspects:
+            self._log_crash(attempt, len(suspects), now_s)
+            self._record_crash(attempt.server, suspects, now_s)
+
+    def _log_crash(self, attempt: Attempt, suspect_count: int, lost_s: float) -> None:
+        """Write the crash of a server to the decision log.
+
+        Parameters
+        ----------
+        attempt
+            Attempt that has noticed it.
+        suspect_count
+            Number of requests that are held responsible.
+        lost_s
+            Time in seconds at which the connection of the attempt ended, or was refused.
+        """
+        request, server, first_event_s = self._request, attempt.server, attempt.first_event_s
+        self._context.decisions.record(
+            DecisionEvent.SERVER_CRASHED,
+            server=server.row.server_id,
+            request_id=request.request_id,
+            fingerprint=request.fingerprint,
+            shared_parts=[part.part_id for part in request.prompt_parts[:-1]],
+            events=attempt.event_count,
+            answer_age_ms=(
+                int((lost_s - first_event_s) * 1000) if first_event_s is not None else None
+            ),
+            suspects=suspect_count,
+            in_service=self._context.is_in_service(server),
+        )
+
     def _record_crash(
         self, server: KnownServer, suspects: Collection[frozenset[str]], lost_s: float
-    ) -> None:
-        """Record that a server crashed while it began to answer some requests.
+    ) -> bool:
+        """Record that a server has crashed, and return whether its end was unexpected.
 
         Parameters
         ----------
         server
             The server.
         suspects
-            Crash keys of each request.
+            Keys of each request that may have crashed it.
         lost_s
             Time in seconds at which a connection ended.
         """
         context = self._context
+        server.has_crashed = True
+        if not context.is_in_service(server):
+            return False
         added, removed = context.crash_tracker.record_crash(
             server.process_id,
             suspects,
@@ -376,6 +396,7 @@
             is_in_contact=context.control_age_s() < MAX_CONTROL_AGE_S,
         )
         context.log_quarantines(added, removed, "crashes seen by this gateway")
+        return True
 
 
 def _count_slow_stream(server: KnownServer, count: int = 1) -> None:
--- a/src/baobabstream/gateway/server_directory.py
+++ b/src/baobabstream/gateway/server_directory.py
@@ -12,7 +12,7 @@
 it has it in its cache. Times are those of the event loop's clock, in seconds.
 """
 
-from collections import Counter, OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import log
@@ -57,7 +57,8 @@
 # Most shared prompt prefixes that are remembered for each server. The cache of an engine, which is
 # a server that runs models, holds a few hundred.
 MAX_CACHED_PROMPTS = 400
-
+# Most requests given up at each server that are remembered in case it crashes.
+MAX_ABANDONED_RUNS = 256
 # Time in seconds for which the end of a limit is reported to the coordination hosts.
 ENDED_LIMIT_REPORT_S = 10.0
 # Mean age in seconds of the reports of other gateways when a coordination host sums them. Gateways
@@ -68,6 +69,22 @@
 NO_WORK = ServerWork(0, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class _AbandonedRun:
+    """Run of a request that nobody waits for any more, but that the server may go on with.
+
+    Parameters
+    ----------
+    request_keys
+        Keys of the request.
+    ends_s
+        Time in seconds at which the server stops working on it.
+    """
+
+    request_keys: frozenset[str]
+    ends_s: float
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class BegunAnswer:
     """Keys of a request that a server has begun to answer.
@@ -121,7 +138,8 @@
     has_crashed
         Whether this process of the server has ended without notice.
     begun_answers
-        Answers that have begun lately, whose requests may yet turn out to have crashed the server.
+        Answers that have begun or ended lately, whose requests may yet turn out to crash the
+        server.
     paces, log_pace_sum, log_pace_squares
         Number of streams whose pace was measured, and the sums of the natural logarithms of the
         pace and of their squares; see `record_pace`.
@@ -152,6 +170,7 @@
         self.rejection_guard = RejectionGuard()
         self.has_crashed = False
         self.begun_answers: set[BegunAnswer] = set()
+        self._abandoned_runs: deque[_AbandonedRun] = deque(maxlen=MAX_ABANDONED_RUNS)
         self.paces = 0
         self.log_pace_sum = 0.0
         self.log_pace_squares = 0.0
@@ -175,6 +194,30 @@
         """Whether an open connection shows that the server's process has not ended."""
         return not self.has_crashed and (self.in_flight > 0 or self.pool.has_open_idle_connection)
 
+    def record_abandoned_run(self, request_keys: frozenset[str], ends_s: float) -> None:
+        """Remember a request that was given up before its answer was complete.
+
+        Parameters
+        ----------
+        request_keys
+            Keys of the request that may turn out to crash the server.
+        ends_s
+            Time in seconds at which the server stops working on it.
+        """
+        self._abandoned_runs.append(_AbandonedRun(request_keys, ends_s))
+
+    def take_crash_suspects(self, now_s: float) -> set[frozenset[str]]:
+        """Return the keys of each request that may have crashed the server, and forget them.
+
+        Requests whose connections are still open are not among them. ``now_s`` is the present time
+        in seconds.
+        """
+        suspects = {answer.request_keys for answer in self.begun_answers}
+        suspects.update(run.request_keys for run in self._abandoned_runs if run.ends_s > now_s)
+        self.begun_answers.clear()
+        self._abandoned_runs.clear()
+        return suspects
+
     def load(self, now_s: float, availability_zone: str, prompt_s: float) -> ServerLoad:
         """Return the load of the server for one request, by which servers are compared.
 
--- a/tests/gateway/test_crash_checks.py
+++ b/tests/gateway/test_crash_checks.py
@@ -58,3 +58,12 @@
     await asyncio.sleep(SURVIVAL_S + 0.1)
     now_s = asyncio.get_running_loop().time()
     assert context.crash_tracker.survivals(request.crash_keys, now_s).keys() == {"part/c0"}
+
+
+def test_request_that_was_given_up_is_a_suspect_as_long_as_its_server_may_run_it(context):
+    """Guards against servers that end under a request whose caller or gateway has left."""
+    server = context.directory.get("old")
+    server.record_abandoned_run(frozenset({"request/ended"}), 4.0)
+    server.record_abandoned_run(frozenset({"request/running"}), 6.0)
+    assert server.take_crash_suspects(5.0) == {frozenset({"request/running"})}
+    assert server.take_crash_suspects(5.0) == set()
