Prefer a single request to a part that all requests share as the cause of crashes

Cause: while all servers crash nothing survives, and a restart forgets earlier survivals, so the common part explains all crashes, and the request that caused them only nearly all, as reports of gateways that restarted are lost. Why it works: among the keys of a broader cause, a single request at more than 0.6 of its crashes is taken; as long as it is at less than three, the next crash is waited for. What most requests beside an established cause have explains nothing of the other crashes.

--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -16,6 +16,11 @@
 search for the most specific hypothesis that covers all positive examples (T. Mitchell, "Machine
 Learning", 1997, chapter 2).
 
+While all servers crash nothing survives, so a part that all requests share is at each crash and is
+not cleared. Then a single request that was at most of these crashes is the likelier cause; it may
+be missing at some, as the reports of a gateway that restarts are lost. Parts that most requests
+beside an established cause have explain nothing of the other crashes.
+
 Servers that end at the same moment, for instance when a rollout replaces them, have parts of
 prompts in common without being ended by these; for a part their crashes count as one. They count
 one by one if they are many and other keys of the same requests survive, since a loss of power
@@ -50,6 +55,11 @@
 SETTLING_S = 0.3
 # Crashes within this time in seconds are at the same moment.
 MIN_CRASH_INTERVAL_S = 0.1
+# A request that is at more than this fraction of the crashes of one of its parts is their cause.
+MIN_NARROWED_FRACTION = 0.6
+# Number of requests beside an established cause from which on they show which parts are common, and
+# fraction of them that has a common part.
+MIN_BYSTANDERS, MIN_COMMON_FRACTION = 3, 0.5
 # Weight of the survivals of a key from which on it shows that not all requests end with a server.
 MIN_SPARED_WEIGHT = 1.0
 # Shortest time in seconds between two searches for quarantines, which take some milliseconds.
@@ -315,21 +325,50 @@
             for process, crash in self._crashes.items()
             if crash.considered_from_s <= now_s
         }
-        while (cause := self._most_likely_cause(unexplained, now_s)) is not None:
-            explained = [process for process, crash in unexplained.items() if cause in crash.keys]
-            crashes = [unexplained.pop(process) for process in explained]
+        bystanders: list[RequestKeys] = []
+        for request_key in self._settled_request_keys(unexplained.values()):
+            _move_explained(request_key, unexplained, bystanders)
+        while (
+            cause := self._most_likely_cause(unexplained, _common_among(bystanders), now_s)
+        ) is not None:
+            crashes = _move_explained(cause, unexplained, bystanders)
             self._add_quarantine(self._common_keys(cause, crashes, now_s), now_s, now_s)
 
-    def _most_likely_cause(self, crashes: Mapping[str, _Crash], now_s: float) -> str | None:
+    def _settled_request_keys(self, crashes: Collection[_Crash]) -> list[str]:
+        """Return the keys of whole requests whose quarantines need no second search.
+
+        These explain all crashes with that key. One that doesn't, as a copy of the request had
+        other parts, is too narrow.
+        """
+        return [
+            request_key
+            for quarantined_keys in self._quarantined_s
+            for request_key in quarantined_keys
+            if request_key.startswith(REQUEST_KEY_PREFIX)
+            and all(quarantined_keys <= keys for keys in _requests_with(request_key, crashes))
+        ]
+
+    def _most_likely_cause(
+        self, crashes: Mapping[str, _Crash], excluded_keys: Collection[str], now_s: float
+    ) -> str | None:
         """Return the key that explains most of some crashes, or None if none explains enough.
 
-        If two keys of different requests explain equally many crashes, and these are few, there is
-        none: the next crash tells more. ``crashes`` are given by server process, and ``now_s`` is
-        the present time in seconds.
+        If two keys of different requests explain equally many crashes, or a single request nearly
+        as many as a part of its prompt, and these are few, there is none: the next crash tells
+        more.
+
+        Parameters
+        ----------
+        crashes
+            Crashes by server process.
+        excluded_keys
+            Keys that explain nothing.
+        now_s
+            Present time in seconds.
         """
         crashes_by_key: defaultdict[str, list[_Crash]] = defaultdict(list)
         for crash in crashes.values():
-            for key in crash.keys:
+            for key in crash.keys.difference(excluded_keys):
                 crashes_by_key[key].append(crash)
         crash_counts = {
             key: crash_count
@@ -343,15 +382,25 @@
             return None
         most_crashes = max(crash_counts.values())
         best_keys = [key for key, count in crash_counts.items() if count == most_crashes]
-        requests_by_key = {
-            key: {keys for crash in crashes_by_key[key] for keys in crash.requests if key in keys}
-            for key in best_keys
-        }
+        requests_by_key = {key: _requests_with(key, crashes_by_key[key]) for key in best_keys}
         cause = max(best_keys, key=lambda key: (len(requests_by_key[key]), key))
         is_ambiguous = any(
             requests_by_key[key].isdisjoint(requests_by_key[cause]) for key in best_keys
         )
-        return None if is_ambiguous and most_crashes < MAX_AMBIGUOUS_CRASHES else cause
+        narrower_keys = [
+            key
+            for key, crashes_with_key in crashes_by_key.items()
+            if key.startswith(REQUEST_KEY_PREFIX)
+            and len(crashes_with_key) > MIN_NARROWED_FRACTION * len(crashes_by_key[cause])
+            and any(cause in keys for keys in _requests_with(key, crashes_with_key))
+        ]
+        narrowest_key = max(
+            narrower_keys, key=lambda key: (len(crashes_by_key[key]), key), default=cause
+        )
+        is_ambiguous |= narrowest_key not in crash_counts
+        if is_ambiguous and most_crashes < MAX_AMBIGUOUS_CRASHES:
+            return None
+        return narrowest_key if narrowest_key in crash_counts else cause
 
     def _independent_crash_count(self, key: str, crashes: Collection[_Crash], now_s: float) -> int:
         """Return how many crashes speak against a key, all of which have it.
@@ -387,6 +436,43 @@
         )
 
 
+def _requests_with(key: str, crashes: Iterable[_Crash]) -> set[RequestKeys]:
+    """Return the requests with a key at some crashes, each by its keys."""
+    return {keys for crash in crashes for keys in crash.requests if key in keys}
+
+
+def _move_explained(
+    cause: str, unexplained: dict[str, _Crash], bystanders: list[RequestKeys]
+) -> list[_Crash]:
+    """Take the crashes that a key explains from others, and return them.
+
+    Parameters
+    ----------
+    cause
+        The key.
+    unexplained
+        Crashes by server process, from which those with the key are removed.
+    bystanders
+        List to which the requests without the key at these crashes are added.
+    """
+    explained = [process for process, crash in unexplained.items() if cause in crash.keys]
+    crashes = [unexplained.pop(process) for process in explained]
+    bystanders.extend(keys for crash in crashes for keys in crash.requests if cause not in keys)
+    return crashes
+
+
+def _common_among(bystanders: Collection[RequestKeys]) -> set[str]:
+    """Return the keys that most of some requests have, or none if these are few.
+
+    Requests of which only the content is known are left out.
+    """
+    counted = [keys for keys in bystanders if len(keys) > 1]
+    if len(counted) < MIN_BYSTANDERS:
+        return set()
+    counts = Counter(chain.from_iterable(counted))
+    return {key for key, count in counts.items() if count >= MIN_COMMON_FRACTION * len(counted)}
+
+
 def _count_apart(times_s: Iterable[float]) -> int:
     """Return how many of some times in seconds there are, if close ones count as one."""
     count, last_counted_s = 0, float("-inf")
--- a/tests/routing/test_crash_attribution.py
+++ b/tests/routing/test_crash_attribution.py
@@ -231,3 +231,25 @@
         crash(attribution, number, 1.0 + number * 0.01, f"part/common part/a1 request/r{number}")
     attribution.update(2.0)
     assert quarantined(attribution, 2.0) == set()
+
+
+def test_request_at_most_crashes_is_quarantined_and_not_the_part_that_all_requests_share(
+    attribution,
+):
+    """Guards against a route that is shut for one request, after a storm without any survivals.
+
+    Some crashes lack the request, as the gateways that had sent it restarted before they reported.
+    """
+    for number in range(12):
+        cause = ("part/common request/r0",) if number % 4 else ()
+        crash(attribution, number, 1 + number * 0.3, *cause, f"part/common request/s{number}")
+    assert quarantined(attribution, 9.0) == {"part/common request/r0"}
+
+
+def test_copy_with_other_parts_makes_the_quarantine_wider(attribution):
+    """Guards against copies of a request that escape its quarantine by other prompt parts."""
+    for number in range(3):
+        crash(attribution, number, number, "part/a request/r0")
+    assert quarantined(attribution, 3.0) == {"part/a request/r0"}
+    crash(attribution, 3, 4.0, "part/b request/r0")
+    assert quarantined(attribution, 4.0) == {"request/r0"}
