--- a/tests/routing/test_crash_attribution.py
+++ b/tests/routing/test_crash_attribution.py
@@ -253,3 +253,16 @@
     assert quarantined(attribution, 3.0) == {"part/a request/r0"}
     crash(attribution, 3, 4.0, "part/b request/r0")
     assert quarantined(attribution, 4.0) == {"request/r0"}
+
+
+def test_cause_among_many_waiting_requests_is_found(attribution):
+    """Guards against a cause that is dropped, as a server with a long queue ended with it.
+
+    Each gateway reports its own requests, and the one that sent the cause comes last.
+    """
+    for number in range(3):
+        for gateway in range(8):
+            waiting = [f"request/{number}-{gateway}-{n}" for n in range(24)]
+            crash(attribution, number, number, *waiting, update=False)
+        crash(attribution, number, number, "request/r0")
+    assert quarantined(attribution, 3.0) == {"request/r0"}
