Refuse messages that are nested too deeply, and ports of many digits, with a code

What callers saw: other operators report entries of replicas that end the hosts which read them. Here no process ended and later changes arrived, but an announcement, a departure or a configuration nested 100,000 levels deep got a 500 without a code: a departure was not carried out, and an operator was told to try again. A port of 5,000 digits did the same, and so did a frame from a peer without the secret, and an event of an engine of the chat product. Cause: decoders raise RecursionError, which is no error of decoding there; Python converts no text of over 4,300 digits. Evidence: five tests of the platform, one of the codec and one of the event scanner failed before and pass now. Numbers beyond all bounds and a port out of range were refused before (tests added).

--- a/src/baobabstream/backends/event_scanner.py
+++ b/src/baobabstream/backends/event_scanner.py
@@ -170,7 +170,7 @@
         """
         try:
             chunk: Any = json.loads(payload)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise AttemptError(FailureKind.ERROR, "the answer is not JSON") from error
         identity = chunk.get("id") if isinstance(chunk, dict) else None
         if isinstance(chunk, dict) and "error" in chunk:
--- a/src/baobabstream/platform/announcement_format.py
+++ b/src/baobabstream/platform/announcement_format.py
@@ -24,8 +24,8 @@
 
 __all__ = ["read_announcement", "read_departure"]
 
-# Highest TCP port number.
-MAX_PORT = 65_535
+# Highest TCP port number, and its number of digits. Python converts no text of very many digits.
+MAX_PORT, MAX_PORT_DIGITS = 65_535, 5
 
 # By the state's name in a heartbeat. A server in the third state, GONE, sends no heartbeats.
 _SERVER_STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
@@ -133,4 +133,5 @@
         IPv4Address(ip)
     except AddressValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return is_number and 0 < int(port) <= MAX_PORT
--- a/src/baobabstream/platform/decoding.py
+++ b/src/baobabstream/platform/decoding.py
@@ -38,9 +38,10 @@
     Raises
     ------
     RequestRefused
-        With ``code`` if the body is not complete JSON or a field has the wrong type.
+        With ``code`` if the body is not complete JSON, is nested too deeply or a field has the
+        wrong type.
     """
     try:
         return decoder.decode(body)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
         raise RequestRefused(code, str(error)) from error
--- a/src/baobabstream/wire/codec.py
+++ b/src/baobabstream/wire/codec.py
@@ -104,13 +104,13 @@
             raise PeerError(ResultCode.MESSAGE_MALFORMED, "the frame is over the size limit")
         try:
             envelope = self._envelope_decoder.decode(frame)
-        except (DecodeError, ValidationError) as error:
+        except (DecodeError, ValidationError, RecursionError) as error:
             raise PeerError(ResultCode.MESSAGE_MALFORMED, str(error)) from error
         self._check_envelope(envelope)
         self._clock.observe(envelope.time)
         try:
             return envelope.sender, self._message_decoder.decode(envelope.body)
-        except (DecodeError, ValidationError) as error:
+        except (DecodeError, ValidationError, RecursionError) as error:
             raise PeerError(ResultCode.MESSAGE_MALFORMED, str(error)) from error
 
     def _check_envelope(self, envelope: Envelope) -> None:
--- a/tests/backends/test_event_scanner.py
+++ b/tests/backends/test_event_scanner.py
@@ -57,6 +57,7 @@
         encode_event("a", finish_reason="stop") + encode_event("b"),
         encode_event("a") + b"data: [DONE]\n\n" + b"x",
         b"data: nonsense\n\n",
+        b"data: " + b"[" * 100_000 + b"]" * 100_000 + b"\n\n",
     ],
 )
 def test_invalid_or_foreign_events_are_rejected(stream: bytes) -> None:
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -16,6 +16,8 @@
 from waiting import until
 
 HUGE_NUMBER = 10**30
+# JSON text that no recursive decoder can read.
+DEEPLY_NESTED = b"[" * 100_000 + b"]" * 100_000
 
 
 @pytest.fixture
@@ -39,9 +41,12 @@
         writer.close()
 
 
-async def post_raw(platform, path: bytes, body: dict) -> bytes:
-    """Post a body to a raw path of the coordination host and return the status line."""
-    text = json.dumps(body).encode()
+async def post_raw(platform, path: bytes, body: dict | bytes) -> bytes:
+    """Post a body to a raw path of the coordination host and return the status line.
+
+    A body that is no bytes is sent as JSON.
+    """
+    text = body if isinstance(body, bytes) else json.dumps(body).encode()
     head = b"POST %b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (path, len(text))
     response = await send_raw(platform.coordinator_ips[0], HTTP_PORT, head + text)
     return response.split(b"\r\n")[0]
@@ -66,6 +71,41 @@
     await assert_changes_still_arrive(platform)
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        pytest.param("notes", DEEPLY_NESTED, id="unknown-field-nested-deeply"),
+        pytest.param("models", DEEPLY_NESTED, id="known-field-nested-deeply"),
+        pytest.param("slots", b"1e400", id="number-beyond-all-bounds"),
+        pytest.param("address", b'"10.0.0.9:65536"', id="port-out-of-range"),
+        pytest.param("address", b'"10.0.0.9:%b"' % (b"9" * 5000), id="port-of-many-digits"),
+    ],
+)
+async def test_odd_announcement_is_refused_with_a_code(platform, field, value):
+    """Guards against one announcement of another writer that ends what reads it, or stops it."""
+    body = FakeBackendServer("i-9", "app", address="10.0.0.9:80").next_heartbeat()
+    body.pop(field, None)
+    text = json.dumps(body).encode()[:-1] + b', "%b": %b}' % (field.encode(), value)
+    path = b"/baobabstream/replicas/i-9/heartbeat"
+    assert b" 400 " in await post_raw(platform, path, text)
+    await assert_changes_still_arrive(platform)
+
+
+async def test_nested_departure_still_removes_its_server(platform):
+    """Guards against a server that stays in use, as its departure has a field nested deeply."""
+    text = b'{"notes": %b}' % DEEPLY_NESTED
+    path = b"/baobabstream/replicas/i-engine/deregister"
+    assert b" 200 " in await post_raw(platform, path, text)
+    directory = next(iter(platform.gateways.values())).context.directory
+    await until(lambda: directory.get("i-engine") is None, 5.0)
+
+
+async def test_nested_configuration_is_refused_with_a_code(platform):
+    """Guards against an operator who is told to try an unreadable configuration again."""
+    text = b'{"version": 9, "routes": [], "services": [], "notes": %b}' % DEEPLY_NESTED
+    assert b" 400 " in await post_raw(platform, b"/baobabstream/config/put", text)
+
+
 @pytest.mark.parametrize("server_id", [b"i-\xff", b"i-" + b"9" * 5000])
 async def test_announcement_with_an_unusable_identity_is_refused(platform, server_id):
     """Guards against an identity that no coordination host can pass on to any gateway."""
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -81,6 +81,15 @@
     assert not senders
 
 
+def test_frame_that_is_nested_deeply_is_refused():
+    """Guards against one frame whose decoding raises an error that no daemon expects."""
+    # The body, which is the last element, consists of arrays of one element each.
+    envelope = encode([PROTOCOL_VERSION, "c", "host", b"", {"wall_ms": 0, "counter": 0}, None])
+    with pytest.raises(PeerError) as raised:
+        make_codec().decode(envelope[:-1] + b"\x91" * 100_000 + b"\xc0")
+    assert raised.value.code is ResultCode.MESSAGE_MALFORMED
+
+
 def test_other_protocol_version_is_refused(monkeypatch):
     """Guards against decoding frames of another protocol version."""
     monkeypatch.setattr(codec_module, "PROTOCOL_VERSION", PROTOCOL_VERSION + 1)
