--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -42,6 +42,8 @@
         Folder for the settings, log and state of the host.
     seed_ips
         IP addresses of the coordination hosts that the daemon contacts first.
+    tolerated_losses
+        Setting ``fault_tolerance.machines``: coordination hosts that may be lost at once.
 
     Attributes
     ----------
@@ -53,8 +55,16 @@
         Exit code of each end, in order; a negative code is the signal that ended the process.
     """
 
-    def __init__(self, role: str, ip: str, folder: Path, seed_ips: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        role: str,
+        ip: str,
+        folder: Path,
+        seed_ips: tuple[str, ...],
+        tolerated_losses: int = 1,
+    ) -> None:
         self.role, self.ip, self.folder, self._seed_ips = role, ip, folder, seed_ips
+        self._tolerated_losses = tolerated_losses
         self.exit_count = 0
         self.started_s = 0.0
         self.exit_codes: list[int] = []
@@ -128,7 +138,7 @@
 retry_ratio = 0.9
 retry_slack = 50
 [fault_tolerance]
-machines = 1
+machines = {self._tolerated_losses}
 """)
 
 
@@ -142,9 +152,15 @@
     """
 
     def __init__(
-        self, folder: Path, coordinator_count: int, gateway_count: int, network: int
+        self,
+        folder: Path,
+        coordinator_count: int,
+        gateway_count: int,
+        network: int,
+        tolerated_losses: int = 1,
     ) -> None:
         super().__init__(folder, coordinator_count, gateway_count, network)
+        self._tolerated_losses = tolerated_losses
         self.daemons: dict[str, SupervisedDaemon] = {}
         self._supervisor_tasks: list[asyncio.Task[None]] = []
 
@@ -166,7 +182,7 @@
 
     def _start_daemon(self, role: str, ip: str) -> SupervisedDaemon:
         """Create the process of one host and start to supervise it."""
-        daemon = SupervisedDaemon(role, ip, self._folder / ip, self.seeds)
+        daemon = SupervisedDaemon(role, ip, self._folder / ip, self.seeds, self._tolerated_losses)
         self.daemons[ip] = daemon
         self._supervisor_tasks.append(asyncio.create_task(daemon.run()))
         return daemon
