Refuse prompt parts of too many tokens, and keep exchanging after a report that cannot be sent

Cause: the expected time for that prompt does not fit into a message; encoding the report raised OverflowError, and the task of the exchanges only expected errors of the peer. Class: input without a bound, and a background task that ends by an unexpected error. A count of 5,000 digits got a 500 by the same way.

--- a/src/baobabstream/gateway/coordination_client.py
+++ b/src/baobabstream/gateway/coordination_client.py
@@ -200,15 +200,9 @@
         is_lost = False
         try:
             while not is_lost or self._is_needed(host, last_reply_s):
-                wait_s = 0.0 if contact.epoch == 0 else EXCHANGE_WAIT_S
-                report = self._handler.report(contact, wait_s)
                 reported_crashes = self._handler.last_crash_number
-                request = replace(
-                    report,
-                    evidence=contact.sent_evidence.unsent(report.evidence),
-                    wants_work=self._load_source.is_source(host, self._clock()),
-                )
                 try:
+                    request = self._next_request(host, contact)
                     reply: ExchangeReply = await client.call(request, CALL_TIMEOUT_S)
                 except PeerError as error:
                     if not is_lost:
@@ -216,6 +210,11 @@
                     is_lost = True
                     await asyncio.sleep(RETRY_DELAY_S)
                     continue
+                except Exception:
+                    # Whatever is wrong with this report, later changes must still arrive.
+                    _log.exception("The report to coordination host %s cannot be sent.", host)
+                    await asyncio.sleep(RETRY_DELAY_S)
+                    continue
                 now_s = self._clock()
                 try:
                     self._handle_reply(host, reply, now_s)
@@ -243,6 +242,16 @@
             client.close()
             self._tasks.pop(host, None)
 
+    def _next_request(self, host: str, contact: HostContact) -> ExchangeRequest:
+        """Return the next report to a host, without the evidence that it has confirmed."""
+        wait_s = 0.0 if contact.epoch == 0 else EXCHANGE_WAIT_S
+        report = self._handler.report(contact, wait_s)
+        return replace(
+            report,
+            evidence=contact.sent_evidence.unsent(report.evidence),
+            wants_work=self._load_source.is_source(host, self._clock()),
+        )
+
     def _handle_reply(self, host: str, reply: ExchangeReply, now_s: float) -> None:
         """Pass a reply to the handler, and start exchanges with the hosts that it names.
 
--- a/src/baobabstream/gateway/request_reader.py
+++ b/src/baobabstream/gateway/request_reader.py
@@ -25,6 +25,9 @@
 # Most prompt parts that are read, which limits the work for one header. Further parts are ignored,
 # as parts are only hints on what a server has in its cache.
 MAX_PROMPT_PARTS = 64
+# Most digits of the number of tokens of one part. The largest prompts have millions of tokens; the
+# expected time for a prompt is a 64-bit number in messages to the coordination hosts.
+MAX_TOKEN_DIGITS = 9
 # Lower-case names of headers that are not forwarded: those that concern one connection only (RFC
 # 9110, section 7.6.1), and those by which the gateway states the length of each body anew.
 CONNECTION_HEADERS = frozenset(
@@ -133,8 +136,9 @@
         Raises
         ------
         RequestRefused
-            ``MALFORMED_HEADER`` if the request has no identity, an invalid time that is left, or
-            bytes that are no text in a header that the gateway reads,
+            ``MALFORMED_HEADER`` if the request has no identity, an invalid time that is left, a
+            prompt part of too many tokens, or bytes that are no text in a header that the gateway
+            reads,
             ``BODY_TOO_LARGE`` if the body exceeds the limit of the HTTP server.
         """
         header_names, headers = self._header_names, request.headers
@@ -146,7 +150,7 @@
             body = await request.read()
         except web.HTTPRequestEntityTooLarge as error:
             raise RequestRefused(ResultCode.BODY_TOO_LARGE) from error
-        prompt_parts = _parse_prompt_parts(headers.get(header_names.prompt_parts, ""))
+        prompt_parts = self._prompt_parts(request)
         account_name = account.name if account is not None else ""
         session = headers.get(header_names.session, "")
         # Start of the text whose hash is the fingerprint. It leaves out the headers, which may
@@ -196,6 +200,31 @@
             if lower_name not in self._dropped_headers and lower_name not in hop_by_hop_names:
                 yield name, value
 
+    def _prompt_parts(self, request: web.Request) -> tuple[PromptPart, ...]:
+        """Return the prompt parts in a header, ``identity:tokens`` separated by commas.
+
+        ``tokens`` is the number of tokens of the part. Parts without one are skipped, as parts are
+        only hints.
+
+        Raises
+        ------
+        RequestRefused
+            ``MALFORMED_HEADER`` if a number has more than ``MAX_TOKEN_DIGITS`` digits.
+        """
+        header = self._header_names.prompt_parts
+        parts = request.headers.get(header, "").split(",")[:MAX_PROMPT_PARTS]
+        split_parts = (part.strip().partition(":") for part in parts)
+        numbered_parts = [
+            (part_id, tokens)
+            for part_id, _, tokens in split_parts
+            # isdigit alone is also true for digits such as superscripts, which int does not read.
+            if part_id and tokens.isascii() and tokens.isdigit()
+        ]
+        if any(len(tokens) > MAX_TOKEN_DIGITS for _, tokens in numbered_parts):
+            detail = f"{header} has a part of more than {MAX_TOKEN_DIGITS} digits"
+            raise RequestRefused(ResultCode.MALFORMED_HEADER, detail)
+        return tuple(PromptPart(part_id, int(tokens)) for part_id, tokens in numbered_parts)
+
     def _time_left_s(self, request: web.Request, route: Route) -> float:
         """Return the seconds for which the caller will wait, by default the route's timeout.
 
@@ -230,20 +259,3 @@
             return share.service
     # Reached only if rounding leaves a remainder: the last service that has any weight.
     return next(share.service for share in reversed(route.shares) if share.weight > 0)
-
-
-def _parse_prompt_parts(header_value: str) -> tuple[PromptPart, ...]:
-    """Return the prompt parts in a header, ``identity:tokens`` separated by commas.
-
-    ``tokens`` is the number of tokens of the part. Malformed parts are skipped, as parts are only
-    hints.
-    """
-    split_parts = (
-        part.strip().partition(":") for part in header_value.split(",")[:MAX_PROMPT_PARTS]
-    )
-    return tuple(
-        PromptPart(part_id, int(tokens))
-        for part_id, _, tokens in split_parts
-        # isdigit alone is also true for digits such as superscripts, which int does not read.
-        if part_id and tokens.isascii() and tokens.isdigit()
-    )
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -9,7 +9,9 @@
 import socket
 
 import pytest
+from msgspec.structs import replace
 
+from baobabstream.errors.codes import ResultCode
 from baobabstream.wire.coordination_messages import ServerState
 from fake_backend_server import FakeBackendServer
 from platform_stand_in import FRONT_PORT, HTTP_PORT, PlatformHarness
@@ -155,6 +157,33 @@
     assert b'"code":1031' in response.replace(b" ", b"")
 
 
+@pytest.mark.parametrize("tokens", ["9" * 30, "9" * 5000, str(2**63)])
+async def test_prompt_part_with_a_huge_number_is_refused_and_changes_still_arrive(platform, tokens):
+    """Guards against one caller's number that ends a gateway's exchanges until its restart."""
+    status, _, body = await platform.send_request(
+        "/chat/1", "r1", **{"X-Prompt-Prefix": f"c0:{tokens},d0:20"}
+    )
+    assert (status, json.loads(body)["error"]["code"]) == (400, ResultCode.MALFORMED_HEADER)
+    await assert_changes_still_arrive(platform)
+
+
+async def test_report_that_cannot_be_sent_does_not_end_the_exchanges(platform, monkeypatch):
+    """Guards against a gateway that learns nothing more after one report that fails to encode."""
+    gateway = next(iter(platform.gateways.values()))
+    make_report, failures = gateway.report, []
+
+    def report_huge_number_once(contact, wait_s):
+        report = make_report(contact, wait_s)
+        if not failures:
+            failures.append(report)
+            return replace(report, document_version=HUGE_NUMBER)
+        return report
+
+    monkeypatch.setattr(gateway, "report", report_huge_number_once)
+    await until(lambda: failures, 5.0)
+    await assert_changes_still_arrive(platform)
+
+
 async def test_unexpected_error_of_a_request_has_a_code(platform, monkeypatch):
     """Guards against a caller and an engineer on call who learn nothing about an error."""
     gateway = next(iter(platform.gateways.values()))
