Let no request explain the ends of servers that mostly ended without it

Callers saw: after servers had lost power three times, sound requests that their callers had repeated were refused for 600 s. Why it works: a key counts at a moment only if at least half of the servers that ended then had it, which holds for copies that come at one moment, and not for a request that was running at one of many servers.

--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -25,7 +25,8 @@
 prompts in common without being ended by these; for a part their crashes count as one. They count
 one by one if they are many and other keys of the same requests survive, since a loss of power
 spares none. For a whole request they always count one by one: it runs at several servers at the
-same moment only if copies of it were sent to these.
+same moment only if copies of it were sent to these. A key that most servers which ended at the same
+moment did not have explains none of these ends.
 """
 
 from collections import Counter, OrderedDict, defaultdict
@@ -325,12 +326,19 @@
             for process, crash in self._crashes.items()
             if crash.considered_from_s <= now_s
         }
+        telling_keys = _telling_keys(unexplained)
         bystanders: list[RequestKeys] = []
         for request_key in self._settled_request_keys(unexplained.values()):
             _move_explained(request_key, unexplained, bystanders)
-        while (
-            cause := self._most_likely_cause(unexplained, _common_among(bystanders), now_s)
-        ) is not None:
+        while True:
+            excluded_keys = _common_among(bystanders)
+            cause = self._most_likely_cause(
+                unexplained,
+                {process: telling_keys[process] - excluded_keys for process in unexplained},
+                now_s,
+            )
+            if cause is None:
+                return
             crashes = _move_explained(cause, unexplained, bystanders)
             self._add_quarantine(self._common_keys(cause, crashes, now_s), now_s, now_s)
 
@@ -349,7 +357,10 @@
         ]
 
     def _most_likely_cause(
-        self, crashes: Mapping[str, _Crash], excluded_keys: Collection[str], now_s: float
+        self,
+        crashes: Mapping[str, _Crash],
+        telling_keys: Mapping[str, Collection[str]],
+        now_s: float,
     ) -> str | None:
         """Return the key that explains most of some crashes, or None if none explains enough.
 
@@ -361,14 +372,14 @@
         ----------
         crashes
             Crashes by server process.
-        excluded_keys
-            Keys that explain nothing.
+        telling_keys
+            Keys that may explain each of these crashes, by server process.
         now_s
             Present time in seconds.
         """
         crashes_by_key: defaultdict[str, list[_Crash]] = defaultdict(list)
-        for crash in crashes.values():
-            for key in crash.keys.difference(excluded_keys):
+        for process, crash in crashes.items():
+            for key in telling_keys[process]:
                 crashes_by_key[key].append(crash)
         crash_counts = {
             key: crash_count
@@ -461,6 +472,25 @@
     return crashes
 
 
+def _telling_keys(crashes: Mapping[str, _Crash]) -> dict[str, set[str]]:
+    """Return the keys that may explain each of some crashes, by server process.
+
+    A key explains nothing if most servers that crashed at the same moment did not have it.
+    """
+    by_time = sorted(crashes.items(), key=lambda item: item[1].crashed_s)
+    moments: list[list[tuple[str, _Crash]]] = []
+    for process, crash in by_time:
+        if not moments or crash.crashed_s - moments[-1][-1][1].crashed_s >= MIN_CRASH_INTERVAL_S:
+            moments.append([])
+        moments[-1].append((process, crash))
+    telling_keys = {}
+    for moment in moments:
+        counts = Counter(chain.from_iterable(crash.keys for _, crash in moment))
+        for process, crash in moment:
+            telling_keys[process] = {key for key in crash.keys if 2 * counts[key] >= len(moment)}
+    return telling_keys
+
+
 def _common_among(bystanders: Collection[RequestKeys]) -> set[str]:
     """Return the keys that most of some requests have, or none if these are few.
 
--- a/tests/caller_traffic.py
+++ b/tests/caller_traffic.py
@@ -51,6 +51,8 @@
         the request itself.
     path
         Returns the path of the n-th request.
+    repeats_after_failure
+        How often a request without a whole response is sent again, to the next gateway.
 
     Attributes
     ----------
@@ -66,6 +68,7 @@
         interval_s: float,
         shared_parts: Callable[[int], Iterable[str]] = lambda _: (),
         path: Callable[[int], str] = "/chat/{}".format,
+        repeats_after_failure: int = 0,
     ) -> None:
         self.outcomes: list[RequestOutcome] = []
         self.sent_times_s: list[float] = []
@@ -73,6 +76,7 @@
         self._interval_s = interval_s
         self._shared_parts = shared_parts
         self._path = path
+        self._repeats_after_failure = repeats_after_failure
 
     async def run(self) -> None:
         """Send requests, each of which runs on its own."""
@@ -82,33 +86,48 @@
                 await asyncio.sleep(self._interval_s)
 
     async def _send(self, number: int) -> None:
-        """Send one request and record its outcome."""
+        """Send one request, again if it fails, and record the outcomes."""
+        name = f"{id(self):x}{number:04x}"
+        for attempt in range(1 + self._repeats_after_failure):
+            outcome = await self._attempt(number, name, attempt)
+            self.outcomes.append(outcome)
+            if outcome.status:
+                return
+
+    async def _attempt(self, number: int, name: str, attempt: int) -> RequestOutcome:
+        """Send one request once and return its outcome.
+
+        Parameters
+        ----------
+        number, name
+            Number of the request, and text that no other request has.
+        attempt
+            How often it has been sent before.
+        """
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
         self.sent_times_s.append(sent_s)
-        name = f"{id(self):x}{number:04x}"
+        request_id = f"{name}.{attempt}" if attempt else name
         parts = [*self._shared_parts(number), name]
-        gateway_index = number % len(self._platform.gateway_ips)
+        gateway_index = (number + attempt) % len(self._platform.gateway_ips)
         try:
             status, headers, _ = await self._platform.send_request(
                 self._path(number),
-                name,
+                request_id,
                 gateway_index=gateway_index,
                 body=name.encode(),
                 **{"X-Prompt-Prefix": ",".join(f"{part}:20" for part in parts)},
             )
         except (OSError, ClientError):
             status, headers = 0, {}
-        self.outcomes.append(
-            RequestOutcome(
-                name,
-                self._path(number),
-                gateway_index,
-                sent_s,
-                loop.time() - sent_s,
-                status,
-                headers.get("Retry-After"),
-            )
+        return RequestOutcome(
+            request_id,
+            self._path(number),
+            gateway_index,
+            sent_s,
+            loop.time() - sent_s,
+            status,
+            headers.get("Retry-After"),
         )
 
     def outcomes_since(self, since_s: float) -> list[RequestOutcome]:
--- a/tests/routing/test_crash_attribution.py
+++ b/tests/routing/test_crash_attribution.py
@@ -266,3 +266,13 @@
             crash(attribution, number, number, *waiting, update=False)
         crash(attribution, number, number, "request/r0")
     assert quarantined(attribution, 3.0) == {"request/r0"}
+
+
+def test_request_at_one_of_many_servers_that_end_at_one_moment_is_no_cause(attribution):
+    """Guards against a sound request that is refused as it was repeated into three power losses."""
+    for number in range(3):
+        for server in range(4):
+            request = "request/r0" if server == number else f"request/{number}-{server}"
+            crash(attribution, 4 * number + server, number, request, update=False)
+        attribution.update(number)
+    assert quarantined(attribution, 3.0) == set()
