--- a/tests/platform/test_lost_server_paths.py
+++ b/tests/platform/test_lost_server_paths.py
@@ -189,7 +189,8 @@
         backend.event_gap_s, backend.events = 0.2, 20
     stream = asyncio.create_task(platform.send_request("/chat/1", "r1"))
     engines = [backend for backend in platform.backends.values() if backend.service == "engine"]
-    await until(lambda: any(engine.run_counts["r1"] for engine in engines))
+    await until(lambda: stream.done() or any(engine.run_counts["r1"] for engine in engines))
+    assert not stream.done(), stream.result()
     running = next(engine for engine in engines if engine.run_counts["r1"])
     ended_before = running.ended_connection_count
     stream.cancel()
