--- a/src/baobabstream/routing/crash_attribution.py
+++ b/src/baobabstream/routing/crash_attribution.py
@@ -6,8 +6,9 @@
 another, and that hardly any request survives, names the cause. Requests with this key are
 quarantined: they are refused instead of being sent to another server.
 
-A request survives at a server if the server's process is alive some time after it has begun to
-answer; a request that crashes servers does so when its answer begins. So the parts that sound
+A part of a prompt crashes a server as the answer begins, so it survives if the server's process is
+alive some time after that. A whole request may crash a server at any time of its run, so it
+survives only if the process is alive some time after the complete answer. So the parts that sound
 requests share with the cause, such as the beginning of all prompts of a route, are cleared by the
 sound requests. A single survival clears nothing, since the answer may have been too short.
 
@@ -92,7 +93,8 @@
     considered_from_s
         Time in seconds from which the crash counts.
     requests
-        Keys of each request that ran there, whose answer had not begun or had just begun.
+        Keys of each request that ran there, or may have run there after it was given up; without
+        those of the parts of its prompt if its answer had gone on for a while.
     keys
         Keys of all these requests.
     """
