Stand-in server writes the first event in one place; the scenario player stores the configuration once

Found by reading the change again. The two ways in which the stand-in crashes after its first event wrote it by the same lines, and the player sent the configuration that the harness sends anyway. Scenarios of seeds, checks and bounds are unchanged.

--- a/tests/crashing_copies.py
+++ b/tests/crashing_copies.py
@@ -16,7 +16,7 @@
 
 from caller_traffic import CallerTraffic
 from fake_backend_server import FakeBackendServer
-from platform_stand_in import PlatformHarness, make_config
+from platform_stand_in import PlatformHarness
 from server_links import CutKind
 from waiting import until
 
@@ -128,6 +128,7 @@
 def random_scenario(seed: int) -> CopiesScenario:
     """Return the scenario of a seed, in which each field varies by itself."""
     random = Random(seed)
+    # Drawn first, so that each seed keeps its scenario.
     begin_s = random.choice([0.0, 0.0, 0.3, 1.2, 2.5])
     return CopiesScenario(
         path=random.choice(["/chat/1", "/chat/1", "/look/1", "/sign/1"]),
@@ -170,7 +171,6 @@
         engines = [_server(f"i-{n}", "engine", scenario) for n in range(ENGINES)]
         plain_servers = [_server(f"i-app-{n}", "app", scenario) for n in range(PLAIN_SERVERS)]
         servers = [*engines, *plain_servers]
-        await platform.put_config(make_config(1))
         await platform.start_with_backends(*servers)
         sound = CallerTraffic(
             platform, scenario.sound_interval_s, lambda number: ["c0", SOUND_PARTS[number % 4]]
--- a/tests/fake_backend_server.py
+++ b/tests/fake_backend_server.py
@@ -302,8 +302,7 @@
         """
         await asyncio.sleep(self.crash_begin_s)
         if self.begins_answer_before_crash and "/chat/" in request_line:
-            self._write_stream_head(headers, writer)
-            self._write_stream_data(b"id: 1\ndata: piece 1\n\n", writer)
+            self._write_first_event(headers, writer)
         elif self.begins_answer_before_crash:
             answer = encode_answer(
                 headers["x-request-id"],
@@ -331,8 +330,7 @@
 
     async def _write_first_event_and_crash(self, headers: dict[str, str], writer) -> None:
         """Write the beginning of a stream, up to its first event, and crash."""
-        self._write_stream_head(headers, writer)
-        self._write_stream_data(b"id: 1\ndata: piece 1\n\n", writer)
+        self._write_first_event(headers, writer)
         await writer.drain()
         await self._crash_soon()
 
@@ -349,6 +347,11 @@
             self.crash()
         raise ConnectionResetError
 
+    def _write_first_event(self, headers: dict[str, str], writer) -> None:
+        """Write the beginning of a stream, up to its first event."""
+        self._write_stream_head(headers, writer)
+        self._write_stream_data(b"id: 1\ndata: piece 1\n\n", writer)
+
     def _write_stream_head(self, headers: dict[str, str], writer) -> None:
         """Write status and headers of a stream."""
         confidence = self.confidence.get(headers.get("x-model", ""), "90")
