Count missing, broken-off and client-error responses against a version under rollout

Cause: a gateway counted a response as bad only if it came, slowly or with a status from 500 on. Attempts ended by the deadline or the caller were cancelled without a record, and lost or broken-off answers had the run state unknown, which did not count. So the worst answers were no evidence.

Change: routing/version_evidence.py decides from one table which outcome counts how. Each attempt has one verdict, and a later one replaces an earlier one. A lost connection counts only if a probe finds the server running; crashes, lost paths, refusals and dropped idle connections count for nothing.

--- a/src/baobabstream/backends/connection_pool.py
+++ b/src/baobabstream/backends/connection_pool.py
@@ -112,13 +112,10 @@
         request to the operating system is closed.
         """
         self._in_use_count -= 1
-        if (
-            connection.lost_immediately
-            and connection.is_direct
-            and connection.idle_before_request_s is not None
-        ):
+        idle_s = connection.idle_before_request_s
+        if connection.was_lost_while_idle and connection.is_direct and idle_s is not None:
             now_s = asyncio.get_running_loop().time()
-            self._idle_timeout_estimator.record_loss(connection.idle_before_request_s, now_s)
+            self._idle_timeout_estimator.record_loss(idle_s, now_s)
         if connection.is_reusable and connection.has_sent_everything:
             self._idle_connections.append((asyncio.get_running_loop().time(), connection))
         else:
--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -176,6 +176,11 @@
         """Whether the connection may carry another request."""
         return not (self._has_ended or self._is_reuse_forbidden or self._is_answer_pending)
 
+    @property
+    def was_lost_while_idle(self) -> bool:
+        """Whether the server has probably closed the connection before the last request."""
+        return self.lost_immediately and self.idle_before_request_s is not None
+
     @property
     def is_answer_pending(self) -> bool:
         """Whether a request has been sent whose answer is not complete."""
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -28,6 +28,7 @@
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.paths.path_connector import NoPath
+from baobabstream.routing.version_evidence import ResponseVerdict
 
 __all__ = ["SURVIVAL_S", "Attempt", "AttemptFailed", "uncached_prompt_tokens"]
 
@@ -136,6 +137,10 @@
         Whether the request has been written to a connection, so that the server may get it.
     was_cut
         Whether the attempt was closed before its response was complete.
+    verdict
+        How the response has been counted for the version of the server so far.
+    lost_idle_connection
+        Whether the request was lost with a connection that the server had closed while it was idle.
     event_count, first_event_s
         Events received so far, and the time in seconds at which the first one arrived, or None.
     """
@@ -173,6 +178,8 @@
         self._has_head = False
         self.provisional_pace: float | None = None
         self.was_cut = False
+        self.verdict = ResponseVerdict.NONE
+        self.lost_idle_connection = False
         self.event_count = 0
         self.interval_was_reported = False
         self.first_event_s: float | None = None
@@ -208,6 +215,7 @@
         try:
             head = await self._connection.read_head()
         except AnswerFailed as error:
+            self.lost_idle_connection = self._connection.was_lost_while_idle
             raise AttemptFailed(
                 RunState.UNKNOWN, error.detail, connection_lost=error.connection_lost
             ) from error
--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -33,7 +33,15 @@
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import BegunAnswer, KnownServer
+from baobabstream.paths.path_connector import NoPath
 from baobabstream.routing.document import RouteKind
+from baobabstream.routing.version_evidence import (
+    BAD_EVENT_SLOWDOWN,
+    ResponseVerdict,
+    judge_event_interval,
+    judge_missing_response,
+    judge_response,
+)
 from baobabstream.telemetry.decision_log import DecisionEvent
 from baobabstream.telemetry.statistics import StatisticName
 from baobabstream.wire.coordination_messages import ServerState
@@ -49,13 +57,6 @@
 MAX_PAUSE_S = 300.0
 # Time in seconds without a reply after which no coordination host decides for this gateway.
 MAX_CONTROL_AGE_S = 2.0
-# A response that takes more than this many times the expected time counts as bad for its server's
-# version. Responses of a healthy server vary at random up to two to three times the expected time.
-BAD_RESPONSE_SLOWDOWN = 4.0
-# The same for the mean time between the events of a stream, which varies less. A tenth of all
-# streams of healthy servers are this slow, which does no harm: versions are compared by their
-# fractions of such streams.
-BAD_EVENT_SLOWDOWN = 2.0
 
 
 class AttemptRecorder:
@@ -84,9 +85,11 @@
         self.event_slowdown: float | None = None
         self.crash_checks: list[asyncio.Task[bool]] = []
 
-    def record_response(self, attempt: Attempt) -> None:
+    def record_response(self, attempt: Attempt, status: int) -> None:
         """Record the first part of a stream, or the whole response of a plain service.
 
+        ``status`` is its HTTP status.
+
         The response time is compared with earlier responses of the same model, or of the same route
         if there is no model, for the number of prompt tokens that the server had to process. For
         a stream it ends with the first events and does not decide whether the response counts as
@@ -105,14 +108,33 @@
         is_stream = request.route.kind is RouteKind.STREAM
         if is_stream:
             self._watch_event_interval(attempt)
-        if not is_stream and slowdown > BAD_RESPONSE_SLOWDOWN:
-            server.bad_responses += 1
-        else:
-            server.good_responses += 1
+        _count_response(attempt, judge_response(status, 0.0 if is_stream else slowdown))
         shared_prompt_key = request.shared_prompt_key(attempt.model)
         if shared_prompt_key is not None:
             server.record_cached_prompt(shared_prompt_key)
 
+    def record_failed_stream_response(self, attempt: Attempt, status: int) -> None:
+        """Record an ordinary response in place of a stream, which is forwarded to the caller."""
+        _count_response(attempt, judge_response(status, 0.0))
+
+    def record_abandoned(self, attempt: Attempt) -> None:
+        """Record an attempt that ended with its request: at the deadline, or as the caller left.
+
+        A stream that has begun and whose caller leaves says nothing more about the version.
+        """
+        now_s, request = self._loop.time(), self._request
+        has_begun = attempt.verdict is not ResponseVerdict.NONE
+        if not attempt.was_transmitted or (has_begun and now_s < request.deadline_s):
+            return
+        wait_s = now_s - attempt.sent_s
+        slowdown = 0.0
+        if request.route.kind is not RouteKind.STREAM:
+            expected_s = self._context.response_times.expected_s(
+                attempt.model or request.route.name, attempt.uncached_prompt_tokens
+            )
+            slowdown = wait_s / expected_s if expected_s > 0 else 0.0
+        _count_response(attempt, judge_missing_response(slowdown, wait_s / request.route.timeout_s))
+
     def watch_survival(self, attempt: Attempt, surviving_keys: frozenset[str]) -> None:
         """Record ``SURVIVAL_S`` from now that some keys survive, unless the server crashes.
 
@@ -151,7 +173,6 @@
             return
         if attempt.provisional_pace is not None:
             attempt.server.record_pace(attempt.provisional_pace, count=-1)
-            _count_slow_stream(attempt.server, -1)
             attempt.provisional_pace = None
         interval_s = attempt.mean_event_interval_s()
         updates_estimate = not self._context.runs_rollout_target(attempt.server)
@@ -160,8 +181,7 @@
         )
         self.event_slowdown = slowdown
         attempt.server.record_pace(slowdown)
-        if slowdown > BAD_EVENT_SLOWDOWN:
-            _count_slow_stream(attempt.server)
+        _count_response(attempt, judge_event_interval(slowdown))
 
     def _watch_event_interval(self, attempt: Attempt) -> None:
         """Count a stream as bad once its events are certainly much slower than expected.
@@ -180,7 +200,7 @@
             if attempt.is_open and not attempt.interval_was_reported:
                 attempt.provisional_pace = BAD_EVENT_SLOWDOWN
                 attempt.server.record_pace(BAD_EVENT_SLOWDOWN)
-                _count_slow_stream(attempt.server)
+                _count_response(attempt, ResponseVerdict.BAD)
 
         if expected_s > 0:
             interval_count = MIN_MEASURED_EVENTS - 1
@@ -192,10 +212,9 @@
         """Record an attempt without a response that may be forwarded as a success.
 
         The failure goes into the averages of the server unless the request has not run. It counts
-        as a bad response of the server's version only if the request has certainly run: a lost
-        connection or an unreachable server says nothing about the version. A server that cannot be
-        reached, or whose address another server has taken over, is suspended: it gets no requests
-        for a while if there is another one.
+        as a bad response of the server's version too, but a lost connection does so only if the
+        server still runs. A server that cannot be reached, or whose address another server has
+        taken over, is suspended: it gets no requests for a while if there is another one.
 
         Parameters
         ----------
@@ -210,8 +229,9 @@
         server = attempt.server
         if failure.run_state is not RunState.NO:
             server.record_response(failed=True, slowdown=None, now_s=now_s)
-        if failure.run_state is RunState.YES:
-            server.bad_responses += 1
+        is_bad = failure.run_state is not RunState.NO and not failure.connection_lost
+        if is_bad and attempt.was_transmitted:
+            _count_response(attempt, ResponseVerdict.BAD)
         if failure.server_unreachable:
             self._suspend(server, failure.reason, now_s)
             self._record_unnoticed_crash(attempt)
@@ -310,14 +330,21 @@
         Called after the connection to the server ended, or its stream stalled, while a request was
         under way. The request itself does not wait for the task, which may take longer than the
         request. A crash counts against the request unless the server was about to end anyway, but
-        not against the parts of its prompt if the answer had gone on for a while.
+        not against the parts of its prompt if the answer had gone on for a while. If the server
+        still runs, the lost response counts against its version.
         """
         context, server, lost_s = self._context, attempt.server, self._loop.time()
         suspect_keys, may_be_beginning = attempt.suspect_keys, attempt.may_be_beginning_answer
 
         async def suspend_if_crashed() -> bool:
             """Probe the server, suspend it if it has crashed, and return whether it has."""
-            if not await context.crash_tracker.check_crash(server.pool.connector):
+            try:
+                has_crashed = await context.crash_tracker.check_crash(server.pool.connector)
+            except NoPath:
+                return False
+            if not has_crashed:
+                if not attempt.lost_idle_connection:
+                    _count_response(attempt, ResponseVerdict.BAD)
                 return False
             self._suspend(server, "the server refuses connections", self._loop.time())
             suspects = server.take_crash_suspects(self._loop.time()) | {suspect_keys}
@@ -399,10 +426,21 @@
         return True
 
 
-def _count_slow_stream(server: KnownServer, count: int = 1) -> None:
-    """Count a stream as bad that was counted as good when it began; -1 takes that back."""
-    server.bad_responses += count
-    server.good_responses -= count
+def _count_response(attempt: Attempt, verdict: ResponseVerdict) -> None:
+    """Count the response of an attempt for the version of its server, in place of earlier counts.
+
+    A verdict that says nothing leaves an earlier one in force.
+    """
+    if verdict is ResponseVerdict.NONE:
+        return
+    server, earlier_verdict = attempt.server, attempt.verdict
+    server.good_responses += (verdict is ResponseVerdict.GOOD) - (
+        earlier_verdict is ResponseVerdict.GOOD
+    )
+    server.bad_responses += (verdict is ResponseVerdict.BAD) - (
+        earlier_verdict is ResponseVerdict.BAD
+    )
+    attempt.verdict = verdict
 
 
 def _parse_pause_s(retry_after: str | None) -> float:
--- a/src/baobabstream/gateway/crash_tracker.py
+++ b/src/baobabstream/gateway/crash_tracker.py
@@ -171,19 +171,24 @@
 
         The probe opens a connection and closes it without sending a request. A server that accepts
         it is alive, so only the response was lost, for instance with a connection that the server
-        had closed as idle. Nothing is known of a server to which there is no path.
+        had closed as idle.
 
         Parameters
         ----------
         connector
             Opens the connection.
+
+        Raises
+        ------
+        NoPath
+            If there is no path to the server, so that nothing is known of it.
         """
         await asyncio.sleep(PROBE_DELAY_S)
         try:
             connection = await connector.connect(PROBE_TIMEOUT_S)
-        except NoPath:
-            return False
-        except ConnectFailed:
+        except ConnectFailed as error:
+            if isinstance(error, NoPath):
+                raise
             return True
         connection.close()
         return False
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -118,6 +118,8 @@
         self._selection = ServerSelection(request, context)
         # Server of the last attempt, and the response to the caller once there is one.
         self._server: KnownServer | None = None
+        # Attempt that has neither ended nor failed, or None.
+        self._open_attempt: Attempt | None = None
         self._response: web.StreamResponse | None = None
         self._recorder = AttemptRecorder(request, context)
         # For the log. The initial value stays if the caller disconnects, which cancels `run`.
@@ -133,7 +135,12 @@
             async with asyncio.timeout_at(self._request.deadline_s):
                 return await self._execute()
         except TimeoutError:
+            self._record_abandoned_attempt()
             return self._respond_timed_out()
+        except asyncio.CancelledError:
+            # The caller has closed the connection.
+            self._record_abandoned_attempt()
+            raise
         except _BackendError as backend_error:
             self._outcome = "failed by the server"
             return self._respond(backend_error.response())
@@ -228,7 +235,7 @@
         async with self._hang_timeout(attempt):
             head = await self._send(attempt)
             body = await attempt.read_whole()
-        self._record_response(attempt)
+        self._record_response(attempt, head)
         self._recorder.watch_survival(attempt, self._request.crash_keys)
         self._outcome = "served"
         response = web.Response(body=body, status=head.status, headers=_forwarded_headers(head))
@@ -264,16 +271,17 @@
         # Any status but a success has an ordinary body instead of a stream, and is forwarded whole.
         if head.status >= 300:
             body = await attempt.read_whole()
+            self._recorder.record_failed_stream_response(attempt, head.status)
             self._outcome = "failed by the server"
             failed_response = web.Response(
                 body=body, status=head.status, headers=_forwarded_headers(head)
             )
             return self._respond(failed_response)
         self._progress.confidence = head.get(self._context.header_names.confidence) or ""
-        self._check_confidence(attempt)
+        self._check_confidence(attempt, head)
         async with self._hang_timeout(attempt):
             events = await attempt.read_events()
-        self._record_response(attempt)
+        self._record_response(attempt, head)
         self._recorder.watch_survival(attempt, self._request.part_keys)
         response = web.StreamResponse(status=head.status, headers=_forwarded_headers(head))
         response.enable_chunked_encoding()
@@ -316,7 +324,7 @@
             reason = f"no answer within {timeout_s:.2f} s"
             raise AttemptFailed(RunState.UNKNOWN, reason) from error
 
-    def _check_confidence(self, attempt: Attempt) -> None:
+    def _check_confidence(self, attempt: Attempt, head: AnswerHead) -> None:
         """Raise ``_EscalateModel`` if the confidence is too low and another run is allowed.
 
         The confidence is a header of the response; without a valid one the answer is accepted. The
@@ -333,7 +341,7 @@
             request.route, attempt.model, confidence, self._selection.largest_model_time_fraction()
         )
         if model is not None and self._try_acquire_retry():
-            self._record_response(attempt)
+            self._record_response(attempt, head)
             raise _EscalateModel(model)
 
     async def _relay(self, attempt: Attempt, response: web.StreamResponse, events: bytes) -> None:
@@ -369,6 +377,8 @@
                         if attempt.interval_became_ready():
                             self._recorder.record_event_interval(attempt)
                     self._recorder.watch_survival(attempt, self._request.content_keys)
+                    # The server has done its part, however long the caller takes to read.
+                    self._open_attempt = None
                     await response.write_eof()
                     self._outcome = "served"
                     return
@@ -471,7 +481,7 @@
         ``last_event_id`` is the event after which a stream continues, or empty.
         """
         server, expected_prompt_s = self._selection.choose(self._progress.model)
-        return Attempt(
+        self._open_attempt = attempt = Attempt(
             self._request,
             server,
             self._progress.model,
@@ -480,16 +490,23 @@
             expected_prompt_s,
             self._context.response_memory,
         )
+        return attempt
+
+    def _record_abandoned_attempt(self) -> None:
+        """Record the attempt that the end of the request has ended, if there is one."""
+        if self._open_attempt is not None:
+            self._recorder.record_abandoned(self._open_attempt)
 
-    def _record_response(self, attempt: Attempt) -> None:
+    def _record_response(self, attempt: Attempt, head: AnswerHead) -> None:
         """Count an attempt whose response has begun as a run, and record the response."""
         attempt.is_counted_as_run = True
         self._progress.run_count += 1
         self._progress.first_event_s = self._loop.time() - self._request.arrived_s
-        self._recorder.record_response(attempt)
+        self._recorder.record_response(attempt, head.status)
 
     def _record_failure(self, attempt: Attempt, failure: AttemptFailed) -> None:
         """Record a failed attempt, and whether it ran or was refused without running."""
+        self._open_attempt = None
         if failure.run_state is RunState.NO:
             self._progress.refusal_count += attempt.was_transmitted
             self._selection.exclude(attempt.server)
--- a/tests/coordination/test_slow_version_trial.py
+++ b/tests/coordination/test_slow_version_trial.py
@@ -13,7 +13,7 @@
 
 from baobabstream.coordination.regression_detector import AnswerCounts, RegressionDetector
 from baobabstream.coordination.rollout_plan import Exposure, plan_step
-from baobabstream.gateway.attempt_recorder import BAD_EVENT_SLOWDOWN
+from baobabstream.routing.version_evidence import BAD_EVENT_SLOWDOWN
 from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
 
 ROLLOUT = RolloutRow("engine", "v1", "v2", RolloutState.IN_PROGRESS, duration_s=15.0)
--- a/tests/gateway/test_attempt_recorder.py
+++ b/tests/gateway/test_attempt_recorder.py
@@ -7,11 +7,8 @@
 
 from baobabstream.backends.http_connection import AnswerHead
 from baobabstream.gateway.attempt import MIN_MEASURED_EVENTS
-from baobabstream.gateway.attempt_recorder import (
-    BAD_EVENT_SLOWDOWN,
-    MAX_PAUSE_S,
-    AttemptRecorder,
-)
+from baobabstream.gateway.attempt_recorder import MAX_PAUSE_S, AttemptRecorder
+from baobabstream.routing.version_evidence import BAD_EVENT_SLOWDOWN, ResponseVerdict
 
 
 @pytest.mark.parametrize(
@@ -50,6 +47,7 @@
         is_open=True,
         interval_was_reported=False,
         provisional_pace=None,
+        verdict=ResponseVerdict.GOOD,
         mean_event_interval_s=lambda: 8 * expected_interval_s,
     )
     recorder = AttemptRecorder(None, context)
--- a/tests/gateway/test_crash_checks.py
+++ b/tests/gateway/test_crash_checks.py
@@ -8,6 +8,7 @@
 from baobabstream.gateway.attempt_recorder import SURVIVAL_S, AttemptRecorder
 from baobabstream.gateway.request_execution import RequestExecution
 from baobabstream.routing.document import RouteKind
+from baobabstream.routing.version_evidence import ResponseVerdict
 
 
 @pytest.fixture
@@ -38,10 +39,15 @@
     server.has_crashed = True
     server.in_flight = 1
     attempt = SimpleNamespace(
-        server=server, model="", sent_s=0.0, uncached_prompt_tokens=10, was_cut=False
+        server=server,
+        model="",
+        sent_s=0.0,
+        uncached_prompt_tokens=10,
+        was_cut=False,
+        verdict=ResponseVerdict.NONE,
     )
     recorder = AttemptRecorder(request_of_stream, context)
-    recorder.record_response(attempt)
+    recorder.record_response(attempt, 200)
     recorder.watch_survival(attempt, request_of_stream.crash_keys)
     await asyncio.sleep(SURVIVAL_S + 0.1)
     now_s = asyncio.get_running_loop().time()
