Give no second response to a caller whose stream has begun

On routes with runs and budget left, the stream could also start again from its first event.

Cause: the failure of a resumed attempt went through the method that starts attempts, which took it for one of which the caller had seen nothing.

Change: a stream that cannot be continued raises _StreamBrokenOff, which closes the caller's connection; _respond gives no second response. An answer to a resume must have the stream's content type.

--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -144,13 +144,11 @@
         except _BackendError as backend_error:
             self._outcome = "failed by the server"
             return self._respond(backend_error.response())
-        except AttemptFailed as failure:
-            self._outcome = f"broke off: {failure.reason}"
+        except _StreamBrokenOff as error:
+            self._outcome = f"broke off: {error}"
             return self._abort_stream()
         except RequestRefused as error:
             self._outcome = f"refused {int(error.code)}"
-            if self._response is not None and self._response.prepared:
-                return self._abort_stream()
             return self._respond(error_response(self._with_true_run_state(error)))
         except ConnectionError:
             # The caller has closed the connection while the response was being written.
@@ -158,8 +156,6 @@
         except Exception:
             self._outcome = "failed unexpectedly"
             _log.exception("Request %s failed unexpectedly.", self._request.request_id)
-            if self._response is not None and self._response.prepared:
-                return self._abort_stream()
             return self._respond(error_response(RequestRefused(ResultCode.INTERNAL_ERROR)))
         finally:
             self._log_end()
@@ -176,7 +172,7 @@
             If the request is quarantined, no server is available, or no retry is allowed.
         _BackendError
             If the server's own error is to be forwarded.
-        AttemptFailed
+        _StreamBrokenOff
             If a stream broke off after its start and cannot be continued.
         """
         request, context = self._request, self._context
@@ -360,7 +356,7 @@
 
         Raises
         ------
-        AttemptFailed
+        _StreamBrokenOff
             If the stream breaks off and cannot be continued.
         """
         # A later attempt that was opened here, and must be closed here.
@@ -443,7 +439,7 @@
 
         Raises
         ------
-        AttemptFailed
+        _StreamBrokenOff
             If the stream cannot be continued.
         RequestRefused
             ``NO_BACKEND_SERVER`` if no server is left, or as `_refuse_if_quarantined`.
@@ -456,9 +452,9 @@
             try:
                 async with self._hang_timeout(attempt):
                     head = await self._send(attempt)
-                    # Any other status has no stream that could continue the previous one.
-                    if head.status >= 300:
-                        raise AttemptFailed(RunState.YES, f"status {head.status} on a resume", head)
+                    if not self._is_stream_like_first(head):
+                        reason = f"no stream on a resume, but status {head.status}"
+                        raise AttemptFailed(RunState.YES, reason, head)
                     return attempt, await attempt.read_events()
             except AttemptFailed as failure:
                 self._record_failure(attempt, failure)
@@ -468,6 +464,15 @@
                 attempt.close()
                 raise
 
+    def _is_stream_like_first(self, head: AnswerHead) -> bool:
+        """Return whether a response may continue the one that the caller has begun to receive.
+
+        An error, or a success of another content type, has no events.
+        """
+        assert self._response is not None
+        content_type = self._response.headers.get("Content-Type")
+        return head.status < 300 and head.get("Content-Type") == content_type
+
     def _callers_last_event_id(self) -> str:
         """Return the event after which the caller resumes a stream, or empty.
 
@@ -534,9 +539,16 @@
             self._raise_final_error(failure)
 
     def _require_resume(self, failure: AttemptFailed, last_event_id: str) -> None:
-        """Return if the stream may continue at another server; else raise ``failure``."""
+        """Return if the stream may continue at another server.
+
+        Raises
+        ------
+        _StreamBrokenOff
+            If it may not. The caller has received a part of the stream, so that neither a new
+            attempt from the start nor the server's error can follow.
+        """
         if not self._has_resumable_stream(last_event_id) or not self._try_acquire_retry():
-            raise failure
+            raise _StreamBrokenOff(failure.reason) from failure
 
     def _may_resume(self, attempt: Attempt, last_event_id: str) -> bool:
         """Return whether a stream that has stalled at an attempt may continue at another server."""
@@ -598,8 +610,13 @@
             return error
         return RequestRefused(ResultCode.BACKEND_FAILED, error.detail)
 
-    def _respond(self, response: web.Response) -> web.Response:
-        """Store a response as the one to the caller, and return it."""
+    def _respond(self, response: web.Response) -> web.StreamResponse:
+        """Store a response as the one to the caller, and return it.
+
+        A caller that has received the begin of a stream gets no second response.
+        """
+        if self._response is not None and self._response.prepared:
+            return self._abort_stream()
         self._response = response
         return response
 
@@ -610,8 +627,6 @@
         that got it has refused it.
         """
         self._outcome = "timed out"
-        if self._response is not None and self._response.prepared:
-            return self._abort_stream()
         progress = self._progress
         may_have_run = progress.transmission_count > progress.refusal_count
         code = ResultCode.TIMED_OUT if may_have_run else ResultCode.NO_BACKEND_SERVER
@@ -677,6 +692,10 @@
         super().__init__(model)
 
 
+class _StreamBrokenOff(Exception):
+    """Raised when a stream that the caller has begun to receive ends and cannot be continued."""
+
+
 class _BackendError(Exception):
     """Raised when a server's own error response is to be forwarded to the caller."""
 
