End a stream where its server writes anything but events

What callers saw: the text of an error, JSON or another answer's head in the middle of a stream, if the server wrote it into the body of its event stream and ended it with an empty line.

Cause: the event buffer released whatever stood before an empty line.

Change: lines that are neither a field nor a comment end the stream before the event that they are in; the attempt fails and the stream goes on at another server.

Evidence: the last three replies of tests/platform/test_failed_resumes.py and test_bytes_that_are_no_event_are_not_released failed before (the buffer released the bytes).

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -22,7 +22,12 @@
     HttpConnection,
 )
 from baobabstream.errors.codes import RunState
-from baobabstream.gateway.event_buffer import EVENT_END, EventBuffer, EventTooLarge
+from baobabstream.gateway.event_buffer import (
+    EVENT_END,
+    EventBuffer,
+    EventTooLarge,
+    InvalidEvent,
+)
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.response_memory import ResponseMemory
 from baobabstream.gateway.routed_request import RoutedRequest
@@ -50,6 +55,8 @@
 # HTTP status (Misdirected Request) with which a server refuses a request that names another server.
 # It occurs if another server has taken over the address.
 MISDIRECTED_STATUS = 421
+# Reason of the failure of a stream into which its server writes something else.
+NO_EVENT_REASON = "the stream contains bytes that are no event"
 
 
 def uncached_prompt_tokens(request: RoutedRequest, server: KnownServer, model: str) -> int:
@@ -248,13 +255,17 @@
         ------
         AttemptFailed
             If the stream breaks off, ends within an event or with its connection before the first
-            one, or has one over the size limit.
+            one, has one over the size limit, or contains other bytes than events.
         """
+        if self._event_buffer.has_invalid_event:
+            raise AttemptFailed(RunState.UNKNOWN, NO_EVENT_REASON)
         while data := await self._read_part():
             try:
                 events = self._event_buffer.feed(data)
             except EventTooLarge as error:
                 raise AttemptFailed(RunState.UNKNOWN, "an event is over the size limit") from error
+            except InvalidEvent as error:
+                raise AttemptFailed(RunState.UNKNOWN, NO_EVENT_REASON) from error
             if events:
                 self.end_prompt_processing()
                 self._count_events(events)
--- a/src/baobabstream/gateway/event_buffer.py
+++ b/src/baobabstream/gateway/event_buffer.py
@@ -6,7 +6,7 @@
 
 import re
 
-__all__ = ["EVENT_END", "EventBuffer", "EventTooLarge"]
+__all__ = ["EVENT_END", "EventBuffer", "EventTooLarge", "InvalidEvent"]
 
 # Line break of the last line of an event, and the empty line after it.
 EVENT_END = b"\n\n"
@@ -14,6 +14,8 @@
 ID_FIELD = b"id:"
 # Start of a line that is no comment; comments begin with a colon.
 _FIELD_LINE = re.compile(rb"^[^:\n]", re.MULTILINE)
+# Start of a line that is no field, with or without a colon after its name, and no comment.
+_INVALID_LINE = re.compile(rb"^(?![A-Za-z0-9_-]*(?::|\r?$))", re.MULTILINE)
 # Limits the memory that a stream without event boundaries can fill.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -22,6 +24,10 @@
     """Raised when an event is over the limit on its size."""
 
 
+class InvalidEvent(Exception):
+    """Raised when the bytes of a stream are no event."""
+
+
 class EventBuffer:
     """Releases only complete events and remembers the identity of the last one.
 
@@ -29,17 +35,21 @@
     ----------
     last_event_id
         Identity of the last complete event that had one, or empty.
+    has_invalid_event
+        Whether the bytes after the released events are no event.
 
     Notes
     -----
     A part of an event is buffered until the rest has arrived, so that a caller never receives an
     incomplete event, and another server can continue after the last complete one. Comments and
     blank lines are released together with the next event, since a server that sends nothing else
-    makes no progress.
+    makes no progress. A faulty server may write an error, or another answer, into its stream; the
+    events before it are released.
     """
 
     def __init__(self) -> None:
         self.last_event_id = ""
+        self.has_invalid_event = False
         # Bytes received after the end of the last complete event.
         self._partial_event = b""
 
@@ -60,6 +70,8 @@
         ------
         EventTooLarge
             If more than ``MAX_EVENT_BYTES`` have arrived since the last complete event.
+        InvalidEvent
+            If the next bytes are no event.
         """
         # The end of an event may be split between the buffered and the received bytes.
         search_start = max(0, len(self._partial_event) - len(EVENT_END) + 1)
@@ -70,10 +82,15 @@
                 raise EventTooLarge
             self._partial_event = data
             return b""
-        events, self._partial_event = (
-            data[: last_end + len(EVENT_END)],
-            data[last_end + len(EVENT_END) :],
-        )
+        end = last_end + len(EVENT_END)
+        invalid_line = _INVALID_LINE.search(data, 0, end)
+        if invalid_line is not None:
+            last_end = data.rfind(EVENT_END, 0, invalid_line.start())
+            if last_end < 0:
+                raise InvalidEvent
+            end = last_end + len(EVENT_END)
+            self.has_invalid_event = True
+        events, self._partial_event = data[:end], data[end:]
         self._update_last_event_id(events)
         return events
 
--- a/tests/gateway/test_event_buffer.py
+++ b/tests/gateway/test_event_buffer.py
@@ -4,7 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from baobabstream.gateway.event_buffer import MAX_EVENT_BYTES, EventBuffer, EventTooLarge
+from baobabstream.gateway.event_buffer import (
+    MAX_EVENT_BYTES,
+    EventBuffer,
+    EventTooLarge,
+    InvalidEvent,
+)
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 9))
 
@@ -50,3 +55,38 @@
     with pytest.raises(EventTooLarge):  # noqa: PT012
         for _ in range(2 + MAX_EVENT_BYTES // len(endless_bytes)):
             buffer.feed(endless_bytes.replace(b"\n", b" "))
+
+
+OTHER_BYTES = [
+    b"HTTP/1.1 500 X\r\nX-Request-Id: r1\r\n\r\nthe server failed\n\n",
+    b'{"error": {"code": 1021}}\n\n',
+    b"the server failed\n\n",
+    b"\x00\xff\x00\n\n",
+]
+
+
+@pytest.mark.parametrize("other_bytes", OTHER_BYTES)
+def test_bytes_that_are_no_event_are_not_released(other_bytes):
+    """Guards against an error, or another answer, in the middle of a caller's stream."""
+    buffer = EventBuffer()
+    event = b"id: 1\ndata: a\n\n"
+    assert buffer.feed(event + other_bytes + event) == event
+    assert buffer.has_invalid_event
+    assert buffer.last_event_id == "1"
+    with pytest.raises(InvalidEvent):
+        EventBuffer().feed(other_bytes)
+
+
+def test_all_kinds_of_lines_of_an_event_are_released():
+    """Guards against breaking off a stream for a field that is rarely used."""
+    lines = (
+        b"x-weight-versions: 3",
+        b"event: e",
+        b"id: 1",
+        b"data",
+        b": comment",
+        b"data: HTTP/1.1",
+    )
+    event = b"\n".join(lines) + b"\n\n"
+    buffer = EventBuffer()
+    assert buffer.feed(event) == event
--- a/tests/platform/test_failed_resumes.py
+++ b/tests/platform/test_failed_resumes.py
@@ -31,6 +31,9 @@
     Reply(302, "text/plain", b""),
     Reply(200, "application/json", b'{"error": "the server failed"}\n\n'),
     Reply(200, "text/plain", b"data: the server failed\n\n"),
+    Reply(200, "text/event-stream", ERROR_TEXT),
+    Reply(200, "text/event-stream", b'{"error": "the server failed"}\n\n'),
+    Reply(200, "text/event-stream", b"HTTP/1.1 500 X\r\n\r\n" + ERROR_TEXT),
 ]
 
 
