End a body without a length where its server writes another answer

Cause: only the end of the connection ended such a body.

Change: RepeatedAnswerScanner finds a whole head that names the request of the connection, or the one before, and ends the body there; it is complete if the second answer has the same status.

--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -14,6 +14,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from baobabstream.backends.repeated_answer import RepeatedAnswerScanner
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 
@@ -116,7 +117,9 @@
     Notes
     -----
     Answers that name another request are skipped. Bytes that arrive while no answer is pending
-    forbid the reuse of the connection, since it is unknown which request they belong to.
+    forbid the reuse of the connection, since it is unknown which request they belong to. A second
+    answer inside a body that ends with the connection ends that body. The body is complete if the
+    second answer has the same status; otherwise the server has failed in the middle of the first.
 
     ``asyncio`` calls the methods of the protocol section, and the parser calls those of the parser
     section. Both record what was received and wake the reading method.
@@ -136,6 +139,10 @@
         self._wake_future: asyncio.Future[None] | None = None
         self._parser = HttpResponseParser(self)
         self._expected_request_id = ""
+        # Identity of the request before, whose answer may come again.
+        self._previous_request_id = ""
+        # Scans a body that ends with the connection; None for any other one.
+        self._repeated_answers: RepeatedAnswerScanner | None = None
         self._is_answer_pending = False
         # Whether the answer that is being parsed is interim or belongs to another request.
         self._is_skipping_answer = False
@@ -202,7 +209,9 @@
             Encoded request line, headers and body.
         """
         assert self._transport is not None
+        self._previous_request_id = self._expected_request_id
         self._expected_request_id = request_id
+        self._repeated_answers = None
         self._is_answer_pending = True
         self._answer_head = None
         self._head_bytes = 0
@@ -313,7 +322,7 @@
             and self._received_eof
             and error is None
         ):
-            self._finish_answer()
+            self._finish_body_at_close()
         ended_soon = self._loop.time() - self._request_sent_s < IMMEDIATE_LOSS_S
         self.lost_immediately = self._is_answer_pending and ended_soon and not self._head_bytes
         self._mark_ended(f"connection ended: {error or 'closed by the server'}")
@@ -354,18 +363,29 @@
         self._answer_head = AnswerHead(status, tuple(self._received_headers))
         has_length = "content-length" in header_values or "transfer-encoding" in header_values
         self.body_ends_at_close = not has_length and status not in STATUSES_WITHOUT_BODY
+        if self.body_ends_at_close:
+            self._repeated_answers = RepeatedAnswerScanner(
+                self._request_id_header,
+                frozenset({self._expected_request_id, self._previous_request_id} - {""}),
+            )
         if not self._parser.should_keep_alive():
             self._is_reuse_forbidden = True
         self._apply_keep_alive_timeout(header_values.get("keep-alive", ""))
 
     def on_body(self, data: bytes) -> None:
-        """Buffer a part of the body."""
-        if not self._is_skipping_answer:
+        """Buffer a part of the body, and end it where another answer begins."""
+        if self._is_skipping_answer or not self._is_answer_pending:
+            return
+        if self._repeated_answers is not None:
+            data = self._repeated_answers.feed(data)
+        if data:
             self._overhead_bytes = max(
                 0, self._overhead_bytes - len(data) - FRAMING_ALLOWANCE_BYTES
             )
             self._body_parts.append(data)
             self._buffered_bytes += len(data)
+        if self._repeated_answers is not None:
+            self._end_at_repeated_answer(self._repeated_answers.repeated_status)
 
     def on_message_complete(self) -> None:
         """Complete the answer, unless it is a skipped one."""
@@ -374,6 +394,25 @@
         elif self._is_answer_pending:
             self._finish_answer()
 
+    def _end_at_repeated_answer(self, status: int | None) -> None:
+        """End the connection if another answer, with a status, has begun inside the body."""
+        assert self._answer_head is not None
+        if status is None:
+            return
+        if status == self._answer_head.status:
+            self._finish_answer()
+        self._end_invalid(f"another answer with status {status} inside the body")
+
+    def _finish_body_at_close(self) -> None:
+        """Complete a body that ends with the connection, unless part of another answer ends it."""
+        assert self._repeated_answers is not None
+        if self._repeated_answers.has_partial_head:
+            self._mark_ended("part of another answer inside the body")
+            return
+        if rest := self._repeated_answers.finish():
+            self._body_parts.append(rest)
+        self._finish_answer()
+
     def _finish_answer(self) -> None:
         """Mark the pending answer as complete, so that the connection can be reused."""
         self._is_answer_complete = True
