Take a success without a body that ends with its connection for broken off

What callers saw: a 200 with an empty body, framed as whole, when a server stopped right after the head of an answer with neither a length nor chunks.

Cause: the end of the connection completed the body, even of no bytes.

Change: a success of that kind without a body fails the attempt, as for streams; other servers are tried if the request may run again.

Evidence: test_cut_answer_does_not_look_whole[connection] failed before and passes; answers cut at each third byte in the other framings never looked whole before either.

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -181,8 +181,8 @@
         self._event_buffer = EventBuffer()
         self.is_open = False
         self.was_transmitted = False
-        # Whether the server has begun to answer.
-        self._has_head = False
+        # Status and headers of the server's response, or None before them.
+        self._head: AnswerHead | None = None
         self.provisional_pace: float | None = None
         self.was_cut = False
         self.verdict = ResponseVerdict.NONE
@@ -226,7 +226,7 @@
             raise AttemptFailed(
                 RunState.UNKNOWN, error.detail, connection_lost=error.connection_lost
             ) from error
-        self._has_head = True
+        self._head = head
         return await self._validate(head)
 
     async def read_whole(self) -> bytes:
@@ -236,7 +236,8 @@
         ------
         AttemptFailed
             If the body breaks off, is larger than ``MAX_BUFFERED_RESPONSE_BYTES``, or finds no room
-            beside the bodies of other attempts.
+            beside the bodies of other attempts; or if a success has no body and only the end of its
+            connection, which may be that of the server's process, says so.
         """
         parts: list[bytes] = []
         while data := await self._read_part():
@@ -246,6 +247,10 @@
             if not self._response_memory.try_acquire(len(data)):
                 raise AttemptFailed(RunState.YES, "no memory is left for the answer")
             self._buffered_bytes += len(data)
+        if not parts and self._is_success_that_needs_body() and self._connection_ends_body():
+            raise AttemptFailed(
+                RunState.UNKNOWN, "the answer ended before its body", connection_lost=True
+            )
         return b"".join(parts)
 
     async def read_events(self) -> bytes:
@@ -281,6 +286,11 @@
             )
         return self._event_buffer.take_comments()
 
+    def _is_success_that_needs_body(self) -> bool:
+        """Return whether the response is a success of a request other than HEAD."""
+        assert self._head is not None
+        return self._head.status < 300 and self._request.method != "HEAD"
+
     def _connection_ends_body(self) -> bool:
         """Return whether only the end of the connection marks the end of the response."""
         return self._connection is not None and self._connection.body_ends_at_close
@@ -362,7 +372,7 @@
         after the answer has begun.
         """
         request = self._request
-        if self._has_head:
+        if self._head is not None:
             begin_ends_s = asyncio.get_running_loop().time() + SURVIVAL_S
             self.server.record_abandoned_run(self.suspect_keys, begin_ends_s)
             self.server.record_abandoned_run(request.content_keys, request.deadline_s)
