Answer requests that are late in a planned stop

What callers saw (LOST): a request whose body came late in a stop was passed on, and a request that still ran at its end got a closed connection.

Cause: the gateway asked whether it accepts requests only before it read the body, and closed all connections at the end.

Change: it asks again after the body; requests under way at the end get 504, or 503 if no server got them.

Evidence: both new tests of tests/platform/test_gateway_stop.py failed before (200 in place of 503; server disconnected) and pass.

--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -33,6 +33,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Seconds between two checks for open requests while the gateway stops.
 FINISH_POLL_S = 0.05
+# Seconds in which the last responses of a stop are written.
+LAST_RESPONSES_S = 0.3
 # Seconds after the start in which requests may wait for configuration and servers. When all hosts
 # start together, the coordination hosts elect a leader and servers announce themselves within this
 # time.
@@ -63,6 +65,7 @@
         self._context = context
         self._reader = RequestReader(context.header_names)
         self._open_requests = 0
+        self._executions: set[RequestExecution] = set()
         # Whether new requests are executed; otherwise they are refused as the gateway is stopping.
         self._is_accepting = True
         self._started_s = asyncio.get_running_loop().time()
@@ -108,11 +111,22 @@
         await stop_listening(self._runner, self._site, self._listening_socket)
 
     async def finish(self, end_s: float) -> None:
-        """Wait for open requests until a time in seconds, then close all connections."""
+        """Wait for open requests until a time in seconds, then close all connections.
+
+        Requests that are still executed by then are ended with a response that says whether they
+        may have run.
+        """
+        await self._wait_until_idle(end_s)
+        for execution in self._executions:
+            execution.expire()
+        await self._wait_until_idle(asyncio.get_running_loop().time() + LAST_RESPONSES_S)
+        await self._runner.cleanup()
+
+    async def _wait_until_idle(self, end_s: float) -> None:
+        """Wait until no request is open, at most until a time in seconds."""
         loop = asyncio.get_running_loop()
         while self._open_requests and loop.time() < end_s:
             await asyncio.sleep(FINISH_POLL_S)
-        await self._runner.cleanup()
 
     async def _handle(self, http_request: web.Request) -> web.StreamResponse:
         """Return the response to a caller's request, which counts as open until then."""
@@ -130,8 +144,7 @@
         """
         context = self._context
         try:
-            if not self._is_accepting:
-                raise RequestRefused(ResultCode.STOPPING, retry_after_s=STOPPING_RETRY_S)
+            self._refuse_if_stopping()
             await self._wait_for_startup(arrived_s)
             route = self._reader.find_route(http_request, context.route_table)
             assert context.route_table is not None
@@ -139,18 +152,33 @@
             request = await self._reader.read(http_request, route, account, arrived_s)
             if len(request.body) > self._max_body_bytes:
                 raise RequestRefused(ResultCode.BODY_TOO_LARGE)
+            # The body may have taken until shortly before the end of the process.
+            self._refuse_if_stopping()
         except RequestRefused as error:
             refusal = error
         except Exception:
             _log.exception("A request could not be read.")
             refusal = RequestRefused(ResultCode.INTERNAL_ERROR)
         else:
-            return await RequestExecution(request, http_request, context).run()
+            return await self._execute(RequestExecution(request, http_request, context))
         if refusal.code is ResultCode.NO_CONFIGURATION:
             refusal.retry_after_s = NO_CONFIGURATION_RETRY_S
         self._log_refusal(http_request, refusal, arrived_s)
         return error_response(refusal)
 
+    async def _execute(self, execution: RequestExecution) -> web.StreamResponse:
+        """Execute a request, which counts as executed until its response has been given."""
+        self._executions.add(execution)
+        try:
+            return await execution.run()
+        finally:
+            self._executions.discard(execution)
+
+    def _refuse_if_stopping(self) -> None:
+        """Raise ``STOPPING`` if new requests are no longer executed."""
+        if not self._is_accepting:
+            raise RequestRefused(ResultCode.STOPPING, retry_after_s=STOPPING_RETRY_S)
+
     async def _wait_for_startup(self, arrived_s: float) -> None:
         """Delay a request that arrives while this host learns its configuration and servers.
 
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -122,6 +122,8 @@
         self._open_attempt: Attempt | None = None
         self._response: web.StreamResponse | None = None
         self._recorder = AttemptRecorder(request, context)
+        # Ends the request at its deadline; None before `run`.
+        self._timeout: asyncio.Timeout | None = None
         # For the log. The initial value stays if the caller disconnects, which cancels `run`.
         self._outcome = "caller_left"
 
@@ -132,7 +134,7 @@
         stream that has begun (``prepared``).
         """
         try:
-            async with asyncio.timeout_at(self._request.deadline_s):
+            async with asyncio.timeout_at(self._request.deadline_s) as self._timeout:
                 return await self._execute()
         except TimeoutError:
             self._record_abandoned_attempt()
@@ -160,6 +162,11 @@
         finally:
             self._log_end()
 
+    def expire(self) -> None:
+        """End the request as if its deadline had passed."""
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(self._loop.time())
+
     async def _execute(self) -> web.StreamResponse:
         """Attempt the request until there is a response.
 
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -6,7 +6,7 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, TCPConnector
 
 from fake_backend_server import FakeBackendServer
-from platform_stand_in import FRONT_PORT, PlatformHarness, caller_headers
+from platform_stand_in import FRONT_PORT, PlatformHarness, caller_headers, make_config
 from waiting import until
 
 CALLER_COUNT = 30
@@ -93,3 +93,42 @@
                 responses.append(repr(error))
             connection.close()
     assert set(responses) <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
+
+
+async def test_request_whose_body_arrives_late_in_a_stop_is_refused(tmp_path):
+    """Guards against passing on a request that the end of the stop then cuts off."""
+    async with PlatformHarness(tmp_path, coordinators=1) as platform:
+        server = FakeBackendServer("i-app", "app")
+        await platform.start_with_backends(server, FakeBackendServer("i-engine", "engine"))
+        ip, gateway = next(iter(platform.gateways.items()))
+        head = "".join(f"{name}: {value}\r\n" for name, value in caller_headers("r1").items())
+        reader, writer = await asyncio.open_connection(ip, FRONT_PORT)
+        writer.write(f"POST /sign/1 HTTP/1.1\r\n{head}Content-Length: 6\r\n\r\npro".encode())
+        await until(lambda: gateway._frontend.open_requests == 1)
+        stop = asyncio.create_task(gateway.stop())
+        await until(lambda: not gateway._frontend._is_accepting)
+        writer.write(b"mpt")
+        assert (await reader.readline()).split()[1] == b"503"
+        writer.close()
+        await stop
+        del platform.gateways[ip]
+        assert server.run_counts["r1"] == 0
+
+
+async def test_request_that_outlasts_a_stop_gets_an_answer(tmp_path):
+    """Guards against a connection that ends without an answer to a request that was passed on."""
+    async with PlatformHarness(tmp_path, coordinators=1) as platform:
+        server = FakeBackendServer("i-app", "app", unanswered_left=1)
+        await platform.start_with_backends(server, FakeBackendServer("i-engine", "engine"))
+        config = make_config(2)
+        for route in config["routes"]:
+            route["timeout_ms"] = 20_000
+        await platform.put_config(config)
+        ip, gateway = next(iter(platform.gateways.items()))
+        await until(lambda: gateway.context.route_table.document.version == 2)
+        headers = {"X-Deadline-Ms": "20000"}
+        request = asyncio.create_task(platform.send_request("/sign/1", "r1", **headers))
+        await until(lambda: server.run_counts["r1"])
+        await gateway.stop()
+        del platform.gateways[ip]
+        assert (await request)[0] == 504
