Count late responses of plain services during a rollout before they come

Cause: a response that hangs counted only once it ended, up to the route's time-out later, when the rollout was over.

A crash of the server takes back what was counted of the attempt.

Evidence: test_late_response_counts_before_it_comes is new.

--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -37,6 +37,7 @@
 from baobabstream.routing.document import RouteKind
 from baobabstream.routing.version_evidence import (
     BAD_EVENT_SLOWDOWN,
+    BAD_RESPONSE_SLOWDOWN,
     ResponseVerdict,
     judge_event_interval,
     judge_missing_response,
@@ -55,6 +56,8 @@
 # Longest pause that a server may ask for. A longer one is more likely an error of the server, which
 # would take it out for good.
 MAX_PAUSE_S = 300.0
+# Time in which a connection is opened, as a rule, before a request is sent on it.
+LATE_CHECK_MARGIN_S = 0.02
 # Time in seconds without a reply after which no coordination host decides for this gateway.
 MAX_CONTROL_AGE_S = 2.0
 
@@ -113,6 +116,28 @@
         if shared_prompt_key is not None:
             server.record_cached_prompt(shared_prompt_key)
 
+    def watch_response(self, attempt: Attempt) -> None:
+        """Count a response of a plain service as bad as soon as it is too late to be good.
+
+        A server may be so slow that a rollout ends before its responses come. Only responses that
+        a rollout compares are watched.
+        """
+        request, context = self._request, self._context
+        if request.route.kind is RouteKind.STREAM or not context.is_in_rollout(request.service):
+            return
+        late_s = BAD_RESPONSE_SLOWDOWN * context.response_times.expected_s(
+            attempt.model or request.route.name, attempt.uncached_prompt_tokens
+        )
+
+        def count_if_late() -> None:
+            """Count the response unless it has come, or the request was sent later than planned."""
+            is_late = attempt.was_transmitted and self._loop.time() - attempt.sent_s >= late_s
+            if attempt.is_open and is_late and attempt.verdict is ResponseVerdict.NONE:
+                _count_response(attempt, ResponseVerdict.BAD)
+
+        if late_s > 0:
+            self._loop.call_later(late_s + LATE_CHECK_MARGIN_S, count_if_late)
+
     def record_failed_stream_response(self, attempt: Attempt, status: int) -> None:
         """Record an ordinary response in place of a stream, which is forwarded to the caller."""
         _count_response(attempt, judge_response(status, 0.0))
@@ -346,6 +371,7 @@
                 if not attempt.lost_idle_connection:
                     _count_response(attempt, ResponseVerdict.BAD)
                 return False
+            _discard_count(attempt)
             self._suspend(server, "the server refuses connections", self._loop.time())
             suspects = server.take_crash_suspects(self._loop.time()) | {suspect_keys}
             self._log_crash(attempt, len(suspects), lost_s)
@@ -443,6 +469,13 @@
     attempt.verdict = verdict
 
 
+def _discard_count(attempt: Attempt) -> None:
+    """Take back what was counted of an attempt, since its server has crashed."""
+    attempt.server.good_responses -= attempt.verdict is ResponseVerdict.GOOD
+    attempt.server.bad_responses -= attempt.verdict is ResponseVerdict.BAD
+    attempt.verdict = ResponseVerdict.NONE
+
+
 def _parse_pause_s(retry_after: str | None) -> float:
     """Return the seconds in a ``Retry-After`` header, at most ``MAX_PAUSE_S``.
 
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -418,8 +418,7 @@
         """
         context = self.context
         for server in context.directory:
-            rollout = context.rollouts.get(server.row.service)
-            if rollout is not None and rollout.state is RolloutState.IN_PROGRESS:
+            if context.is_in_rollout(server.row.service):
                 yield ServerEvidence(
                     server.row.service,
                     server.row.version,
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -118,6 +118,11 @@
             self.directory.has_server(service) for service in self.route_table.services
         )
 
+    def is_in_rollout(self, service: str) -> bool:
+        """Return whether a rollout of a service is in progress."""
+        rollout = self.rollouts.get(service)
+        return rollout is not None and rollout.state is RolloutState.IN_PROGRESS
+
     def runs_rollout_target(self, server: KnownServer) -> bool:
         """Return whether a server runs the target version of a rollout in progress."""
         rollout = self.rollouts.get(server.row.service)
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -252,6 +252,7 @@
         AttemptFailed
             As `Attempt.send`.
         """
+        self._recorder.watch_response(attempt)
         try:
             head = await attempt.send()
         except AttemptFailed as failure:
--- a/tests/platform/test_version_evidence.py
+++ b/tests/platform/test_version_evidence.py
@@ -6,6 +6,7 @@
 import pytest
 
 from backends.raw_server import encode_answer
+from baobabstream.wire.coordination_messages import RolloutRow, RolloutState
 from fake_backend_server import FakeBackendServer
 from platform_stand_in import PlatformHarness, caller_headers, make_config
 from waiting import until
@@ -60,6 +61,21 @@
     assert counts(platform, server) == (0, 1)
 
 
+async def test_late_response_counts_before_it_comes(platform):
+    """Guards against a rollout that ends before the responses of its slow target have come."""
+    server = await start(platform, FakeBackendServer("i-1", "app", answer_delay_s=0.02))
+    context = platform.gateways[platform.gateway_ips[0]].context
+    context.rollouts["app"] = RolloutRow("app", "v1", "v2", RolloutState.IN_PROGRESS)
+    for number in range(5):
+        assert (await platform.send_request("/sign/1", f"r{number}"))[0] == 200
+    server.answer_delay_s = 0.5
+    request = asyncio.create_task(platform.send_request("/sign/1", "late"))
+    await until(lambda: counts(platform, server) == (5, 1))
+    assert not request.done()
+    assert (await request)[0] == 200
+    assert counts(platform, server) == (5, 1)
+
+
 async def test_stream_without_an_event_at_its_deadline_counts_against_the_version(platform):
     """Guards against completing a rollout to a version whose streams begin too late."""
     server = await start(platform, FakeBackendServer("i-1", "engine", answer_delay_s=2.0))
