Plan a time with all requests in which a rollout is still judged

Cause: the canary used up the requests that the limit allows, its share overshot its plan, and counts of answers took up to 0.5 s to arrive.

Change: the canary leaves room for 1.2 s with all requests; its share follows the rest of its plan; gateways report within 0.1 s in that step; a target that was suspicious when the step was due, that is suspicious near its limit, or that has no server is rolled back.

--- a/src/baobabstream/coordination/exchange_service.py
+++ b/src/baobabstream/coordination/exchange_service.py
@@ -38,6 +38,9 @@
 
 # Upper bound of the wait for a change; no gateway asks for a longer one.
 MAX_WAIT_S = 5.0
+# The same while the target of a rollout gets all requests: the gateways then report their counts
+# of its answers soon, since it may have to be rolled back before it is completed.
+FULL_SHARE_WAIT_S = 0.1
 # Delay of a reply whose only news is pinned sessions or crashes, since several gateways report them
 # at once. All hosts learn pinned sessions within this time and one exchange. That is shorter than
 # the first step of a rollout, in which no session gets the target version yet.
@@ -136,7 +139,7 @@
         crashes_changed = self.crash_reports.record(request, loop.time())
         if crashes_changed or self.pinned_sessions.digests() != digests_before:
             self.notify()
-        deadline_s = loop.time() + min(request.wait_s, MAX_WAIT_S)
+        deadline_s = loop.time() + min(request.wait_s, self._longest_wait_s())
         while not self._has_changes(request) and loop.time() < deadline_s:
             if (
                 self._sessions_differ(request)
@@ -149,6 +152,14 @@
             await self._wait_for_change(deadline_s - loop.time())
         return self._reply(request, loop.time())
 
+    def _longest_wait_s(self) -> float:
+        """Return the longest wait of an exchange, short while a target gets all requests."""
+        is_judging_full_share = any(
+            row.state is RolloutState.IN_PROGRESS and row.settled
+            for row in self._state.rollouts.values()
+        )
+        return FULL_SHARE_WAIT_S if is_judging_full_share else MAX_WAIT_S
+
     async def wait_until_confirmed(self, timeout_s: float) -> bool:
         """Wait until every active gateway has confirmed the present announcements.
 
--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -18,7 +18,12 @@
 from baobabstream.coordination.exchange_service import ExchangeService
 from baobabstream.coordination.regression_detector import AnswerCounts, RegressionDetector
 from baobabstream.coordination.rollout_clock import RolloutClock
-from baobabstream.coordination.rollout_plan import Exposure, RolloutStep, plan_step
+from baobabstream.coordination.rollout_plan import (
+    Exposure,
+    RolloutStep,
+    is_full_share_due,
+    plan_step,
+)
 from baobabstream.coordination.state import (
     AdoptVersion,
     CoordinationCommand,
@@ -86,6 +91,9 @@
         # By service and target version: number of answers of all versions of the service that were
         # counted before this leader first evaluated the rollout.
         self._initial_answers: dict[tuple[str, str], int] = {}
+        # Services and target versions whose target was suspicious when it was due to get all
+        # requests.
+        self._held_back: set[tuple[str, str]] = set()
         self._exposure_limit = exposure_limit
 
     async def run(self) -> None:
@@ -149,11 +157,16 @@
         # sessions, all of them use the target version.
         if detector.update(totals):
             return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, detector)
+        exposure = self._exposure(row, totals, observed_since_s, now_s)
+        key, is_suspicious = (row.service, row.target), detector.is_suspicious(row.share)
+        if is_suspicious and is_full_share_due(row, elapsed_s, exposure):
+            self._held_back.add(key)
         step = plan_step(
             row,
             elapsed_s,
-            self._exposure(row, totals, observed_since_s, now_s),
-            detector.is_suspicious(row.share),
+            exposure,
+            is_suspicious or (not row.settled and key in self._held_back),
+            self._has_target_servers(row, now_s),
         )
         if step.rolls_back:
             return self._move(row, RolloutState.ROLLED_BACK, 0.0, False, elapsed_s, detector)
@@ -161,6 +174,11 @@
             return self._move(row, RolloutState.COMPLETED, 1.0, True, elapsed_s, detector)
         return self._apply_step(row, step, elapsed_s, detector)
 
+    def _has_target_servers(self, row: RolloutRow, now_s: float) -> bool:
+        """Return whether a gateway knows a server of a rollout's target version."""
+        server_counts = self._exchange.contacts.server_counts(now_s).get(row.service, {})
+        return server_counts.get(row.target, 0) > 0
+
     def _exposure(
         self,
         row: RolloutRow,
--- a/src/baobabstream/coordination/rollout_plan.py
+++ b/src/baobabstream/coordination/rollout_plan.py
@@ -13,22 +13,33 @@
 
 from baobabstream.wire.coordination_messages import RolloutRow
 
-__all__ = ["Exposure", "RolloutStep", "canary_share", "full_share_duration_s", "plan_step"]
+__all__ = [
+    "Exposure",
+    "RolloutStep",
+    "canary_share",
+    "full_share_duration_s",
+    "is_full_share_due",
+    "plan_step",
+]
 
 # Duration of the first step, with a share of 0: two exchanges between gateways and coordination
 # hosts, in which all hosts learn the open sessions, which keep the base version.
 ZERO_SHARE_S = 1.2
 # Fraction of the allowed requests that the target gets as a canary. A version may be bad in a way
 # that shows late or only under load, and the limit of exposure covers the whole rollout. So the
-# rest is left for the step with all requests.
-CANARY_FRACTION = 0.75
+# rest is left for the step with all requests, and a canary gets less than this if that step needs
+# more at the present rate of requests, down to the lower fraction.
+CANARY_FRACTION, MIN_CANARY_FRACTION = 0.75, 0.65
 # Most requests that a canary is planned to get. They are enough to see a version that is bad at any
 # load; with many requests a second, the rest makes the step with all requests longer.
 MAX_CANARY_REQUESTS = 60
 # A canary gets fewer requests than its share, as sessions that began before the rollout stay on the
-# base version. For each fraction of the planned requests that it has had at least: the factor by
-# which its share is raised.
-CANARY_FACTORS = ((1.0, 1.0), (0.9, 1.5), (0.0, 2.25))
+# base version. Its share is raised once it would have to be this many times as large to get the
+# rest of the planned requests in the time that is left.
+MIN_SHARE_RAISE = 1.2
+# Shortest time for which the share is planned, so that a small deficit near the end does not raise
+# it to the upper bound.
+MIN_PLANNED_CANARY_S = 3.0
 # Upper bound of the share of a canary.
 MAX_CANARY_SHARE = 0.3
 # Time of observation after which the rate of requests is known well enough for the share.
@@ -39,12 +50,18 @@
 # which its end is still evaluated and committed.
 MIN_END_MARGIN_S, END_MARGIN_S = 0.3, 0.8
 # Bounds of the time for which the target gets all requests before the end of the rollout. The lower
-# one is enough to check its answers under full load, and for most short requests that still run on
-# the base version to end.
+# one is enough for most short requests that still run on the base version to end.
 MIN_FULL_SHARE_S, MAX_FULL_SHARE_S = 0.4, 2.0
+# Time with all requests that a canary leaves room for. A version may fail under this load only, and
+# nothing judges it after its completion. In this time enough answers under full load are counted,
+# reported by the gateways and evaluated.
+PLANNED_FULL_SHARE_S = 1.2
 # Fraction of the allowed requests that the end of a rollout is planned for. The rest is for those
 # that are not counted yet.
 USED_END_FRACTION = 0.95
+# Fraction of the allowed requests from which on a suspicious target that gets all requests is
+# rolled back at once. The rest arrives before that is in force, also at a peak.
+MAX_SUSPICIOUS_FRACTION = 0.7
 # Fractions of the allowed share and of the allowed extra requests that the plan uses. The rest is
 # left because requests in flight are not counted yet, and because the rate of requests, from which
 # the allowed number is computed, may fall during the rest of the rollout.
@@ -137,6 +154,18 @@
     margin_s = remaining_requests / exposure.answers_per_s - (
         0.0 if row.settled else MIN_FULL_SHARE_S
     )
+    return min(max(margin_s, MIN_END_MARGIN_S), _preferred_end_margin_s(row, exposure))
+
+
+def _preferred_end_margin_s(row: RolloutRow, exposure: Exposure) -> float:
+    """Return the end margin that leaves ``PLANNED_FULL_SHARE_S`` for the step with all requests.
+
+    It is within the bounds of this module. In the margin itself nothing judges the target.
+    """
+    left_requests = USED_END_FRACTION * exposure.allowed_requests(
+        row.duration_s
+    ) - _planned_canary_requests(row, exposure)
+    margin_s = left_requests / exposure.answers_per_s - PLANNED_FULL_SHARE_S
     return min(max(margin_s, MIN_END_MARGIN_S), END_MARGIN_S)
 
 
@@ -156,19 +185,22 @@
     """
     if exposure.answers_per_s <= 0:
         return MIN_FULL_SHARE_S
-    remaining_requests = exposure.usable_requests(row.duration_s) - exposure.target_requests
+    remaining_requests = (
+        USED_END_FRACTION * exposure.allowed_requests(row.duration_s) - exposure.target_requests
+    )
     # The target gets all requests between the end of the rollout and the deadline as well.
-    full_share_s = remaining_requests / exposure.answers_per_s - END_MARGIN_S
+    unjudged_s = _preferred_end_margin_s(row, exposure)
+    full_share_s = remaining_requests / exposure.answers_per_s - unjudged_s
     return min(max(full_share_s, MIN_FULL_SHARE_S), MAX_FULL_SHARE_S)
 
 
 def canary_share(row: RolloutRow, elapsed_s: float, exposure: Exposure) -> float:
     """Return the share (0 to 1) of the new sessions that the target gets as a canary.
 
-    The canary shall get ``CANARY_FRACTION`` of the requests that the target may get, evenly over
-    the rollout. A service with few requests so gets enough of them to judge the target. The share
-    never falls, which would move sessions back to the base version, and it rises in the second half
-    only, before which no session may move to the target.
+    The canary shall get a part of the requests that the target may get, evenly over the rollout. A
+    service with few requests so gets enough of them to judge the target. The share never falls,
+    which would move sessions back to the base version, and it rises in the second half only, before
+    which no session may move to the target.
 
     Parameters
     ----------
@@ -183,33 +215,57 @@
         return row.share
     if exposure.observed_s < MIN_OBSERVED_S or not exposure.service_answers:
         return row.share or CANARY_FRACTION * exposure.allowed_share
-    planned_requests = min(
-        CANARY_FRACTION * exposure.usable_requests(row.duration_s), MAX_CANARY_REQUESTS
-    )
-    share = planned_requests / (exposure.answers_per_s * row.duration_s)
-    if row.share:
-        canary_s = max(row.duration_s - ZERO_SHARE_S, ZERO_SHARE_S)
-        planned_so_far = planned_requests * (elapsed_s - ZERO_SHARE_S) / canary_s
-        share *= next(
-            factor
-            for least_fraction, factor in CANARY_FACTORS
-            if exposure.target_requests >= least_fraction * planned_so_far
-        )
+    planned_requests = _planned_canary_requests(row, exposure)
+    if not row.share:
+        share = planned_requests / (exposure.answers_per_s * row.duration_s)
+    else:
+        canary_end_s = row.duration_s - PLANNED_FULL_SHARE_S - MIN_END_MARGIN_S
+        left_s = max(canary_end_s - elapsed_s, MIN_PLANNED_CANARY_S)
+        left_requests = planned_requests - exposure.target_requests
+        share = left_requests / (exposure.answers_per_s * left_s)
+        if share < MIN_SHARE_RAISE * row.share:
+            return row.share
     # Rounded, so that not each change of the rate of requests has to be committed.
     return max(row.share, min(MAX_CANARY_SHARE, float(f"{share:.2g}")))
 
 
+def _planned_canary_requests(row: RolloutRow, exposure: Exposure) -> float:
+    """Return how many requests a canary shall get, by the limit and the present rate of answers."""
+    usable_requests = exposure.usable_requests(row.duration_s)
+    full_share_requests = (PLANNED_FULL_SHARE_S + END_MARGIN_S) * exposure.answers_per_s
+    left_by_full_share = (
+        USED_END_FRACTION * exposure.allowed_requests(row.duration_s) - full_share_requests
+    )
+    return min(
+        CANARY_FRACTION * usable_requests,
+        max(MIN_CANARY_FRACTION * usable_requests, left_by_full_share),
+        MAX_CANARY_REQUESTS,
+    )
+
+
+def is_full_share_due(row: RolloutRow, elapsed_s: float, exposure: Exposure) -> bool:
+    """Return whether the time has come for the step with all requests, whatever the evidence.
+
+    A target that was suspicious then, and is not any more shortly before the end, would be
+    completed without having carried the load of all requests.
+    """
+    end_s = max(row.duration_s - end_margin_s(row, exposure), ZERO_SHARE_S)
+    return elapsed_s >= end_s - full_share_duration_s(row, exposure)
+
+
 def plan_step(
     row: RolloutRow,
     elapsed_s: float,
     exposure: Exposure,
     is_suspicious: bool = False,
+    has_target_servers: bool = True,
 ) -> RolloutStep:
     """Return the present step of a rollout whose target was not detected as bad.
 
     The steps are: a share of 0, the canary, all requests on the target (a share of 1), and the end.
     While the target is suspicious, the step with all requests does not begin; once begun, which is
-    recorded in ``row.settled``, it lasts until the end.
+    recorded in ``row.settled``, it lasts until the end, unless a target that has become suspicious
+    is about to exceed its limit.
 
     Parameters
     ----------
@@ -221,16 +277,21 @@
         Limit of the target's requests, and the answers counted so far.
     is_suspicious
         Whether the target may be worse than the base version; see `RegressionDetector`.
+    has_target_servers
+        Whether a server of the target version is known; without one the rollout is not completed.
     """
     # Seconds since the start at which the rollout ends.
     end_s = max(row.duration_s - end_margin_s(row, exposure), ZERO_SHARE_S)
     if elapsed_s >= end_s:
-        if is_suspicious:
+        if is_suspicious or not has_target_servers:
             return RolloutStep(0.0, moves_sessions=False, rolls_back=True)
         return RolloutStep(1.0, moves_sessions=True, completes=True)
     if elapsed_s < ZERO_SHARE_S:
         return RolloutStep(0.0, moves_sessions=False)
-    is_near_end = elapsed_s >= end_s - full_share_duration_s(row, exposure)
-    if row.settled or (is_near_end and not is_suspicious):
+    is_near_end = is_full_share_due(row, elapsed_s, exposure)
+    max_requests = MAX_SUSPICIOUS_FRACTION * exposure.allowed_requests(row.duration_s)
+    if row.settled and is_suspicious and exposure.target_requests >= max_requests:
+        return RolloutStep(0.0, moves_sessions=False, rolls_back=True)
+    if row.settled or (is_near_end and has_target_servers and not is_suspicious):
         return RolloutStep(1.0, moves_sessions=True)
     return RolloutStep(canary_share(row, elapsed_s, exposure), moves_sessions=False)
