Tell the server of a stalled stream to stop before another goes on

Cause: the first attempt of a stream was closed only after the whole relay.

Change: each attempt is closed before the next one is sent; closing twice does nothing.

Evidence: test_server_of_a_stalled_stream_is_told_to_stop_before_another_goes_on failed before (still in flight) and passes.

--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -350,8 +350,11 @@
     def close(self) -> None:
         """End the count as in flight, and return the connection to its pool.
 
-        The pool closes the connection if the response has not arrived completely.
+        The pool closes the connection if the response has not arrived completely, by which the
+        server learns that it must stop. Further calls do nothing.
         """
+        if not self.is_open:
+            return
         self.is_open = False
         self.end_prompt_processing()
         self._response_memory.release(self._buffered_bytes)
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -356,7 +356,7 @@
         Parameters
         ----------
         attempt
-            Attempt that reads the stream; whoever created it closes it.
+            Attempt that reads the stream. It is closed here, as are those that continue it.
         response
             Response to the caller.
         events
@@ -367,8 +367,6 @@
         _StreamBrokenOff
             If the stream breaks off and cannot be continued.
         """
-        # A later attempt that was opened here, and must be closed here.
-        resumed_attempt: Attempt | None = None
         # Identity of the last event that was written to the caller, or is being written.
         last_event_id = ""
         try:
@@ -389,14 +387,11 @@
                 except AttemptFailed as failure:
                     self._record_failure(attempt, failure)
                     self._require_resume(failure, last_event_id)
-                if resumed_attempt is not None:
-                    resumed_attempt.close()
-                    resumed_attempt = None
+                # A server whose stream has stalled may still work on it.
+                attempt.close()
                 attempt, events = await self._resume(last_event_id)
-                resumed_attempt = attempt
         finally:
-            if resumed_attempt is not None:
-                resumed_attempt.close()
+            attempt.close()
 
     async def _read_events(self, attempt: Attempt, last_event_id: str) -> bytes:
         """Return the next complete events of a stream, or nothing at its end.
