--- a/src/baobabstream/routing/announcements.py
+++ b/src/baobabstream/routing/announcements.py
@@ -100,6 +100,9 @@
     def withdraw(self, server_id: str, born_ms: int | None = None) -> tuple[ServerRow, ...]:
         """Mark a server as gone and return its changed row, or nothing if it was not present.
 
+        The departure of an unknown process is stored, too: other hosts may know the process, and
+        its announcements may still arrive.
+
         Parameters
         ----------
         server_id
@@ -110,11 +113,16 @@
             known one has replaced it.
         """
         known_row = self._rows.get(server_id)
-        if known_row is None or known_row.state is ServerState.GONE:
+        if known_row is None:
+            if born_ms is None:
+                return ()
+            known_row = ServerRow(server_id, born_ms, 0, "", "", "", "", 0, ServerState.READY)
+        departed_ms = known_row.born_ms if born_ms is None else born_ms
+        if departed_ms < known_row.born_ms:
             return ()
-        if born_ms is not None and born_ms < known_row.born_ms:
+        if known_row.state is ServerState.GONE and departed_ms == known_row.born_ms:
             return ()
-        gone_row = replace(known_row, state=ServerState.GONE)
+        gone_row = replace(known_row, born_ms=departed_ms, state=ServerState.GONE)
         self._store(gone_row)
         return (gone_row,)
 
--- a/tests/routing/test_announcements.py
+++ b/tests/routing/test_announcements.py
@@ -74,3 +74,20 @@
     """Guards against waking all gateways for each heartbeat."""
     assert table.merge(make_announcement(sequence=6, born_ms=100)) == ()
     assert table.get("i-1").sequence == 6
+
+
+@pytest.mark.parametrize("known_born_ms", [None, 1, 2])
+def test_departure_holds_whatever_was_known_of_the_server(known_born_ms):
+    """Guards against a departure that is acknowledged and dropped, as a host has just started."""
+    table = AnnouncementTable()
+    if known_born_ms is not None:
+        table.merge(make_announcement("s", born_ms=known_born_ms))
+    (gone_row,) = table.withdraw("s", 2)
+    assert (gone_row.state, gone_row.born_ms) == (ServerState.GONE, 2)
+    assert table.withdraw("s", 2) == ()
+    assert table.merge(make_announcement("s", born_ms=2, sequence=9)) == ()
+    other_table = AnnouncementTable()
+    other_table.merge(make_announcement("s", born_ms=2, sequence=9))
+    assert other_table.withdraw(gone_row.server_id, gone_row.born_ms)
+    (next_row,) = table.merge(make_announcement("s", born_ms=3))
+    assert next_row.state is ServerState.READY
