Close a connection whose path has changed while it was in use

A connection that was in use when its path came back went to the idle ones, below newer connections, which are reused first, and stayed there. It kept a stop of the helping gateway waiting, and a connection of the server taken.

Evidence: test_connection_in_use_when_its_path_changes_is_not_kept failed before and passes.

--- a/src/baobabstream/backends/connection_pool.py
+++ b/src/baobabstream/backends/connection_pool.py
@@ -109,14 +109,15 @@
         while it was idle; its idle time lowers the estimated idle timeout. A connection whose idle
         time before the request is None was new. A tunnel through another host may have ended with
         that host, which says nothing about the server. One that has not yet handed the whole
-        request to the operating system is closed.
+        request to the operating system is closed, and so is one whose path has changed meanwhile.
         """
         self._in_use_count -= 1
         idle_s = connection.idle_before_request_s
         if connection.was_lost_while_idle and connection.is_direct and idle_s is not None:
             now_s = asyncio.get_running_loop().time()
             self._idle_timeout_estimator.record_loss(idle_s, now_s)
-        if connection.is_reusable and connection.has_sent_everything:
+        is_complete = connection.is_reusable and connection.has_sent_everything
+        if is_complete and self.connector.may_reuse(connection):
             self._idle_connections.append((asyncio.get_running_loop().time(), connection))
         else:
             connection.close()
