Do not count a late refusal against a version

A response that had taken four times the expected time counted as bad, also if the server then refused the request without running it. test_late_refusal_does_not_count failed before (one bad response) and passes.

--- a/src/baobabstream/gateway/attempt_recorder.py
+++ b/src/baobabstream/gateway/attempt_recorder.py
@@ -56,7 +56,7 @@
 # Longest pause that a server may ask for. A longer one is more likely an error of the server, which
 # would take it out for good.
 MAX_PAUSE_S = 300.0
-# Time in which a connection is opened, as a rule, before a request is sent on it.
+# Time that is allowed for opening the connection before a response counts as late.
 LATE_CHECK_MARGIN_S = 0.02
 # Time in seconds without a reply after which no coordination host decides for this gateway.
 MAX_CONTROL_AGE_S = 2.0
@@ -254,8 +254,10 @@
         server = attempt.server
         if failure.run_state is not RunState.NO:
             server.record_response(failed=True, slowdown=None, now_s=now_s)
-        is_bad = failure.run_state is not RunState.NO and not failure.connection_lost
-        if is_bad and attempt.was_transmitted:
+        if failure.run_state is RunState.NO:
+            # The refusal may have come so late that the response has been counted.
+            _discard_count(attempt)
+        elif attempt.was_transmitted and not failure.connection_lost:
             _count_response(attempt, ResponseVerdict.BAD)
         if failure.server_unreachable:
             self._suspend(server, failure.reason, now_s)
@@ -470,7 +472,7 @@
 
 
 def _discard_count(attempt: Attempt) -> None:
-    """Take back what was counted of an attempt, since its server has crashed."""
+    """Take back what was counted of an attempt that says nothing about its server's version."""
     attempt.server.good_responses -= attempt.verdict is ResponseVerdict.GOOD
     attempt.server.bad_responses -= attempt.verdict is ResponseVerdict.BAD
     attempt.verdict = ResponseVerdict.NONE
--- a/tests/fake_backend_server.py
+++ b/tests/fake_backend_server.py
@@ -32,6 +32,8 @@
         Number of requests that still run without an answer, because the connection is closed.
     refuses, refuses_after_loss
         Whether it refuses requests without running them, from the start or after a lost answer.
+    refusal_delay_s
+        Time in seconds until it refuses a request.
     unanswered_left
         Number of requests that it will still run without any answer, on an open connection.
     pause_s
@@ -114,6 +116,7 @@
     lost_answers_left: int = 0
     refuses: bool = False
     refuses_after_loss: bool = False
+    refusal_delay_s: float = 0.0
     unanswered_left: int = 0
     pause_s: float = 0.0
     is_leaving: bool = False
@@ -233,6 +236,7 @@
             return
         notices = self._notices()
         if self.refuses:
+            await asyncio.sleep(self.refusal_delay_s)
             pause = f"Retry-After: {self.pause_s}\r\n" if self.pause_s else ""
             extra = f"X-Not-Executed: 1\r\n{pause}{notices}"
             writer.write(encode_answer(request_id, status=503, extra=extra))
--- a/tests/platform/test_version_evidence.py
+++ b/tests/platform/test_version_evidence.py
@@ -76,6 +76,19 @@
     assert counts(platform, server) == (5, 1)
 
 
+async def test_late_refusal_does_not_count(platform):
+    """Guards against blaming a version for a request that waited long and was then refused."""
+    server = await start(platform, FakeBackendServer("i-1", "app", answer_delay_s=0.02))
+    context = platform.gateways[platform.gateway_ips[0]].context
+    context.rollouts["app"] = RolloutRow("app", "v1", "v2", RolloutState.IN_PROGRESS)
+    assert (await platform.send_request("/sign/1", "r1"))[0] == 200
+    server.refuses, server.refusal_delay_s = True, 0.4
+    request = asyncio.create_task(platform.send_request("/sign/1", "late"))
+    await until(lambda: counts(platform, server) == (1, 1))
+    assert (await request)[0] == 503
+    assert counts(platform, server) == (1, 0)
+
+
 async def test_stream_without_an_event_at_its_deadline_counts_against_the_version(platform):
     """Guards against completing a rollout to a version whose streams begin too late."""
     server = await start(platform, FakeBackendServer("i-1", "engine", answer_delay_s=2.0))
