Do not roll a rollout back as a new leader knows no servers yet

The check for servers of the target took missing reports for missing servers. Read in the diff, without a run that showed it; tests/coordination passes.

--- a/src/baobabstream/coordination/rollout_driver.py
+++ b/src/baobabstream/coordination/rollout_driver.py
@@ -175,9 +175,12 @@
         return self._apply_step(row, step, elapsed_s, detector)
 
     def _has_target_servers(self, row: RolloutRow, now_s: float) -> bool:
-        """Return whether a gateway knows a server of a rollout's target version."""
-        server_counts = self._exchange.contacts.server_counts(now_s).get(row.service, {})
-        return server_counts.get(row.target, 0) > 0
+        """Return whether a server of a rollout's target version may be in service.
+
+        A leader that has just been elected has no reports of the service's servers yet.
+        """
+        server_counts = self._exchange.contacts.server_counts(now_s).get(row.service)
+        return not server_counts or server_counts.get(row.target, 0) > 0
 
     def _exposure(
         self,
