--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 
 from baobabstream.platform.settings import SETTINGS_PATH_VARIABLE
@@ -46,6 +47,8 @@
         Setting ``fault_tolerance.machines``: coordination hosts that may be lost at once.
     heartbeat_s
         Setting ``heartbeat_ms`` in seconds: time between two announcements of a server.
+    limits
+        Table ``limits`` of the settings.
 
     Attributes
     ----------
@@ -65,8 +68,10 @@
         seed_ips: tuple[str, ...],
         tolerated_losses: int = 1,
         heartbeat_s: float = HEARTBEAT_S,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         self._heartbeat_s = heartbeat_s
+        self._limits = limits or {}
         self.role, self.ip, self.folder, self._seed_ips = role, ip, folder, seed_ips
         self._tolerated_losses = tolerated_losses
         self.exit_count = 0
@@ -125,6 +130,7 @@
     def _write_settings(self, is_first_start: bool) -> None:
         """Write the settings file; only the first start may bootstrap a new group."""
         seed_list = ", ".join(f'"{ip}:{HTTP_PORT}"' for ip in self._seed_ips)
+        limits = "\n".join(f"{key} = {value}" for key, value in self._limits.items())
         (self.folder / "local.toml").write_text(f"""node_name = "{self.ip}"
 ip = "{self.ip}"
 zone = "a"
@@ -143,6 +149,8 @@
 retry_slack = 50
 [fault_tolerance]
 machines = {self._tolerated_losses}
+[limits]
+{limits}
 """)
 
 
@@ -163,8 +171,10 @@
         network: int | None = None,
         tolerated_losses: int = 1,
         heartbeat_s: float = HEARTBEAT_S,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         self._heartbeat_s = heartbeat_s
+        self._limits = limits
         super().__init__(folder, coordinator_count, gateway_count, network)
         self._tolerated_losses = tolerated_losses
         self.daemons: dict[str, SupervisedDaemon] = {}
@@ -189,7 +199,13 @@
     def _start_daemon(self, role: str, ip: str) -> SupervisedDaemon:
         """Create the process of one host and start to supervise it."""
         daemon = SupervisedDaemon(
-            role, ip, self._folder / ip, self.seeds, self._tolerated_losses, self._heartbeat_s
+            role,
+            ip,
+            self._folder / ip,
+            self.seeds,
+            self._tolerated_losses,
+            self._heartbeat_s,
+            self._limits,
         )
         self.daemons[ip] = daemon
         self._supervisor_tasks.append(asyncio.create_task(daemon.run()))
