--- a/src/baobabstream/backends/http_connection.py
+++ b/src/baobabstream/backends/http_connection.py
@@ -14,9 +14,10 @@
 from baobabstream.backends.answer_parser import AnswerParser, InvalidAnswer
 from baobabstream.backends.delivery import DeliveryWait, count_undelivered_bytes
 from baobabstream.backends.repeated_answer import RepeatedAnswerScanner
-from baobabstream.backends.response_memory import NO_MEMORY_REASON, AnswerMemory
+from baobabstream.backends.response_memory import NO_MEMORY_REASON
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.resources.memory_budget import MemoryHolder
 
 __all__ = [
     "AnswerFailed",
@@ -130,7 +131,7 @@
         # Bytes that have arrived since ``read_part`` was called.
         self._read_ahead_bytes = 0
         # Memory for the body, or None without a limit.
-        self._memory: AnswerMemory | None = None
+        self._memory: MemoryHolder | None = None
         self._is_answer_complete = False
         self.body_ends_at_close = False
         # Whether no more valid bytes will arrive, and why. The reason begins with "connection" if
@@ -184,7 +185,7 @@
         self,
         request_id: str,
         data: bytes,
-        memory: AnswerMemory | None = None,
+        memory: MemoryHolder | None = None,
         may_have_body: bool = True,
     ) -> None:
         """Send a request.
--- a/src/baobabstream/backends/service_client.py
+++ b/src/baobabstream/backends/service_client.py
@@ -20,13 +20,14 @@
 )
 
 from baobabstream.backends.attempt_error import AttemptError
-from baobabstream.backends.response_memory import ResponseMemory
+from baobabstream.backends.response_memory import MAX_RESPONSE_MEMORY_BYTES
 from baobabstream.backends.strict_http import (
     StrictConnector,
     answer_failure,
     read_body,
 )
 from baobabstream.policy.events import FailureKind
+from baobabstream.resources.memory_budget import MemoryBudget
 
 __all__ = ["ServiceAnswer", "ServiceCall", "ServiceClient"]
 
@@ -103,7 +104,7 @@
         for session in (self._pooled_session, self._unpooled_session):
             session._retry_connection = False  # private attribute of aiohttp
         # Memory for the bodies of all calls.
-        self._memory = ResponseMemory()
+        self._memory = MemoryBudget(MAX_RESPONSE_MEMORY_BYTES)
         # Base addresses of servers whose answers don't repeat the identity of the call.
         self._urls_without_identity: set[str] = set()
 
--- a/src/baobabstream/backends/strict_http.py
+++ b/src/baobabstream/backends/strict_http.py
@@ -24,8 +24,9 @@
 from baobabstream.backends.answer_parser import AnswerParser, InvalidAnswer
 from baobabstream.backends.attempt_error import AttemptError
 from baobabstream.backends.delivery import DeliveryWait, count_undelivered_bytes
-from baobabstream.backends.response_memory import NO_MEMORY_REASON, ResponseMemory
+from baobabstream.backends.response_memory import NO_MEMORY_REASON
 from baobabstream.policy.events import FailureKind
+from baobabstream.resources.memory_budget import MemoryBudget
 
 __all__ = ["StrictConnector", "answer_failure", "discard_answer", "read_body", "read_json"]
 
@@ -66,7 +67,7 @@
 
 
 async def read_body(
-    response: ClientResponse, max_bytes: int, memory: ResponseMemory | None = None
+    response: ClientResponse, max_bytes: int, memory: MemoryBudget | None = None
 ) -> bytes:
     """Return the whole body of an answer.
 
@@ -93,7 +94,7 @@
         response.content.set_exception(BodyRejected(reason))
         response.close()
 
-    answer_memory = (memory or ResponseMemory(max_bytes)).open(partial(give_up, NO_MEMORY_REASON))
+    answer_memory = (memory or MemoryBudget(max_bytes)).open(partial(give_up, NO_MEMORY_REASON))
     parts: list[bytes] = []
     try:
         async for part in response.content.iter_any():
--- a/src/baobabstream/control/admin_api.py
+++ b/src/baobabstream/control/admin_api.py
@@ -22,6 +22,7 @@
 from baobabstream.control.group_member import GroupMember
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, RequestRefused
+from baobabstream.ingress.request_body import read_body
 from baobabstream.wire.messages import ForwardReply, ForwardRequest
 
 __all__ = ["AdminApi"]
@@ -30,6 +31,8 @@
 # Limit for announcements of backend servers, which list at most 256 loaded model versions, 256
 # adapters (additional weights for a model) and 1,024 events of the prefix cache.
 MAX_BACKEND_BODY_BYTES = 256 * 1024
+# Longest time in seconds for a body to arrive.
+BODY_TIMEOUT_S = 30.0
 # Time limit for the leader's answer to a forwarded call.
 FORWARD_TIMEOUT_S = 3.0
 # Errors of a connection that may have failed after the call was sent, so that it is not known
@@ -54,7 +57,7 @@
 
     def application(self) -> web.Application:
         """Return the aiohttp application with the routes of this interface."""
-        app = web.Application(client_max_size=MAX_ADMIN_BODY_BYTES)
+        app = web.Application()
         app.router.add_get("/admin/v1/local", self._handle_local)
         app.router.add_route("*", "/admin/v1/{tail:.*}", self._handle_admin_call)
         app.router.add_route("*", "/backend/v1/{tail:.*}", self._handle_backend_call)
@@ -121,7 +124,7 @@
             Size in bytes of the largest body that is accepted.
         """
         try:
-            body = await _read_body(request, limit_bytes)
+            body = await read_body(request, limit_bytes, BODY_TIMEOUT_S)
             status, answer = await self._answer_or_forward(request, body, operator)
         except BaobabstreamError as error:
             return error_response(error)
@@ -156,27 +159,6 @@
         return reply.http_status, reply.body
 
 
-async def _read_body(request: web.Request, limit_bytes: int) -> bytes:
-    """Return the body of a request, whose announced length may be missing or wrong.
-
-    Raises
-    ------
-    RequestRefused
-        ``BODY_TOO_LARGE`` if it is longer than ``limit_bytes``.
-    """
-    # None if the body is sent in chunks; the size is then checked once the body has been read.
-    length = request.content_length
-    if length is not None and length > limit_bytes:
-        raise RequestRefused(ResultCode.BODY_TOO_LARGE)
-    try:
-        body = await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        raise RequestRefused(ResultCode.BODY_TOO_LARGE) from error
-    if len(body) > limit_bytes:
-        raise RequestRefused(ResultCode.BODY_TOO_LARGE)
-    return body
-
-
 def _bearer_key(request: web.Request) -> bytes:
     """Return the key of the ``Authorization: Bearer`` header, or empty bytes without a header."""
     key = request.headers.get("Authorization", "").removeprefix("Bearer ")
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -10,13 +10,15 @@
 
 import time
 
-from aiohttp import web
-
 from baobabstream.control.admin_api import AdminApi
 from baobabstream.control.group_member import GroupMember
 from baobabstream.control.peer_service import PeerService
-from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.ingress.bounded_runner import (
+    OWN_FRONT_LIMITS,
+    BoundedAppRunner,
+    start_bounded_site,
+)
+from baobabstream.resources.client_resources import ClientResources
 from baobabstream.settings.models import ControlPeer, ControlSettings
 from baobabstream.telemetry.http_metrics import install_request_metrics
 from baobabstream.telemetry.hybrid_clock import HybridClock
@@ -61,6 +63,7 @@
         self.timeline = TimelineWriter(
             settings.timeline_file, settings.host, "control", clock, self.metrics.count_event
         )
+        self._client_resources = ClientResources(settings.process_limits)
         self._codec = peer_codec(settings, clock)
         self.member = GroupMember(settings, self._codec, self.timeline)
         self.admin = AdminApi(self.member)
@@ -84,22 +87,18 @@
         app = self.admin.application()
         install_request_metrics(app, self.metrics)
         self._register_metrics()
-        self._http_runner = web.AppRunner(app, access_log=None)
+        self._http_runner = BoundedAppRunner(app, self._client_resources, lambda: OWN_FRONT_LIMITS)
         await self._http_runner.setup()
         # Without TLS settings, the HTTP interface is not encrypted.
         tls = self.settings.admin_tls
-        http_site = web.TCPSite(
+        await start_bounded_site(
             self._http_runner,
             own_address.ip,
             own_address.http_port,
+            self._client_resources.limits.accept_backlog,
             ssl_context=tls.server_context() if tls is not None else None,
         )
-        try:
-            await http_site.start()
-        except OSError as error:
-            raise BaobabstreamError(
-                ResultCode.ADDRESS_IN_USE, f"{own_address.ip}:{own_address.http_port}"
-            ) from error
+        await self.metrics.start(self._client_resources)
         await self.member.start()
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on ports %d and %d.", own_address.port, own_address.http_port)
@@ -119,7 +118,7 @@
         await self.member.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
-        self.metrics.close()
+        await self.metrics.close()
 
     def _register_metrics(self) -> None:
         """Register the functions that give the present values of the metrics.
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -40,6 +40,8 @@
 )
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
+from baobabstream.ingress.bounded_runner import BoundedAppRunner, start_bounded_site
+from baobabstream.resources.client_resources import ClientResources
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.statistics import StatisticName
@@ -143,6 +145,8 @@
         Replicated log.
     service
         Operations for operators and backend servers.
+    client_resources
+        Connections and memory for all clients of the process.
     """
 
     def __init__(
@@ -192,7 +196,8 @@
             self.decisions,
         )
         self._make_application = make_application
-        self._statistics_server = StatisticsServer(self.decisions.statistics)
+        self.client_resources = ClientResources(settings.limits)
+        self._statistics_server = StatisticsServer(self.decisions.statistics, self.client_resources)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -206,10 +211,15 @@
         url = f"tcp://{self.settings.ip}:{self.settings.port}"
         self._server = RpcServer(url, self._codec, self._handle_message)
         await self.log.start()
-        self._runner = web.AppRunner(self._make_application(self.service), access_log=None)
+        self._runner = BoundedAppRunner(self._make_application(self.service), self.client_resources)
         await self._runner.setup()
         try:
-            await web.TCPSite(self._runner, self.settings.ip, self.settings.http_port).start()
+            await start_bounded_site(
+                self._runner,
+                self.settings.ip,
+                self.settings.http_port,
+                self.settings.limits.accept_backlog,
+            )
             await self._statistics_server.start(self.settings.ip)
         except OSError as error:
             raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
--- a/src/baobabstream/coordination/settings.py
+++ b/src/baobabstream/coordination/settings.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from baobabstream.resources.process_limits import ProcessLimits
+
 __all__ = ["CoordinationSettings"]
 
 
@@ -37,6 +39,8 @@
         share (0 to 1) of its service's requests, plus a fixed number of requests.
     availability_zone
         Availability zone of the host, or empty if it is not known.
+    limits
+        Memory and descriptors of the process.
     """
 
     host: str
@@ -50,6 +54,7 @@
     exposure_share: float = 0.15
     exposure_extra_requests: float = 30.0
     availability_zone: str = ""
+    limits: ProcessLimits = ProcessLimits()
 
     @property
     def wanted_voters(self) -> int:
--- a/src/baobabstream/entry/caller_access.py
+++ b/src/baobabstream/entry/caller_access.py
@@ -7,7 +7,6 @@
 is given.
 """
 
-import asyncio
 import hashlib
 from collections.abc import Callable
 
@@ -16,6 +15,7 @@
 from baobabstream.entry.refusals import LEASE_RETRY_S
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.ingress.request_body import read_body
 from baobabstream.policy.view import ClusterView
 from baobabstream.wire.rows import AccountRow
 
@@ -32,14 +32,21 @@
     holds_lease
         Returns whether the lease of this entry is valid now; also kept as an attribute for handlers
         that check the lease again later.
+    max_body_bytes
+        Limit on the size of a body.
     body_timeout_s
         Longest time that reading a body may take, in seconds.
     """
 
     def __init__(
-        self, view: ClusterView, holds_lease: Callable[[], bool], body_timeout_s: float
+        self,
+        view: ClusterView,
+        holds_lease: Callable[[], bool],
+        max_body_bytes: int,
+        body_timeout_s: float,
     ) -> None:
         self._view = view
+        self._max_body_bytes = max_body_bytes
         self._body_timeout_s = body_timeout_s
         self.holds_lease = holds_lease
 
@@ -72,13 +79,6 @@
         Raises
         ------
         RequestRefused
-            ``BODY_TOO_LARGE`` if the body exceeds the size limit of the HTTP server,
-            ``BODY_TOO_SLOW`` if it has not arrived within ``body_timeout_s``.
+            As the function `read_body`.
         """
-        try:
-            async with asyncio.timeout(self._body_timeout_s):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestRefused(ResultCode.BODY_TOO_LARGE) from error
-        except TimeoutError as error:
-            raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
+        return await read_body(request, self._max_body_bytes, self._body_timeout_s)
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -31,20 +31,22 @@
 from baobabstream.entry.http_errors import error_response
 from baobabstream.entry.in_flight import InFlightRequests
 from baobabstream.entry.leader_calls import BackgroundTasks
-from baobabstream.entry.listening_socket import ACCEPT_BACKLOG, open_listening_socket
-from baobabstream.entry.listening_stop import stop_listening
 from baobabstream.entry.load_meter import LoadMeter
 from baobabstream.entry.plain_handler import PlainHandler
 from baobabstream.entry.sessions import SessionTokens
 from baobabstream.entry.suspects import SuspectReporter
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.ingress.bounded_runner import OWN_FRONT_LIMITS, BoundedAppRunner
+from baobabstream.ingress.listening_socket import open_listening_socket
+from baobabstream.ingress.listening_stop import stop_listening
 from baobabstream.membership.control_session import ControlSession
 from baobabstream.policy.base import RoutingPolicy
 from baobabstream.policy.decisions import StopVersion
 from baobabstream.policy.events import ViewChanged
 from baobabstream.policy.outcome_policy import OutcomePolicy
 from baobabstream.policy.view import ClusterView
+from baobabstream.resources.client_resources import ClientResources
 from baobabstream.settings.models import EntrySettings
 from baobabstream.telemetry.clock_headers import clock_client_middleware
 from baobabstream.telemetry.http_metrics import install_request_metrics
@@ -124,22 +126,23 @@
         self.claim_client = ClaimClient(self.control, settings.host, self.background_tasks)
         self.in_flight_requests = InFlightRequests()
         self.load_meter = LoadMeter()
-        self.caller_access = CallerAccess(self.view, self.holds_lease, settings.body_timeout_s)
+        self.client_resources = ClientResources(settings.process_limits)
+        self.caller_access = CallerAccess(
+            self.view, self.holds_lease, settings.max_body_bytes, settings.body_timeout_s
+        )
         self._is_stopping = False
 
     async def start(self) -> None:
         """Open the listener and start to poll the control hosts."""
         settings = self.settings
         listener = settings.listener
-        self._listening_socket = open_listening_socket(listener.ip, listener.port)
+        backlog = self.client_resources.limits.accept_backlog
+        self._listening_socket = open_listening_socket(listener.ip, listener.port, backlog)
         self._tls_context = listener.tls.server_context() if listener.tls is not None else None
         self._context = self._open_clients()
         self.load_meter.start()
         self._poll_task = asyncio.create_task(self.control.run())
-        app = web.Application(
-            client_max_size=settings.max_body_bytes,
-            middlewares=[self.in_flight_requests.middleware],
-        )
+        app = web.Application(middlewares=[self.in_flight_requests.middleware])
         app.on_response_prepare.append(self.in_flight_requests.set_connection_close)
         app.router.add_get("/healthz", self._handle_healthz)
         app.router.add_get("/readyz", self._handle_readyz)
@@ -149,15 +152,18 @@
         install_request_metrics(app, self.metrics)
         self._register_metrics()
         # ``handler_cancellation`` cancels the handler of a request whose caller disconnects.
-        self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        self._runner = BoundedAppRunner(
+            app, self.client_resources, lambda: OWN_FRONT_LIMITS, handler_cancellation=True
+        )
         await self._runner.setup()
         self._site = web.SockSite(
             self._runner,
             self._listening_socket,
-            backlog=ACCEPT_BACKLOG,
+            backlog=backlog,
             ssl_context=self._tls_context,
         )
         await self._site.start()
+        await self.metrics.start(self.client_resources)
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on port %d.", listener.port)
 
@@ -184,7 +190,7 @@
         self.control.close()
         self.timeline.emit(EventKind.DAEMON_STOPPED)
         self.timeline.close()
-        self.metrics.close()
+        await self.metrics.close()
 
     async def _stop_poll_task(self) -> None:
         """Cancel the task that polls the control hosts and wait until it has ended."""
--- a/src/baobabstream/errors/codes.py
+++ b/src/baobabstream/errors/codes.py
@@ -68,6 +68,10 @@
     INTERNAL_ERROR = 1034
     NO_CONFIGURATION = 1035
     PROMPT_QUARANTINED = 1036
+    MALFORMED_REQUEST = 1037
+    HEAD_TOO_LARGE = 1038
+    HEAD_TOO_SLOW = 1039
+    CLIENT_MEMORY_FULL = 1040
     CHANGE_INVALID = 2001
     REVISION_CONFLICT = 2002
     NO_LEADER = 2003
@@ -169,6 +173,12 @@
             True,
             "Requests with a part of this prompt crash backend servers.",
         ),
+        CodeRow(_C.MALFORMED_REQUEST, 400, _NO, False, "The bytes are no HTTP request."),
+        CodeRow(_C.HEAD_TOO_LARGE, 431, _NO, False, "The headers are larger than the limit."),
+        CodeRow(_C.HEAD_TOO_SLOW, 408, _NO, True, "The headers did not arrive in time."),
+        CodeRow(
+            _C.CLIENT_MEMORY_FULL, 503, _NO, True, "This host has no memory left for the request."
+        ),
         CodeRow(_C.CHANGE_INVALID, 400, _NO, False, "The change is not valid."),
         CodeRow(_C.REVISION_CONFLICT, 409, _NO, False, "The change is based on an old revision."),
         CodeRow(_C.NO_LEADER, 503, _NO, True, "No control leader can be reached."),
--- a/src/baobabstream/gateway/attempt.py
+++ b/src/baobabstream/gateway/attempt.py
@@ -17,7 +17,6 @@
 
 from baobabstream.backends.answer_head import AnswerHead
 from baobabstream.backends.http_connection import AnswerFailed, ConnectFailed, HttpConnection
-from baobabstream.backends.response_memory import ResponseMemory
 from baobabstream.errors.codes import RunState
 from baobabstream.gateway.event_buffer import (
     EVENT_END,
@@ -29,6 +28,7 @@
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.gateway.server_directory import KnownServer
 from baobabstream.paths.path_connector import NoPath
+from baobabstream.resources.memory_budget import MemoryBudget
 from baobabstream.routing.version_evidence import ResponseVerdict
 
 __all__ = ["SURVIVAL_S", "Attempt", "AttemptFailed", "uncached_prompt_tokens"]
@@ -159,7 +159,7 @@
         last_event_id: str,
         header_names: HeaderNames,
         expected_prompt_s: float,
-        response_memory: ResponseMemory,
+        response_memory: MemoryBudget,
     ) -> None:
         self.server = server
         self.model = model
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -22,7 +22,6 @@
 from baobabstream import __version__
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.backends.idle_timeout_estimator import IdleTimeoutEstimator
-from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.gateway.coordination_client import (
@@ -37,6 +36,8 @@
 from baobabstream.gateway.load_source import LoadSource
 from baobabstream.gateway.server_directory import ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.ingress.bounded_runner import BoundedAppRunner, start_bounded_site
+from baobabstream.ingress.listening_socket import open_listening_socket
 from baobabstream.paths.path_connector import PathConnector, PathServices
 from baobabstream.paths.path_prober import PathProber
 from baobabstream.paths.tunnel_peers import TunnelPeers
@@ -161,7 +162,7 @@
         )
         self.context.control_age_s = self._coordination_client.age_s
         self._frontend = HttpFrontend(self.context)
-        self._metrics = StatisticsServer(decisions.statistics)
+        self._metrics = StatisticsServer(decisions.statistics, self.context.client_resources)
         # By service: how long idle connections to its servers may be used again.
         self._idle_limits: defaultdict[str, IdleTimeoutEstimator] = defaultdict(
             IdleTimeoutEstimator
@@ -192,14 +193,18 @@
         """
         settings = self._settings
         self._coordination_client.start()
+        resources = self.context.client_resources
         ready_application = web.Application()
         ready_application.router.add_get(self._ready_path, self._handle_ready_check)
-        self._ready_runner = web.AppRunner(ready_application, access_log=None)
+        self._ready_runner = BoundedAppRunner(ready_application, resources)
         await self._ready_runner.setup()
         try:
-            await web.TCPSite(self._ready_runner, settings.ip, settings.ready_port).start()
+            await start_bounded_site(self._ready_runner, settings.ip, settings.ready_port)
             await self._frontend.start(
-                self._front_socket or open_listening_socket(settings.ip, settings.front_port)
+                self._front_socket
+                or open_listening_socket(
+                    settings.ip, settings.front_port, resources.limits.accept_backlog
+                )
             )
             await self._metrics.start(settings.ip)
             if settings.tunnel_port is not None:
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -15,12 +15,13 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from baobabstream.backends.response_memory import ResponseMemory
 from baobabstream.gateway.crash_tracker import CrashTracker
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.paths.server_paths import ServerPaths
+from baobabstream.resources.client_resources import ClientResources
+from baobabstream.resources.memory_budget import MemoryBudget
 from baobabstream.routing.gateway_ranks import GatewayRanks
 from baobabstream.routing.response_time_estimator import ResponseTimeEstimator
 from baobabstream.routing.retry_budget import RetryBudget
@@ -70,6 +71,8 @@
         Whether the daemon has been asked to stop.
     retry_budgets
         Limits of the retries to each service, by service.
+    client_resources
+        Connections and memory for the callers and all other clients of the process.
     response_memory
         Memory for the responses that are being buffered.
     background_tasks
@@ -94,10 +97,16 @@
     ranks: GatewayRanks = field(default_factory=GatewayRanks)
     is_stopping: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
-    response_memory: ResponseMemory = field(default_factory=ResponseMemory)
+    client_resources: ClientResources = field(init=False)
+    response_memory: MemoryBudget = field(init=False)
     background_tasks: set[asyncio.Task] = field(default_factory=set)
     paths: ServerPaths = field(default_factory=ServerPaths)
 
+    def __post_init__(self) -> None:
+        limits = self.settings.limits
+        self.client_resources = ClientResources(limits)
+        self.response_memory = MemoryBudget(limits.response_bytes)
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, and create it at the first call.
 
--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -9,14 +9,14 @@
 
 from aiohttp import web
 
-from baobabstream.entry.listening_socket import ACCEPT_BACKLOG
-from baobabstream.entry.listening_stop import stop_listening
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.error_responses import error_response
 from baobabstream.gateway.gateway_context import GatewayContext
 from baobabstream.gateway.request_execution import RequestExecution
 from baobabstream.gateway.request_reader import RequestReader
+from baobabstream.ingress.bounded_runner import BoundedAppRunner
+from baobabstream.ingress.listening_stop import stop_listening
 from baobabstream.routing.document import RequestLimits
 from baobabstream.telemetry.decision_log import DecisionEvent
 from baobabstream.telemetry.logs import get_logger
@@ -25,12 +25,6 @@
 
 _log = get_logger("http_frontend")
 
-# Seconds after which the gateway closes an idle connection. It is longer than callers keep one, so
-# that a caller never sends a request on a connection that the gateway is closing.
-CALLER_KEEPALIVE_S = 75.0
-# Largest body in bytes that the HTTP server reads, which is fixed at its start. The limit of the
-# configuration, which may change, is checked afterwards.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 # Seconds between two checks for open requests while the gateway stops.
 FINISH_POLL_S = 0.05
 # Seconds in which the last responses of a stop are written.
@@ -69,7 +63,8 @@
         # Whether new requests are executed; otherwise they are refused as the gateway is stopping.
         self._is_accepting = True
         self._started_s = asyncio.get_running_loop().time()
-        self._max_body_bytes = MAX_BODY_BYTES
+        # Limits of the configuration in force, which apply to new connections.
+        self._limits = RequestLimits()
 
     @property
     def open_requests(self) -> int:
@@ -82,24 +77,29 @@
         All methods and paths go to one handler, which is cancelled if the caller disconnects. The
         decision log takes the place of aiohttp's access log.
         """
-        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application = web.Application()
         application.router.add_route("*", "/{path:.*}", self._handle)
-        self._runner = web.AppRunner(
+        resources = self._context.client_resources
+        self._runner = BoundedAppRunner(
             application,
-            access_log=None,
+            resources,
+            lambda: self._limits,
             handler_cancellation=True,
-            keepalive_timeout=CALLER_KEEPALIVE_S,
+            # Bodies are forwarded as they came.
+            auto_decompress=False,
             # Seconds that the cleanup waits for open requests; `finish` has waited for them before.
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
         self._listening_socket = listening_socket
-        self._site = web.SockSite(self._runner, listening_socket, backlog=ACCEPT_BACKLOG)
+        self._site = web.SockSite(
+            self._runner, listening_socket, backlog=resources.limits.accept_backlog
+        )
         await self._site.start()
 
     def set_limits(self, limits: RequestLimits) -> None:
-        """Apply the body size limit of a new configuration, up to ``MAX_BODY_BYTES``."""
-        self._max_body_bytes = limits.max_body_bytes
+        """Apply the limits of a new configuration."""
+        self._limits = limits
 
     async def stop_accepting(self) -> None:
         """Accept no new connections, and refuse new requests; open requests continue.
@@ -149,9 +149,9 @@
             route = self._reader.find_route(http_request, context.route_table)
             assert context.route_table is not None
             account = self._reader.authenticate(http_request, route, context.route_table)
-            request = await self._reader.read(http_request, route, account, arrived_s)
-            if len(request.body) > self._max_body_bytes:
-                raise RequestRefused(ResultCode.BODY_TOO_LARGE)
+            request = await self._reader.read(
+                http_request, route, account, arrived_s, self._limits.max_body_bytes
+            )
             # The body may have taken until shortly before the end of the process.
             self._refuse_if_stopping()
         except RequestRefused as error:
--- a/src/baobabstream/gateway/request_reader.py
+++ b/src/baobabstream/gateway/request_reader.py
@@ -7,15 +7,17 @@
 requests whose prompts begin alike to a server that has processed that beginning before.
 """
 
+import asyncio
 from collections.abc import Iterator
 
 from aiohttp import web
-from xxhash import xxh64_hexdigest
+from xxhash import xxh64
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.gateway.header_names import HeaderNames
 from baobabstream.gateway.routed_request import PromptPart, RoutedRequest
+from baobabstream.ingress.request_body import read_body
 from baobabstream.routing.document import ClientAccount, Route
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.stable_hashing import hash_fraction
@@ -120,7 +122,12 @@
         return account
 
     async def read(
-        self, request: web.Request, route: Route, account: ClientAccount | None, arrived_s: float
+        self,
+        request: web.Request,
+        route: Route,
+        account: ClientAccount | None,
+        arrived_s: float,
+        max_body_bytes: int,
     ) -> RoutedRequest:
         """Read the body and headers of a request whose route is known.
 
@@ -132,6 +139,8 @@
             Its route and client account.
         arrived_s
             Time of its arrival in seconds.
+        max_body_bytes
+            Limit on the size of the body.
 
         Raises
         ------
@@ -139,24 +148,24 @@
             ``MALFORMED_HEADER`` if the request has no identity, an invalid time that is left, a
             prompt part of too many tokens, or bytes that are no text in a header that the gateway
             reads,
-            ``BODY_TOO_LARGE`` if the body exceeds the limit of the HTTP server.
+            as `read_body` if the body cannot be read until the request's deadline.
         """
         header_names, headers = self._header_names, request.headers
         self._require_text(request)
         request_id = headers.get(header_names.request_id, "")
         if not request_id:
             raise RequestRefused(ResultCode.MALFORMED_HEADER, "the request has no identity")
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestRefused(ResultCode.BODY_TOO_LARGE) from error
         prompt_parts = self._prompt_parts(request)
+        deadline_s = arrived_s + min(self._time_left_s(request, route), route.timeout_s)
+        loop = asyncio.get_running_loop()
+        body = await read_body(request, max_body_bytes, deadline_s - loop.time())
         account_name = account.name if account is not None else ""
         session = headers.get(header_names.session, "")
         # Start of the text whose hash is the fingerprint. It leaves out the headers, which may
         # differ when the request is sent again.
         content_head = f"{request.method} {request.raw_path} {account_name} ".encode()
-        time_left_s = self._time_left_s(request, route)
+        fingerprint = xxh64(content_head)
+        fingerprint.update(body)
         return RoutedRequest(
             request_id=request_id,
             method=request.method,
@@ -172,8 +181,8 @@
             prompt_tokens=sum(part.tokens for part in prompt_parts),
             last_event_id=headers.get(header_names.last_event_id, ""),
             arrived_s=arrived_s,
-            deadline_s=arrived_s + min(time_left_s, route.timeout_s),
-            fingerprint=xxh64_hexdigest(content_head + body),
+            deadline_s=deadline_s,
+            fingerprint=fingerprint.hexdigest(),
         )
 
     def _require_text(self, request: web.Request) -> None:
--- a/src/baobabstream/gateway/settings.py
+++ b/src/baobabstream/gateway/settings.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from baobabstream.resources.process_limits import ProcessLimits
+
 __all__ = ["GatewaySettings"]
 
 
@@ -37,6 +39,8 @@
     tunnel_port
         Port at which this host takes tunnels of other gateways to backend servers, or None without
         a free port for it; then it offers none.
+    limits
+        Memory and descriptors of the process.
     """
 
     host: str
@@ -53,3 +57,4 @@
     retry_window_s: float
     session_s: float
     tunnel_port: int | None = None
+    limits: ProcessLimits = ProcessLimits()
--- /dev/null
+++ b/src/baobabstream/ingress/bounded_runner.py
@@ -0,0 +1,103 @@
+"""Runs HTTP servers whose clients share the resources of one process."""
+
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_server import Server
+
+from baobabstream.ingress.bounded_handler import BoundedRequestHandler
+from baobabstream.ingress.listening_socket import open_listening_socket
+from baobabstream.resources.client_resources import ClientResources
+from baobabstream.routing.document import RequestLimits
+
+__all__ = ["OWN_FRONT_LIMITS", "SMALL_BACKLOG", "BoundedAppRunner", "start_bounded_site"]
+
+# Connections that may wait to be accepted at a socket that few clients use.
+SMALL_BACKLOG = 16
+# Limits on the requests to the entry and control daemons, which have no configuration of them. The
+# size of bodies is a setting.
+OWN_FRONT_LIMITS = RequestLimits(header_timeout_s=10.0, idle_timeout_s=75.0)
+
+
+class BoundedAppRunner(web.AppRunner):
+    """Runner of an application.
+
+    Parameters
+    ----------
+    app
+        The application.
+    resources
+        Resources for the clients of the process.
+    read_limits
+        Returns the limits on the requests of a new connection.
+    **options
+        Options of aiohttp's runner.
+    """
+
+    def __init__(
+        self,
+        app: web.Application,
+        resources: ClientResources,
+        read_limits: Callable[[], RequestLimits] = RequestLimits,
+        **options: Any,
+    ) -> None:
+        super().__init__(app, access_log=None, **options)
+        self._resources = resources
+        self._read_limits = read_limits
+
+    async def _make_server(self) -> Server:
+        """Return the server of the application, with connections that are bounded."""
+        server = await super()._make_server()
+        return _BoundedServer(server, self._resources, self._read_limits)
+
+
+class _BoundedServer(Server):
+    """Server that makes bounded handlers, and is otherwise like another one."""
+
+    def __init__(
+        self,
+        server: Server,
+        resources: ClientResources,
+        read_limits: Callable[[], RequestLimits],
+    ) -> None:
+        super().__init__(
+            server.request_handler,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            loop=server._loop,
+            **server._kwargs,
+        )
+        self._resources = resources
+        self._read_limits = read_limits
+
+    def __call__(self) -> BoundedRequestHandler:
+        """Return the handler of a new connection."""
+        return BoundedRequestHandler(
+            self, self._resources, self._read_limits(), loop=self._loop, **self._kwargs
+        )
+
+
+async def start_bounded_site(
+    runner: BoundedAppRunner, ip: str, port: int, backlog: int = SMALL_BACKLOG, **options: Any
+) -> None:
+    """Start to listen for a runner.
+
+    Parameters
+    ----------
+    runner
+        Runner that has been set up.
+    ip, port
+        Address to listen on.
+    backlog
+        Number of connections that may wait to be accepted.
+    **options
+        Options of aiohttp's site.
+
+    Raises
+    ------
+    BaobabstreamError
+        ``ADDRESS_IN_USE`` if the address cannot be used.
+    """
+    listener = open_listening_socket(ip, port, backlog)
+    await web.SockSite(runner, listener, backlog=backlog, **options).start()
--- /dev/null
+++ b/src/baobabstream/ingress/request_body.py
@@ -0,0 +1,68 @@
+"""Reads the bodies of requests within the memory that the process has for its clients."""
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
+
+from baobabstream.errors.codes import ResultCode
+from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.ingress.bounded_handler import client_of
+
+__all__ = ["read_body"]
+
+# Number of copies of a body that a process holds at once, while the body is put together and while
+# it is sent on.
+BODY_COPIES = 2
+
+
+async def read_body(request: web.BaseRequest, max_bytes: int, timeout_s: float) -> bytes:
+    """Return the body of a request, whose connection counts as served from then on.
+
+    Its memory is given back after the response. Memory for a body of known length is taken before
+    it is read, so that of many bodies some arrive whole.
+
+    Parameters
+    ----------
+    request
+        A request to a bounded server.
+    max_bytes
+        Limit on the size of the body.
+    timeout_s
+        Longest time in seconds for the whole body to arrive.
+
+    Raises
+    ------
+    RequestRefused
+        ``BODY_TOO_LARGE`` if the body exceeds the limit, or could not be held by this process even
+        if there were no other clients; ``CLIENT_MEMORY_FULL`` if there is no memory left for it
+        now, ``BODY_TOO_SLOW`` if it has not arrived in time, ``MALFORMED_BODY`` if it is not valid
+        in the protocol.
+    """
+    body = bytearray()
+    _reserve(request, request.content_length or 0, max_bytes, 0)
+    reserved_bytes = request.content_length or 0
+    try:
+        async with asyncio.timeout(timeout_s):
+            while part := await request.content.readany():
+                size = len(body) + len(part)
+                _reserve(request, size, max_bytes, reserved_bytes)
+                reserved_bytes = max(reserved_bytes, size)
+                body += part
+    except TimeoutError as error:
+        raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
+    except RequestPayloadError as error:
+        raise RequestRefused(ResultCode.MALFORMED_BODY, str(error)) from error
+    client_of(request).begin_service()
+    return bytes(body)
+
+
+def _reserve(request: web.BaseRequest, size: int, max_bytes: int, reserved_bytes: int) -> None:
+    """Take memory for a body of a size, for so many bytes of which it has been taken already."""
+    if size <= reserved_bytes:
+        return
+    memory = client_of(request).memory
+    if size > max_bytes or not memory.can_ever_hold(size * BODY_COPIES):
+        raise RequestRefused(ResultCode.BODY_TOO_LARGE)
+    if not memory.try_acquire((size - reserved_bytes) * BODY_COPIES):
+        raise RequestRefused(ResultCode.CLIENT_MEMORY_FULL)
--- a/src/baobabstream/platform/__main__.py
+++ b/src/baobabstream/platform/__main__.py
@@ -30,12 +30,14 @@
     at which the daemon listens for callers, and ``SystemRandom()`` its source of random numbers.
     uvloop is a faster implementation of asyncio's event loop.
     """
-    from baobabstream.entry.listening_socket import open_listening_socket
+    from baobabstream.ingress.listening_socket import open_listening_socket
 
     gateway_settings = settings.gateway()
     # Opened before the other modules are imported: connections of callers then wait in the accept
     # queue instead of being refused.
-    front_socket = open_listening_socket(gateway_settings.ip, gateway_settings.front_port)
+    front_socket = open_listening_socket(
+        gateway_settings.ip, gateway_settings.front_port, gateway_settings.limits.accept_backlog
+    )
     _configure_process(settings)
     from random import SystemRandom
 
--- a/src/baobabstream/platform/operator_api.py
+++ b/src/baobabstream/platform/operator_api.py
@@ -17,6 +17,7 @@
 from baobabstream.coordination.service import CoordinationService
 from baobabstream.errors.codes import CODE_TABLE, ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.ingress.request_body import read_body
 from baobabstream.platform.announcement_format import read_announcement, read_departure
 from baobabstream.platform.config_format import read_document
 from baobabstream.platform.decoding import Identifier, decode
@@ -31,8 +32,13 @@
 
 __all__ = ["operator_application"]
 
-# Limit of request bodies, twice what is needed: the platform sends configurations of up to 4 MiB.
-MAX_BODY_BYTES = 8 * 1024 * 1024
+# Limit of configurations, twice what is needed: the platform sends some of up to 4 MiB.
+MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# Limits of the announcements of servers, which may list many loaded models, and of other calls.
+MAX_ANNOUNCEMENT_BYTES = 256 * 1024
+MAX_ORDER_BYTES = 64 * 1024
+# Longest time in seconds for a body to arrive.
+BODY_TIMEOUT_S = 30.0
 
 # Longest rollout, a week in seconds.
 MAX_ROLLOUT_S = 7 * 24 * 3600.0
@@ -56,7 +62,7 @@
 def operator_application(service: CoordinationService) -> web.Application:
     """Return the web application that passes calls to a coordination service."""
     handlers = _OperatorApi(service)
-    application = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[_respond_to_errors])
+    application = web.Application(middlewares=[_respond_to_errors])
     application.add_routes(
         [
             web.post(CONFIG_PUT_PATH, handlers.put_config),
@@ -103,7 +109,7 @@
         its version, a number that rises with each change. If it is invalid, the result is
         ``CHANGE_INVALID``.
         """
-        config_text = await request.read()
+        config_text = await read_body(request, MAX_DOCUMENT_BYTES, BODY_TIMEOUT_S)
         document = read_document(config_text)
         stored_version = await self._service.store_document(document.version, config_text)
         return _json_response({"version": stored_version})
@@ -121,9 +127,8 @@
 
         The result is ``CHANGE_INVALID`` if the body cannot be decoded.
         """
-        rollout_start = decode(
-            _rollout_start_decoder, await request.read(), ResultCode.CHANGE_INVALID
-        )
+        body = await read_body(request, MAX_ORDER_BYTES, BODY_TIMEOUT_S)
+        rollout_start = decode(_rollout_start_decoder, body, ResultCode.CHANGE_INVALID)
         await self._service.start_rollout(
             rollout_start.service, rollout_start.target, rollout_start.duration_s
         )
@@ -144,7 +149,8 @@
 
         The result is ``ANNOUNCEMENT_INVALID`` if the body is not a valid announcement.
         """
-        announcement = read_announcement(request.match_info["server_id"], await request.read())
+        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, BODY_TIMEOUT_S)
+        announcement = read_announcement(request.match_info["server_id"], body)
         await self._service.announce(announcement)
         return _json_response({})
 
@@ -155,7 +161,7 @@
         distinguishes it from a later process of the same server. It is None if the body does not
         tell it or cannot be decoded.
         """
-        born_ms = read_departure(await request.read())
+        born_ms = read_departure(await read_body(request, MAX_ORDER_BYTES, BODY_TIMEOUT_S))
         await self._service.withdraw(request.match_info["server_id"], born_ms)
         return _json_response({})
 
--- a/src/baobabstream/platform/settings.py
+++ b/src/baobabstream/platform/settings.py
@@ -19,12 +19,14 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import SettingsError
 from baobabstream.gateway.settings import GatewaySettings
+from baobabstream.resources.process_limits import ProcessLimits
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
 # Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = "BAOBABSTREAM_SETTINGS"
 SECONDS_PER_MS = 0.001
+BYTES_PER_MB = 1_000_000
 
 
 class _Bounds(Struct):
@@ -50,11 +52,15 @@
 
 
 class _Limits(Struct):
-    """Table ``limits``, which is not used."""
+    """Table ``limits``; the process is killed if its memory exceeds the first of them."""
 
     memory_mb: float = 128.0
     max_fds: int = 1024
 
+    def process_limits(self) -> ProcessLimits:
+        """Return the limits in the units of this package."""
+        return ProcessLimits(int(self.memory_mb * BYTES_PER_MB), self.max_fds)
+
 
 class _FaultTolerance(Struct):
     """Table ``fault_tolerance``."""
@@ -115,6 +121,7 @@
             retry_window_s=bounds.budget_window_s,
             session_s=bounds.session_s,
             tunnel_port=self._tunnel_port(),
+            limits=self.limits.process_limits(),
         )
 
     def _inner_port(self) -> int:
@@ -154,6 +161,7 @@
             exposure_share=self.bounds.exposure_share,
             exposure_extra_requests=self.bounds.exposure_slack,
             availability_zone=self.zone,
+            limits=self.limits.process_limits(),
         )
 
 
--- /dev/null
+++ b/src/baobabstream/resources/process_limits.py
@@ -0,0 +1,99 @@
+"""Limits of a process, and the parts of them that its clients, answers and own links may use.
+
+The parts are fractions of what is left once the process itself has what it needs, so that the same
+daemon runs on small and large hosts.
+"""
+
+from dataclasses import dataclass
+
+from baobabstream.backends.response_memory import MAX_RESPONSE_MEMORY_BYTES
+
+__all__ = ["CONNECTION_BYTES", "RECEIVE_BUFFER_BYTES", "WRITE_BUFFER_BYTES", "ProcessLimits"]
+
+# Memory of a daemon without clients: the interpreter, the libraries and the state of the cluster.
+FIXED_MEMORY_BYTES = 56_000_000
+# Least memory for clients and answers, on hosts that are smaller than a daemon needs.
+MIN_VARIABLE_BYTES = 8_000_000
+# Descriptors that the platform reserves for files such as libraries and logs.
+RESERVED_DESCRIPTORS = 200
+# Option SO_RCVBUF of the sockets of clients. Linux doubles it, and lets that many bytes wait.
+RECEIVE_BUFFER_BYTES = 16 * 1024
+# Bytes of an answer that wait for a client to read, beyond which no more are written.
+WRITE_BUFFER_BYTES = 16 * 1024
+# Most memory of one connection, without the requests on it: the buffers of its socket, a block that
+# has been read from it, what waits to be written, and the objects that serve it.
+CONNECTION_BYTES = 2 * RECEIVE_BUFFER_BYTES + WRITE_BUFFER_BYTES + 16 * 1024
+
+# Parts of the memory that the process itself does not need. The rest is a margin for memory that
+# the allocator cannot return.
+CONNECTIONS_FRACTION, REQUESTS_FRACTION, RESPONSES_FRACTION = 0.25, 0.4, 0.25
+# Part of the memory for requests that only small ones may use, and the size of these: any head
+# without very many fields, and a body of some tens of kilobytes.
+SMALL_REQUESTS_FRACTION = 0.3
+MAX_SMALL_REQUEST_BYTES = 64 * 1024
+# Parts of the descriptors for accepted connections of clients, and for those in the queue of the
+# listening socket, which are accepted all at once. The rest is for servers and other daemons.
+CLIENTS_DESCRIPTOR_FRACTION, QUEUE_DESCRIPTOR_FRACTION = 0.4, 0.2
+MAX_ACCEPT_BACKLOG = 1024
+# Most tunnels of other gateways, and the part of the memory for connections that they may use. A
+# tunnel has two connections.
+MAX_TUNNELS = 500
+TUNNELS_MEMORY_FRACTION = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """What a process may use.
+
+    Parameters
+    ----------
+    memory_bytes
+        Largest memory of the process; bytes that its sockets hold unread count too.
+    max_descriptors
+        Largest number of open descriptors, with those that are reserved for files.
+    """
+
+    memory_bytes: int = 128_000_000
+    max_descriptors: int = 1024
+
+    @property
+    def max_client_connections(self) -> int:
+        """Number of connections of clients at all listening sockets together."""
+        by_memory = self._variable_bytes * CONNECTIONS_FRACTION / CONNECTION_BYTES
+        return int(min(by_memory, self._free_descriptors * CLIENTS_DESCRIPTOR_FRACTION))
+
+    @property
+    def request_bytes(self) -> int:
+        """Bytes that the requests of all clients may take together."""
+        return int(self._variable_bytes * REQUESTS_FRACTION)
+
+    @property
+    def small_request_bytes(self) -> int:
+        """Part of ``request_bytes`` that only small requests may use."""
+        return int(self.request_bytes * SMALL_REQUESTS_FRACTION)
+
+    @property
+    def response_bytes(self) -> int:
+        """Bytes that the answers of backend servers may take together while they are buffered."""
+        return min(MAX_RESPONSE_MEMORY_BYTES, int(self._variable_bytes * RESPONSES_FRACTION))
+
+    @property
+    def accept_backlog(self) -> int:
+        """Number of connections that may wait to be accepted."""
+        return min(MAX_ACCEPT_BACKLOG, int(self._free_descriptors * QUEUE_DESCRIPTOR_FRACTION))
+
+    @property
+    def max_tunnels(self) -> int:
+        """Number of tunnels that are open at once for other gateways."""
+        tunnels = int(self.max_client_connections * TUNNELS_MEMORY_FRACTION)
+        return min(MAX_TUNNELS, max(1, tunnels))
+
+    @property
+    def _variable_bytes(self) -> int:
+        """Memory that the process itself does not need."""
+        return max(MIN_VARIABLE_BYTES, self.memory_bytes - FIXED_MEMORY_BYTES)
+
+    @property
+    def _free_descriptors(self) -> int:
+        """Descriptors that are not reserved for files."""
+        return max(1, self.max_descriptors - RESERVED_DESCRIPTORS)
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -15,6 +15,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from baobabstream.resources.process_limits import ProcessLimits
 from baobabstream.settings.paths import SettingsPath
 from baobabstream.settings.secrets import Secret
 from baobabstream.settings.tls import PeerTlsFiles, TlsFiles
@@ -37,6 +38,8 @@
 # IPv4 or IPv6 address. The longest, an IPv6 address that ends in an IPv4 one, has 45 characters.
 Ip = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:]+$", max_length=45)]
 
+BYTES_PER_MB = 1_000_000
+
 
 class _SettingsModel(BaseModel):
     """Base of all tables: unknown keys are refused, and values cannot be changed."""
@@ -94,6 +97,17 @@
         default=None, description="TCP port of the Prometheus exporter; without it none runs."
     )
     metrics_ip: Ip = Field(default="127.0.0.1", description="Address of the exporter.")
+    memory_mb: Annotated[int, Field(ge=64, le=1_000_000)] = Field(
+        default=512, description="Memory of the process in megabytes (1,000,000 bytes)."
+    )
+    max_fds: Annotated[int, Field(ge=256, le=1_000_000)] = Field(
+        default=4096, description="Descriptors of the process; 200 are kept for files."
+    )
+
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """Memory and descriptors of the process."""
+        return ProcessLimits(self.memory_mb * BYTES_PER_MB, self.max_fds)
 
     @model_validator(mode="after")
     def _check_control_hosts(self) -> Self:
--- a/src/baobabstream/telemetry/metrics.py
+++ b/src/baobabstream/telemetry/metrics.py
@@ -5,10 +5,14 @@
 """
 
 from collections.abc import Callable
+from socket import socket
 from typing import Any
 
-from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError
+from aiohttp import web
+
+from baobabstream.ingress.bounded_runner import SMALL_BACKLOG, BoundedAppRunner
+from baobabstream.ingress.listening_socket import open_listening_socket
+from baobabstream.resources.client_resources import ClientResources
 from baobabstream.telemetry.instruments import INSTRUMENTS, InstrumentKind, MetricName
 from baobabstream.telemetry.timeline import EventKind
 
@@ -40,19 +44,17 @@
     def __init__(self, role: str, host: str, ip: str, port: int | None) -> None:
         self._role = role
         self._instruments: dict[MetricName, Any] = {}
-        self._server: Any = None
+        # Serves the metrics once the daemon starts; None without a port.
+        self._listener: socket | None = None
+        self._runner: BoundedAppRunner | None = None
         if port is None:
             return
         # Imported only if metrics are exported, since OpenTelemetry takes 4 MB of memory.
         from opentelemetry.exporter.prometheus import PrometheusMetricReader
         from opentelemetry.sdk.metrics import MeterProvider
         from opentelemetry.sdk.resources import Resource
-        from prometheus_client import start_http_server
 
-        try:
-            self._server, self._server_thread = start_http_server(port, addr=ip)
-        except OSError as error:
-            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, f"{ip}:{port}") from error
+        self._listener = open_listening_socket(ip, port, SMALL_BACKLOG)
         resource = Resource.create({"service.name": f"baobabstream-{role}", "host.name": host})
         self._provider = MeterProvider([PrometheusMetricReader()], resource=resource)
         self._meter = self._provider.get_meter("baobabstream")
@@ -60,6 +62,16 @@
             if role in instrument.roles and instrument.kind is not InstrumentKind.GAUGE:
                 self._instruments[name] = self._create_instrument(name)
 
+    async def start(self, resources: ClientResources) -> None:
+        """Start the exporter, whose clients use the resources of the process."""
+        if self._listener is None:
+            return
+        application = web.Application()
+        application.router.add_get("/{path:.*}", self._serve_metrics)
+        self._runner = BoundedAppRunner(application, resources)
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._listener, backlog=SMALL_BACKLOG).start()
+
     def add(self, name: MetricName, amount: float, attributes: dict[str, str]) -> None:
         """Add ``amount``, in the metric's unit, to a counter or an up-down counter.
 
@@ -81,9 +93,9 @@
     def observe(self, name: MetricName, read_value: Callable[[], float]) -> None:
         """Register a gauge; ``read_value`` returns its value in the metric's unit.
 
-        It is called in the exporter's thread.
+        It is called in the event loop when the metrics are exported.
         """
-        if self._server is None:
+        if self._listener is None:
             return
         from opentelemetry.metrics import Observation
 
@@ -99,14 +111,21 @@
         """Count an event of the timeline, the record of what this daemon does."""
         self.add(MetricName.EVENTS, 1, {"kind": kind.value})
 
-    def close(self) -> None:
-        """Stop the exporter; has no effect if it does not run."""
-        if self._server is not None:
-            self._provider.shutdown()
-            self._server.shutdown()
-            self._server.server_close()
-            self._server_thread.join()
-            self._server = None
+    async def close(self) -> None:
+        """Stop the exporter; has no effect without a port."""
+        if self._listener is None:
+            return
+        self._provider.shutdown()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._listener.close()
+        self._listener = None
+
+    async def _serve_metrics(self, _: web.Request) -> web.Response:
+        """Return the present metrics in the Prometheus text format."""
+        from prometheus_client import generate_latest
+
+        return web.Response(body=generate_latest(), content_type="text/plain", charset="utf-8")
 
     def _create_instrument(self, name: MetricName) -> Any:
         """Return a new OpenTelemetry counter, up-down counter or histogram."""
--- a/src/baobabstream/telemetry/statistics_page.py
+++ b/src/baobabstream/telemetry/statistics_page.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from baobabstream.ingress.bounded_runner import BoundedAppRunner, start_bounded_site
+from baobabstream.resources.client_resources import ClientResources
 from baobabstream.telemetry.statistics import DURATION_BOUNDS_S, STATISTICS, Statistics
 
 __all__ = ["METRICS_PATH", "METRICS_PORT", "StatisticsServer", "render_statistics"]
@@ -70,18 +72,20 @@
     ----------
     statistics
         Statistics of this process.
+    resources
+        Resources for the clients of this process.
     """
 
-    def __init__(self, statistics: Statistics) -> None:
+    def __init__(self, statistics: Statistics, resources: ClientResources) -> None:
         application = web.Application()
         application.router.add_get(METRICS_PATH, self._serve_statistics)
         self._statistics = statistics
-        self._runner = web.AppRunner(application, access_log=None)
+        self._runner = BoundedAppRunner(application, resources)
 
     async def start(self, ip: str) -> None:
         """Listen on ``METRICS_PORT`` of the given IP address."""
         await self._runner.setup()
-        await web.TCPSite(self._runner, ip, METRICS_PORT).start()
+        await start_bounded_site(self._runner, ip, METRICS_PORT)
 
     async def stop(self) -> None:
         """Close the listening socket and the connections."""
--- a/tests/backends/test_endless_answers.py
+++ b/tests/backends/test_endless_answers.py
@@ -8,7 +8,7 @@
 
 from backends.raw_server import encode_answer, raw_server, read_request
 from baobabstream.backends.http_connection import AnswerFailed, HttpConnection
-from baobabstream.backends.response_memory import ResponseMemory
+from baobabstream.resources.memory_budget import MemoryBudget
 from endless_server import PROGRAM_ENVIRONMENT, endless_servers
 from memory_figures import MAX_PROCESS_BYTES
 from waiting import until
@@ -35,7 +35,7 @@
 def test_largest_answers_give_way_to_small_ones():
     """Guards against a few endless answers that leave no memory for the answers to others."""
     evicted: list[str] = []
-    memory = ResponseMemory(100)
+    memory = MemoryBudget(100)
     large = memory.open(lambda: evicted.append("large"))
     medium = memory.open(lambda: evicted.append("medium"))
     assert large.try_acquire(60)
@@ -55,7 +55,7 @@
 
 def test_closed_answers_leave_all_memory_to_others():
     """Guards against memory that is lost with each answer, until no answer finds any."""
-    memory = ResponseMemory(100)
+    memory = MemoryBudget(100)
     for _ in range(1000):
         answer = memory.open(lambda: None)
         assert answer.try_acquire(90)
@@ -72,7 +72,7 @@
         writer.write(encode_answer("a", b"x" * 1000))
         await asyncio.sleep(1)
 
-    memory = ResponseMemory(1000)
+    memory = MemoryBudget(1000)
     async with raw_server(script) as address:
         ip, _, port = address.partition(":")
         connection = HttpConnection("x-request-id")
--- a/tests/entry/test_chat_errors.py
+++ b/tests/entry/test_chat_errors.py
@@ -10,9 +10,9 @@
 from openai import APIError, APIStatusError, AsyncOpenAI
 
 from baobabstream.entry.chat_models import ChatBody, decode_chat_body
-from baobabstream.entry.listening_socket import open_listening_socket
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import RequestRefused
+from baobabstream.ingress.listening_socket import open_listening_socket
 from baobabstream.wire.rows import VersionRow, VersionState
 from entry_harness import API_KEY, CHAT_BODY, FakeServer, running_entry, wait_until
 
@@ -228,7 +228,7 @@
 
 def test_caller_sockets_have_keepalive() -> None:
     """Guards against connections of vanished callers that stay open for hours."""
-    with open_listening_socket("127.0.0.1", 0) as listener:
+    with open_listening_socket("127.0.0.1", 0, 128) as listener:
         assert listener.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
         assert listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 30
 
--- a/tests/gateway/test_attempt_times.py
+++ b/tests/gateway/test_attempt_times.py
@@ -5,10 +5,10 @@
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.backends.connector import DirectConnector
 from baobabstream.backends.http_connection import HttpConnection
-from baobabstream.backends.response_memory import ResponseMemory
 from baobabstream.gateway.attempt import Attempt
 from baobabstream.gateway.routed_request import RoutedRequest
 from baobabstream.platform.names import HEADERS
+from baobabstream.resources.memory_budget import MemoryBudget
 from fake_backend_server import FakeBackendServer
 from routing.routing_fixtures import make_route
 
@@ -51,7 +51,7 @@
         now_s + 2.0,
         "",
     )
-    attempt = Attempt(request, server, "", "", HEADERS, 0.0, ResponseMemory())
+    attempt = Attempt(request, server, "", "", HEADERS, 0.0, MemoryBudget(2**25))
     await attempt.send()
     elapsed_s = asyncio.get_running_loop().time() - attempt.sent_s
     attempt.close()
--- a/tests/entry/test_listening_stop.py
+++ b/tests/ingress/test_listening_stop.py
@@ -5,8 +5,8 @@
 
 from aiohttp import web
 
-from baobabstream.entry.listening_socket import open_listening_socket
-from baobabstream.entry.listening_stop import stop_listening
+from baobabstream.ingress.listening_socket import open_listening_socket
+from baobabstream.ingress.listening_stop import stop_listening
 
 
 async def test_waiting_connections_are_served_before_the_socket_closes():
@@ -19,7 +19,7 @@
     application.router.add_get("/", handle)
     runner = web.AppRunner(application)
     await runner.setup()
-    listener = open_listening_socket("127.0.0.1", 0)
+    listener = open_listening_socket("127.0.0.1", 0, 128)
     address = listener.getsockname()
     site = web.SockSite(runner, listener)
     await site.start()
--- a/tests/platform/test_platform_start.py
+++ b/tests/platform/test_platform_start.py
@@ -43,7 +43,7 @@
     """Guards against a slow import before the socket listens, which refuses callers meanwhile."""
     code = (
         "import sys, baobabstream.platform.__main__, baobabstream.platform.settings, "
-        "baobabstream.entry.listening_socket; "
+        "baobabstream.ingress.listening_socket; "
         "print(sorted({'aiohttp', 'asyncio', 'pydantic', 'pynng'} & set(sys.modules)))"
     )
     environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -16,6 +16,8 @@
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
+from baobabstream.resources.client_resources import ClientResources
+from baobabstream.resources.process_limits import ProcessLimits
 from baobabstream.telemetry.http_metrics import install_request_metrics
 from baobabstream.telemetry.instruments import INSTRUMENTS, InstrumentKind, MetricName
 from baobabstream.telemetry.logs import configure_logging, get_logger
@@ -57,8 +59,9 @@
     async with TestClient(TestServer(app)) as client:
         for path in ("/things/a", "/things/b", "/nothing"):
             await client.get(path)
+    await metrics.start(ClientResources(ProcessLimits()))
     text = await asyncio.to_thread(scrape, port)
-    metrics.close()
+    await metrics.close()
     for instrument in instruments:
         assert instrument.name.replace(".", "_") in text, instrument.name
     assert 'route="/things/{name}",status="200"' in text
@@ -76,12 +79,13 @@
     assert caught.value.code is ResultCode.ADDRESS_IN_USE
 
 
-def test_without_a_port_nothing_is_recorded():
+async def test_without_a_port_nothing_is_recorded():
     """Guards against a daemon that fails when metrics are switched off."""
     metrics = Metrics("control", "control-1", "127.0.0.1", None)
     metrics.add(MetricName.EVENTS, 1, {"kind": "x"})
     metrics.observe(MetricName.CONTROL_TERM, lambda: 1.0)
-    metrics.close()
+    await metrics.start(ClientResources(ProcessLimits()))
+    await metrics.close()
 
 
 @pytest.mark.parametrize("json_lines", [False, True])
