--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -36,7 +36,7 @@
     VersionRow,
     row_key,
 )
-from baobabstream.wire.rpc import RpcServer
+from baobabstream.wire.rpc_server import RpcServer
 from baobabstream.wire.threads import limit_nng_threads
 
 SECRET = "0123456789abcdef"
@@ -293,7 +293,7 @@
         return messages.PollReply(1, 1, 4000, entries, 1, 1, True, backends)
 
     codec = WireCodec("relay", "control-1", SECRET)
-    server = RpcServer(f"tcp://127.0.0.1:{port}", codec, handle, max_workers=32)
+    server = RpcServer(f"tcp://127.0.0.1:{port}", codec, handle)
     await asyncio.Event().wait()
     await server.close()
 
--- a/scripts/measure_tunnels.py
+++ b/scripts/measure_tunnels.py
@@ -16,6 +16,8 @@
 from baobabstream.backends.http_connection import HttpConnection
 from baobabstream.paths.tunnel_client import open_tunnel
 from baobabstream.paths.tunnel_server import TunnelPolicy, TunnelServer
+from baobabstream.resources.client_resources import ProcessResources
+from baobabstream.resources.process_limits import ProcessLimits
 from baobabstream.telemetry.statistics import Statistics
 from baobabstream.wire.fixed_secret_codec import fixed_secret_codec
 from baobabstream.wire.tunnel_messages import TunnelOutcome, TunnelRequest
@@ -81,7 +83,12 @@
         lambda reader, writer: _serve(event_count, reader, writer), "127.0.0.1", 0
     )
     ip, port = server.sockets[0].getsockname()
-    helper = TunnelServer(_AllServers(), fixed_secret_codec("b"), Statistics())
+    helper = TunnelServer(
+        _AllServers(),
+        fixed_secret_codec("b"),
+        Statistics(),
+        ProcessResources(ProcessLimits()).peers,
+    )
     await helper.start("127.0.0.1", 0)
     assert helper._server is not None
     helper_address = "{}:{}".format(*helper._server.sockets[0].getsockname())
--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -18,7 +18,7 @@
     BoundedAppRunner,
     start_bounded_site,
 )
-from baobabstream.resources.client_resources import ClientResources
+from baobabstream.resources.client_resources import ProcessResources
 from baobabstream.settings.models import ControlPeer, ControlSettings
 from baobabstream.telemetry.http_metrics import install_request_metrics
 from baobabstream.telemetry.hybrid_clock import HybridClock
@@ -27,7 +27,7 @@
 from baobabstream.telemetry.metrics import Metrics
 from baobabstream.telemetry.timeline import EventKind, TimelineWriter
 from baobabstream.wire.peer_codec import peer_codec
-from baobabstream.wire.rpc import RpcServer
+from baobabstream.wire.rpc_server import RpcServer
 
 __all__ = ["ControlDaemon"]
 
@@ -63,7 +63,7 @@
         self.timeline = TimelineWriter(
             settings.timeline_file, settings.host, "control", clock, self.metrics.count_event
         )
-        self._client_resources = ClientResources(settings.process_limits)
+        self._resources = ProcessResources(settings.process_limits)
         self._codec = peer_codec(settings, clock)
         self.member = GroupMember(settings, self._codec, self.timeline)
         self.admin = AdminApi(self.member)
@@ -82,12 +82,15 @@
         own_address = self._own_address()
         peer_service = PeerService(self.member, self.admin)
         self._rpc_server = RpcServer(
-            f"tcp://{own_address.ip}:{own_address.port}", self._codec, peer_service.handle
+            f"tcp://{own_address.ip}:{own_address.port}",
+            self._codec,
+            peer_service.handle,
+            self._resources.peers,
         )
         app = self.admin.application()
         install_request_metrics(app, self.metrics)
         self._register_metrics()
-        self._http_runner = BoundedAppRunner(app, self._client_resources, lambda: OWN_FRONT_LIMITS)
+        self._http_runner = BoundedAppRunner(app, self._resources.clients, lambda: OWN_FRONT_LIMITS)
         await self._http_runner.setup()
         # Without TLS settings, the HTTP interface is not encrypted.
         tls = self.settings.admin_tls
@@ -95,10 +98,10 @@
             self._http_runner,
             own_address.ip,
             own_address.http_port,
-            self._client_resources.limits.accept_backlog,
+            self._resources.limits.accept_backlog,
             ssl_context=tls.server_context() if tls is not None else None,
         )
-        await self.metrics.start(self._client_resources)
+        await self.metrics.start(self._resources.clients)
         await self.member.start()
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on ports %d and %d.", own_address.port, own_address.http_port)
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -41,7 +41,7 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.ingress.bounded_runner import BoundedAppRunner, start_bounded_site
-from baobabstream.resources.client_resources import ClientResources
+from baobabstream.resources.client_resources import ProcessResources
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.statistics import StatisticName
@@ -61,8 +61,9 @@
     RolloutQuery,
 )
 from baobabstream.wire.fixed_secret_codec import CLUSTER_NAME, fixed_secret_codec
-from baobabstream.wire.rpc import RpcClient, RpcServer
+from baobabstream.wire.rpc import RpcClient
 from baobabstream.wire.rpc_clients import RpcClients
+from baobabstream.wire.rpc_server import RpcServer
 
 __all__ = ["CoordinationDaemon"]
 
@@ -145,8 +146,8 @@
         Replicated log.
     service
         Operations for operators and backend servers.
-    client_resources
-        Connections and memory for all clients of the process.
+    resources
+        Connections and memory for all clients of the process, and for other daemons.
     """
 
     def __init__(
@@ -196,8 +197,10 @@
             self.decisions,
         )
         self._make_application = make_application
-        self.client_resources = ClientResources(settings.limits)
-        self._statistics_server = StatisticsServer(self.decisions.statistics, self.client_resources)
+        self.resources = ProcessResources(settings.limits)
+        self._statistics_server = StatisticsServer(
+            self.decisions.statistics, self.resources.clients
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -209,9 +212,11 @@
             ``ADDRESS_IN_USE`` if an HTTP port cannot be opened.
         """
         url = f"tcp://{self.settings.ip}:{self.settings.port}"
-        self._server = RpcServer(url, self._codec, self._handle_message)
+        self._server = RpcServer(url, self._codec, self._handle_message, self.resources.peers)
         await self.log.start()
-        self._runner = BoundedAppRunner(self._make_application(self.service), self.client_resources)
+        self._runner = BoundedAppRunner(
+            self._make_application(self.service), self.resources.clients
+        )
         await self._runner.setup()
         try:
             await start_bounded_site(
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -46,7 +46,7 @@
 from baobabstream.policy.events import ViewChanged
 from baobabstream.policy.outcome_policy import OutcomePolicy
 from baobabstream.policy.view import ClusterView
-from baobabstream.resources.client_resources import ClientResources
+from baobabstream.resources.client_resources import ProcessResources
 from baobabstream.settings.models import EntrySettings
 from baobabstream.telemetry.clock_headers import clock_client_middleware
 from baobabstream.telemetry.http_metrics import install_request_metrics
@@ -126,7 +126,7 @@
         self.claim_client = ClaimClient(self.control, settings.host, self.background_tasks)
         self.in_flight_requests = InFlightRequests()
         self.load_meter = LoadMeter()
-        self.client_resources = ClientResources(settings.process_limits)
+        self.resources = ProcessResources(settings.process_limits)
         self.caller_access = CallerAccess(
             self.view, self.holds_lease, settings.max_body_bytes, settings.body_timeout_s
         )
@@ -136,7 +136,7 @@
         """Open the listener and start to poll the control hosts."""
         settings = self.settings
         listener = settings.listener
-        backlog = self.client_resources.limits.accept_backlog
+        backlog = self.resources.limits.accept_backlog
         self._listening_socket = open_listening_socket(listener.ip, listener.port, backlog)
         self._tls_context = listener.tls.server_context() if listener.tls is not None else None
         self._context = self._open_clients()
@@ -153,7 +153,7 @@
         self._register_metrics()
         # ``handler_cancellation`` cancels the handler of a request whose caller disconnects.
         self._runner = BoundedAppRunner(
-            app, self.client_resources, lambda: OWN_FRONT_LIMITS, handler_cancellation=True
+            app, self.resources.clients, lambda: OWN_FRONT_LIMITS, handler_cancellation=True
         )
         await self._runner.setup()
         self._site = web.SockSite(
@@ -163,7 +163,7 @@
             ssl_context=self._tls_context,
         )
         await self._site.start()
-        await self.metrics.start(self.client_resources)
+        await self.metrics.start(self.resources.clients)
         self.timeline.emit(EventKind.DAEMON_STARTED)
         _log.info("Listening on port %d.", listener.port)
 
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -151,7 +151,9 @@
             self._adapt_to_paths,
             self._path_prober.wake,
         )
-        self._tunnel_server = TunnelServer(self, codec, decisions.statistics)
+        self._tunnel_server = TunnelServer(
+            self, codec, decisions.statistics, self.context.resources.peers
+        )
         self._coordination_client = CoordinationClient(
             settings.seeds,
             settings.inner_port,
@@ -162,7 +164,7 @@
         )
         self.context.control_age_s = self._coordination_client.age_s
         self._frontend = HttpFrontend(self.context)
-        self._metrics = StatisticsServer(decisions.statistics, self.context.client_resources)
+        self._metrics = StatisticsServer(decisions.statistics, self.context.resources.clients)
         # By service: how long idle connections to its servers may be used again.
         self._idle_limits: defaultdict[str, IdleTimeoutEstimator] = defaultdict(
             IdleTimeoutEstimator
@@ -193,10 +195,10 @@
         """
         settings = self._settings
         self._coordination_client.start()
-        resources = self.context.client_resources
+        resources = self.context.resources
         ready_application = web.Application()
         ready_application.router.add_get(self._ready_path, self._handle_ready_check)
-        self._ready_runner = BoundedAppRunner(ready_application, resources)
+        self._ready_runner = BoundedAppRunner(ready_application, resources.clients)
         await self._ready_runner.setup()
         try:
             await start_bounded_site(self._ready_runner, settings.ip, settings.ready_port)
--- a/src/baobabstream/gateway/gateway_context.py
+++ b/src/baobabstream/gateway/gateway_context.py
@@ -20,8 +20,7 @@
 from baobabstream.gateway.server_directory import KnownServer, ServerDirectory
 from baobabstream.gateway.settings import GatewaySettings
 from baobabstream.paths.server_paths import ServerPaths
-from baobabstream.resources.client_resources import ClientResources
-from baobabstream.resources.memory_budget import MemoryBudget
+from baobabstream.resources.client_resources import ProcessResources
 from baobabstream.routing.gateway_ranks import GatewayRanks
 from baobabstream.routing.response_time_estimator import ResponseTimeEstimator
 from baobabstream.routing.retry_budget import RetryBudget
@@ -71,10 +70,8 @@
         Whether the daemon has been asked to stop.
     retry_budgets
         Limits of the retries to each service, by service.
-    client_resources
-        Connections and memory for the callers and all other clients of the process.
-    response_memory
-        Memory for the responses that are being buffered.
+    resources
+        Connections and memory for callers, other daemons and buffered responses.
     background_tasks
         Tasks that outlive the request that started them.
     paths
@@ -97,15 +94,12 @@
     ranks: GatewayRanks = field(default_factory=GatewayRanks)
     is_stopping: bool = False
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
-    client_resources: ClientResources = field(init=False)
-    response_memory: MemoryBudget = field(init=False)
+    resources: ProcessResources = field(init=False)
     background_tasks: set[asyncio.Task] = field(default_factory=set)
     paths: ServerPaths = field(default_factory=ServerPaths)
 
     def __post_init__(self) -> None:
-        limits = self.settings.limits
-        self.client_resources = ClientResources(limits)
-        self.response_memory = MemoryBudget(limits.response_bytes)
+        self.resources = ProcessResources(self.settings.limits)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, and create it at the first call.
--- a/src/baobabstream/gateway/http_frontend.py
+++ b/src/baobabstream/gateway/http_frontend.py
@@ -79,10 +79,10 @@
         """
         application = web.Application()
         application.router.add_route("*", "/{path:.*}", self._handle)
-        resources = self._context.client_resources
+        resources = self._context.resources
         self._runner = BoundedAppRunner(
             application,
-            resources,
+            resources.clients,
             lambda: self._limits,
             handler_cancellation=True,
             # Bodies are forwarded as they came.
--- a/src/baobabstream/gateway/request_execution.py
+++ b/src/baobabstream/gateway/request_execution.py
@@ -511,7 +511,7 @@
             last_event_id,
             self._context.header_names,
             expected_prompt_s,
-            self._context.response_memory,
+            self._context.resources.responses,
         )
         return attempt
 
--- a/src/baobabstream/paths/tunnel_server.py
+++ b/src/baobabstream/paths/tunnel_server.py
@@ -11,6 +11,7 @@
 from baobabstream.backends.delivery import DeliveryWait
 from baobabstream.backends.http_connection import configure_socket
 from baobabstream.errors.exceptions import PeerError
+from baobabstream.ingress.listening_socket import open_listening_socket
 from baobabstream.paths.loop_lag import LoopLag
 from baobabstream.paths.tunnel_frames import (
     FrameDecoder,
@@ -19,17 +20,20 @@
     encode_end,
     encode_header,
 )
+from baobabstream.resources.client_resources import ClientConnection, ClientResources
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.statistics import StatisticName, Statistics
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.tunnel_messages import TunnelOutcome, TunnelReply, TunnelRequest
 
-__all__ = ["MAX_TUNNELS", "TunnelPolicy", "TunnelServer"]
+__all__ = ["TunnelPolicy", "TunnelServer"]
 
 _log = get_logger("tunnel_server")
 
-# Most tunnels at the same time. Each uses two of about 4,000 descriptors of the process.
-MAX_TUNNELS = 500
+# Connections of one tunnel: that of the other gateway, and that to the server.
+CONNECTIONS_PER_TUNNEL = 2
+# Connections of other gateways that may wait to be accepted.
+BACKLOG = 64
 # Median delay of the event loop from which on no more tunnels are opened, so that the requests of
 # this gateway's own callers are not delayed.
 MAX_LOOP_LAG_S = 0.05
@@ -68,11 +72,20 @@
         Codec of the protocol between the daemons.
     statistics
         Counts the requests for tunnels.
+    resources
+        Resources for the connections of other gateways.
     """
 
-    def __init__(self, policy: TunnelPolicy, codec: WireCodec, statistics: Statistics) -> None:
+    def __init__(
+        self,
+        policy: TunnelPolicy,
+        codec: WireCodec,
+        statistics: Statistics,
+        resources: ClientResources,
+    ) -> None:
         self.policy = policy
         self.codec = codec
+        self.resources = resources
         self._statistics = statistics
         self._loop_lag = LoopLag()
         self._lag_task: asyncio.Task[None] | None = None
@@ -82,6 +95,11 @@
         # Holds the tasks that open tunnels; the event loop has only a weak reference.
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def max_tunnels(self) -> int:
+        """Most tunnels at the same time."""
+        return self.resources.max_connections // CONNECTIONS_PER_TUNNEL
+
     @property
     def open_tunnels(self) -> int:
         """Number of connections of other gateways."""
@@ -93,14 +111,15 @@
         return (
             self._server is not None
             and not self._is_stopping
-            and len(self._tunnels) < MAX_TUNNELS
+            and len(self._tunnels) < self.max_tunnels
             and self._loop_lag.lag_s < MAX_LOOP_LAG_S
         )
 
     async def start(self, ip: str, port: int) -> None:
-        """Start to listen; raises OSError if the address cannot be used."""
+        """Start to listen; raises ``BaobabstreamError`` if the address cannot be used."""
+        listener = open_listening_socket(ip, port, BACKLOG)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _OriginProtocol(self), ip, port
+            lambda: _OriginProtocol(self), sock=listener, backlog=BACKLOG
         )
         self._lag_task = asyncio.create_task(self._loop_lag.run())
 
@@ -171,6 +190,7 @@
         self._owner = owner
         self._decoder = FrameDecoder()
         self._transport: asyncio.Transport | None = None
+        self._client: ClientConnection | None = None
         self._server_transport: asyncio.Transport | None = None
         self._opening: asyncio.Task | None = None
         self._is_open = False
@@ -186,14 +206,20 @@
         return self._is_open
 
     def connection_made(self, transport: Any) -> None:
-        """Count the connection, and wait for its request."""
+        """Count the connection, and wait for its request; or close it if there is no room."""
         self._transport = transport
+        self._client = self._owner.resources.admit(self.abort)
+        if self._client is None:
+            self.abort()
+            return
         configure_socket(transport.get_extra_info("socket"))
         self._owner.add(self)
         self._request_timeout = asyncio.get_running_loop().call_later(REQUEST_TIMEOUT_S, self.abort)
 
     def data_received(self, data: bytes) -> None:
         """Read the request, or pass bytes on to the server."""
+        if self._client is None:
+            return
         if self._is_open:
             assert self._server_transport is not None
             self._received_bytes += len(data)
@@ -208,6 +234,9 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the connection to the server, which cancels a request that runs there."""
+        if self._client is None:
+            return
+        self._client.release()
         self._owner.remove(self)
         if self._request_timeout is not None:
             self._request_timeout.cancel()
@@ -294,6 +323,8 @@
             raise InvalidFrame(f"{type(request).__name__} in place of a request")
         if self._request_timeout is not None:
             self._request_timeout.cancel()
+        assert self._client is not None
+        self._client.begin_service()
         self._opening = self._owner.start_opening(self, request)
 
 
--- a/src/baobabstream/resources/client_resources.py
+++ b/src/baobabstream/resources/client_resources.py
@@ -1,19 +1,23 @@
 """What a process holds for its clients, at all of its listening sockets together.
 
 A client that has sent no whole request, or does not read its answer, waits; the others are served.
-When a new client finds no room, the one that has waited longest gives way to it, so that many
-clients that never go on do not keep others out.
+When a new client finds no room, one that waits gives way to it, so that many clients that never go
+on do not keep others out. Those that have never sent a whole request come first, and among equals
+the one that has waited longest.
+
+The clients of a daemon are its callers, operators and backend servers, and whoever else connects.
+Its peers are the other daemons, which have resources of their own.
 """
 
 from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
-from itertools import islice
+from itertools import chain
 
 from baobabstream.resources.memory_budget import MemoryBudget, MemoryHolder
 from baobabstream.resources.process_limits import MAX_SMALL_REQUEST_BYTES, ProcessLimits
 
-__all__ = ["ClientConnection", "ClientResources", "ClientRefusal"]
+__all__ = ["ClientConnection", "ClientRefusal", "ClientResources", "ProcessResources"]
 
 
 class ClientRefusal(StrEnum):
@@ -29,63 +33,64 @@
 
 
 class ClientResources:
-    """Connections and memory for the clients of one process.
+    """Connections and memory for the clients, or the peers, of one process.
 
     Parameters
     ----------
-    limits
-        Limits of the process.
+    max_connections
+        Number of connections that may be open.
+    memory
+        Memory for their requests.
 
     Attributes
     ----------
-    limits
-        Limits of the process.
-    memory
-        Memory for the requests of all clients.
+    max_connections, memory
+        As the parameters.
     refusals
         Number of refused clients by reason.
     """
 
-    def __init__(self, limits: ProcessLimits) -> None:
-        self.limits = limits
-        self.memory = MemoryBudget(
-            limits.request_bytes, limits.small_request_bytes, MAX_SMALL_REQUEST_BYTES
-        )
+    def __init__(self, max_connections: int, memory: MemoryBudget) -> None:
+        self.max_connections = max_connections
+        self.memory = memory
         self.refusals: Counter[ClientRefusal] = Counter()
-        # All connections; a dict keeps the order in which those that wait began to do so.
-        self._waiting: dict[ClientConnection, None] = {}
+        # All connections. A dict keeps the order in which those in it began to wait; ``_new`` holds
+        # those that have not been served.
+        self._new: dict[ClientConnection, None] = {}
+        self._idle: dict[ClientConnection, None] = {}
         self._served: set[ClientConnection] = set()
 
     @property
     def open_connections(self) -> int:
         """Number of connections that have been admitted and not released."""
-        return len(self._waiting) + len(self._served)
+        return len(self._new) + len(self._idle) + len(self._served)
 
     def admit(self, close: Callable[[], None]) -> "ClientConnection | None":
         """Return the resources of a new connection, or None if there is no room for it.
 
         ``close`` is called, at most once, if the connection must give way to another one.
         """
-        if self.open_connections >= self.limits.max_client_connections:
-            oldest = next(islice(self._waiting, 1), None)
+        if self.open_connections >= self.max_connections:
+            oldest = next(chain(self._new, self._idle), None)
             if oldest is None:
                 self.refusals[ClientRefusal.NO_CONNECTION] += 1
                 return None
             oldest.evict(ClientRefusal.WAITED_LONGEST)
         connection = ClientConnection(self, close)
-        self._waiting[connection] = None
+        self._new[connection] = None
         return connection
 
     def _release(self, connection: "ClientConnection") -> None:
         """Forget a connection."""
-        self._waiting.pop(connection, None)
+        self._new.pop(connection, None)
+        self._idle.pop(connection, None)
         self._served.discard(connection)
 
     def _set_waiting(self, connection: "ClientConnection", is_waiting: bool) -> None:
-        """Record whether a connection waits; it then is the last one to give way."""
+        """Record whether a connection that has been served waits."""
         self._release(connection)
         if is_waiting:
-            self._waiting[connection] = None
+            self._idle[connection] = None
         else:
             self._served.add(connection)
 
@@ -104,12 +109,12 @@
         self._close = close
         self.memory: MemoryHolder = resources.memory.open(lambda: self.evict(ClientRefusal.LARGEST))
         self._is_released = False
-        self._is_served = False
+        self._is_served = self._has_been_served = False
         self._reads_nothing = False
 
     def begin_service(self) -> None:
         """Let the connection count as served, and keep it: its request has arrived as a whole."""
-        self._is_served = True
+        self._is_served = self._has_been_served = True
         self._update()
 
     def end_service(self) -> None:
@@ -140,8 +145,41 @@
         self.memory.close()
 
     def _update(self) -> None:
-        """Pass on whether the connection waits."""
-        if not self._is_released:
-            is_waiting = self._reads_nothing or not self._is_served
-            self.memory.is_evictable = is_waiting
-            self._resources._set_waiting(self, is_waiting)
+        """Pass on whether the connection waits, once it has been served."""
+        if self._is_released or not self._has_been_served:
+            return
+        is_waiting = self._reads_nothing or not self._is_served
+        self.memory.is_evictable = is_waiting
+        self._resources._set_waiting(self, is_waiting)
+
+
+class ProcessResources:
+    """What one process may hold, in parts of which none can take another one's.
+
+    Parameters
+    ----------
+    limits
+        Limits of the process.
+
+    Attributes
+    ----------
+    limits
+        Limits of the process.
+    clients
+        Connections and memory for the clients at all listening sockets but those of other daemons.
+    peers
+        Connections and memory for other daemons.
+    responses
+        Memory for the answers of backend servers.
+    """
+
+    def __init__(self, limits: ProcessLimits) -> None:
+        self.limits = limits
+        self.clients = ClientResources(
+            limits.max_client_connections,
+            MemoryBudget(limits.request_bytes, limits.small_request_bytes, MAX_SMALL_REQUEST_BYTES),
+        )
+        self.peers = ClientResources(
+            limits.max_peer_connections, MemoryBudget(limits.message_bytes)
+        )
+        self.responses = MemoryBudget(limits.response_bytes)
--- a/src/baobabstream/resources/process_limits.py
+++ b/src/baobabstream/resources/process_limits.py
@@ -10,7 +10,8 @@
 
 __all__ = ["CONNECTION_BYTES", "RECEIVE_BUFFER_BYTES", "WRITE_BUFFER_BYTES", "ProcessLimits"]
 
-# Memory of a daemon without clients: the interpreter, the libraries and the state of the cluster.
+# Memory of a gateway or coordination daemon without clients: the interpreter, the libraries and the
+# state of the cluster.
 FIXED_MEMORY_BYTES = 56_000_000
 # Least memory for clients and answers, on hosts that are smaller than a daemon needs.
 MIN_VARIABLE_BYTES = 8_000_000
@@ -24,21 +25,23 @@
 # has been read from it, what waits to be written, and the objects that serve it.
 CONNECTION_BYTES = 2 * RECEIVE_BUFFER_BYTES + WRITE_BUFFER_BYTES + 16 * 1024
 
-# Parts of the memory that the process itself does not need. The rest is a margin for memory that
-# the allocator cannot return.
-CONNECTIONS_FRACTION, REQUESTS_FRACTION, RESPONSES_FRACTION = 0.25, 0.4, 0.25
+# Parts of the memory that the process itself does not need: for the connections and the requests of
+# clients, and for the connections of other daemons. The rest is a margin for memory that the
+# allocator cannot return.
+CONNECTIONS_FRACTION, REQUESTS_FRACTION, PEER_CONNECTIONS_FRACTION = 0.2, 0.4, 0.1
+# Part for the answers of backend servers on an entry host, and for the messages of other daemons on
+# a control host.
+MESSAGES_FRACTION = 0.2
 # Part of the memory for requests that only small ones may use, and the size of these: any head
 # without very many fields, and a body of some tens of kilobytes.
 SMALL_REQUESTS_FRACTION = 0.3
 MAX_SMALL_REQUEST_BYTES = 64 * 1024
-# Parts of the descriptors for accepted connections of clients, and for those in the queue of the
-# listening socket, which are accepted all at once. The rest is for servers and other daemons.
-CLIENTS_DESCRIPTOR_FRACTION, QUEUE_DESCRIPTOR_FRACTION = 0.4, 0.2
+# Parts of the descriptors for accepted connections of clients, for those in the queue of their
+# listening socket, which are accepted all at once, and for accepted connections of other daemons.
+# The rest is for connections that the process opens.
+CLIENTS_DESCRIPTOR_FRACTION, QUEUE_DESCRIPTOR_FRACTION = 0.35, 0.15
+PEERS_DESCRIPTOR_FRACTION = 0.25
 MAX_ACCEPT_BACKLOG = 1024
-# Most tunnels of other gateways, and the part of the memory for connections that they may use. A
-# tunnel has two connections.
-MAX_TUNNELS = 500
-TUNNELS_MEMORY_FRACTION = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,10 +54,13 @@
         Largest memory of the process; bytes that its sockets hold unread count too.
     max_descriptors
         Largest number of open descriptors, with those that are reserved for files.
+    fixed_bytes
+        Part of the memory that the process needs without any clients.
     """
 
     memory_bytes: int = 128_000_000
     max_descriptors: int = 1024
+    fixed_bytes: int = FIXED_MEMORY_BYTES
 
     @property
     def max_client_connections(self) -> int:
@@ -72,26 +78,31 @@
         """Part of ``request_bytes`` that only small requests may use."""
         return int(self.request_bytes * SMALL_REQUESTS_FRACTION)
 
+    @property
+    def max_peer_connections(self) -> int:
+        """Number of connections that other daemons may open to this one."""
+        by_memory = self._variable_bytes * PEER_CONNECTIONS_FRACTION / CONNECTION_BYTES
+        return int(min(by_memory, self._free_descriptors * PEERS_DESCRIPTOR_FRACTION))
+
+    @property
+    def message_bytes(self) -> int:
+        """Bytes that messages of other daemons may take together."""
+        return int(self._variable_bytes * MESSAGES_FRACTION)
+
     @property
     def response_bytes(self) -> int:
         """Bytes that the answers of backend servers may take together while they are buffered."""
-        return min(MAX_RESPONSE_MEMORY_BYTES, int(self._variable_bytes * RESPONSES_FRACTION))
+        return min(MAX_RESPONSE_MEMORY_BYTES, self.message_bytes)
 
     @property
     def accept_backlog(self) -> int:
         """Number of connections that may wait to be accepted."""
         return min(MAX_ACCEPT_BACKLOG, int(self._free_descriptors * QUEUE_DESCRIPTOR_FRACTION))
 
-    @property
-    def max_tunnels(self) -> int:
-        """Number of tunnels that are open at once for other gateways."""
-        tunnels = int(self.max_client_connections * TUNNELS_MEMORY_FRACTION)
-        return min(MAX_TUNNELS, max(1, tunnels))
-
     @property
     def _variable_bytes(self) -> int:
         """Memory that the process itself does not need."""
-        return max(MIN_VARIABLE_BYTES, self.memory_bytes - FIXED_MEMORY_BYTES)
+        return max(MIN_VARIABLE_BYTES, self.memory_bytes - self.fixed_bytes)
 
     @property
     def _free_descriptors(self) -> int:
--- a/src/baobabstream/wire/rpc.py
+++ b/src/baobabstream/wire/rpc.py
@@ -1,4 +1,4 @@
-"""Request/reply client and server between daemons, over pynng.
+"""Client of the calls between daemons, over pynng.
 
 pynng is the Python binding of nng, a messaging library. A message is encoded by ``WireCodec`` into
 one frame. nng runs each request in a context, so that one socket carries many calls at a time.
@@ -9,50 +9,32 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any, TypeVar
 
 from msgspec import Struct
-from pynng import Rep0, Req0
-from pynng.exceptions import AddressInUse, NNGException
+from pynng import Req0
+from pynng.exceptions import NNGException
 
 from baobabstream.errors.codes import CODE_TABLE, ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, PeerError
-from baobabstream.telemetry.logs import get_logger
+from baobabstream.errors.exceptions import PeerError
 from baobabstream.wire.codec import MAX_FRAME_BYTES, WireCodec
 from baobabstream.wire.messages import ErrorReply
 from baobabstream.wire.tls import tls_url
 
-__all__ = ["Handler", "RpcClient", "RpcServer", "await_operation"]
+__all__ = ["RpcClient", "await_operation"]
 
 ResultT = TypeVar("ResultT")
-# Gets the sender's host name and a decoded message, and returns the reply.
-Handler = Callable[[str, Any], Awaitable[Struct]]
 
 # Bounds of the time between two attempts to connect to a peer.
 DIAL_RETRY_MIN_MS = 50
 DIAL_RETRY_MAX_MS = 500
 
-# Bounds of the number of workers that wait for a call. With 330 entry hosts, 330 workers of the
-# leader are each occupied by the long poll of one host. The number of workers therefore grows with
-# the open calls, so that short calls (votes, claims on requests, bills) always find an idle worker.
-# The bounds lie apart, so that steady load does not start and end a worker with each call.
-MIN_IDLE_WORKERS = 8
-MAX_IDLE_WORKERS = 32
-# Default limit of the workers of one server, which is the number of calls served at once.
-MAX_WORKERS = 4096
-
 # Seconds for a cancelled operation to end before its context or socket is closed. A cancellation
 # takes effect within one iteration of the event loop, unless nng ignores it.
 CANCEL_GRACE_S = 0.2
 
-# Least seconds between two log lines for refused frames with the same result code. A refused peer
-# tries again several times a second.
-REFUSAL_LOG_INTERVAL_S = 10.0
-
-_log = get_logger("wire")
-
 
 async def await_operation(operation: Awaitable[ResultT]) -> ResultT:
     """Await a pynng operation and raise ``CancelledError`` if pynng dropped a cancellation.
@@ -207,147 +189,3 @@
     """Close an nng context; it may be closed already."""
     with suppress(NNGException):
         context.close()
-
-
-class RpcServer:
-    """Listens for the calls of peers and answers them.
-
-    Each worker is a task with its own nng context that serves one call at a time. Workers are
-    added when few are idle and end when many are.
-
-    Parameters
-    ----------
-    url
-        nng address to listen on.
-    codec
-        Codec of the cluster, with the TLS configuration of the listener.
-    handler
-        Coroutine function that gets the sender's host name and the message, and returns the reply.
-        A ``BaobabstreamError`` that it raises is sent to the peer as an ``ErrorReply``, any other
-        exception as one with the code ``PEER_FAILED``.
-    max_workers
-        Most calls served at once. A long poll occupies a worker while it waits.
-
-    Raises
-    ------
-    BaobabstreamError
-        ``ADDRESS_IN_USE`` if another socket listens on the address.
-    NNGException
-        If nng cannot listen on the address for another reason.
-    """
-
-    def __init__(
-        self, url: str, codec: WireCodec, handler: Handler, max_workers: int = MAX_WORKERS
-    ) -> None:
-        self._codec = codec
-        self._handler = handler
-        self._max_workers = max_workers
-        self._idle_worker_count = 0
-        # Time of the event loop at the last log line about a refused frame, by result code.
-        self._last_logged_s: dict[ResultCode, float] = {}
-        self._worker_tasks: set[asyncio.Task[None]] = set()
-        tls = codec.tls
-        self._socket = Rep0(
-            recv_max_size=MAX_FRAME_BYTES, tls_config=None if tls is None else tls.server()
-        )
-        try:
-            self._socket.listen(url if tls is None else tls_url(url))
-        except AddressInUse as error:
-            self._socket.close()
-            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, url) from error
-        self._add_workers()
-
-    async def close(self) -> None:
-        """Cancel the calls that are being served and close the socket."""
-        for task in (worker_tasks := list(self._worker_tasks)):
-            task.cancel()
-        if worker_tasks:
-            # Workers whose cancellation nng ignores end when the socket is closed.
-            await asyncio.wait(worker_tasks, timeout=CANCEL_GRACE_S)
-        self._socket.close()
-        await asyncio.gather(*worker_tasks, return_exceptions=True)
-
-    def _add_workers(self) -> None:
-        """Start workers until enough are idle or the limit is reached."""
-        while (
-            self._idle_worker_count < MIN_IDLE_WORKERS
-            and len(self._worker_tasks) < self._max_workers
-        ):
-            self._idle_worker_count += 1
-            task = asyncio.create_task(self._run_worker())
-            self._worker_tasks.add(task)
-            task.add_done_callback(self._worker_tasks.discard)
-
-    async def _run_worker(self) -> None:
-        """Receive, handle and answer calls until there are too many idle workers.
-
-        The worker also ends after an error of nng. A new worker is already counted as idle by
-        ``_add_workers``. ``is_idle`` says whether the count includes this worker at present.
-        """
-        context = self._socket.new_context()
-        is_idle = True
-        try:
-            while self._idle_worker_count <= MAX_IDLE_WORKERS:
-                frame = await await_operation(context.arecv())
-                self._idle_worker_count -= 1
-                is_idle = False
-                self._add_workers()
-                reply_frame = self._encode_reply(await self._handle_frame(frame))
-                await await_operation(context.asend(reply_frame))
-                self._idle_worker_count += 1
-                is_idle = True
-        except NNGException as error:
-            _log.warning("A worker stops after an nng error: %s.", error)
-        finally:
-            # Subtracts 1 if the count includes this worker, else 0.
-            self._idle_worker_count -= is_idle
-            with suppress(NNGException):
-                context.close()
-
-    async def _handle_frame(self, frame: bytes) -> Struct:
-        """Return the handler's reply to a frame, or an ``ErrorReply`` if there is none.
-
-        There is none if the codec refuses the frame, for example because it cannot be decoded, or
-        if the handler raises an exception. The error reply has the code of a
-        ``BaobabstreamError``, and ``PEER_FAILED`` for any other exception.
-
-        For a call that only the leader can serve, the handler on another host raises a
-        ``PeerError`` whose attribute ``leader`` is the leader's host name, if this host knows it.
-        The error reply passes the name on, so that the caller can turn to the leader. Other
-        exceptions do not have this attribute.
-        """
-        try:
-            sender, message = self._codec.decode(frame)
-        except PeerError as error:
-            self._log_refusal(error)
-            return ErrorReply(int(error.code), error.detail)
-        try:
-            return await self._handler(sender, message)
-        except BaobabstreamError as error:
-            # Empty if the error names no leader.
-            leader_host = getattr(error, "leader", "")
-            return ErrorReply(int(error.code), error.detail, leader_host)
-        except Exception:
-            _log.exception("The handler of a peer's call failed.")
-            return ErrorReply(int(ResultCode.PEER_FAILED), "the handler failed")
-
-    def _encode_reply(self, reply: Struct) -> bytes:
-        """Return the frame of a reply, or of an ``ErrorReply`` if it cannot be encoded.
-
-        That is the case for text with undecoded bytes, and for integers over 64 bits.
-        """
-        try:
-            return self._codec.encode(reply)
-        except (ValueError, OverflowError, TypeError):
-            _log.exception("A reply to a peer cannot be encoded.")
-            return self._codec.encode(
-                ErrorReply(int(ResultCode.PEER_FAILED), "the reply cannot be encoded")
-            )
-
-    def _log_refusal(self, error: PeerError) -> None:
-        """Log why a frame was refused, at most once per result code and interval."""
-        # The default of minus infinity lets the first refusal with a code be logged.
-        now_s = asyncio.get_running_loop().time()
-        if now_s - self._last_logged_s.get(error.code, float("-inf")) >= REFUSAL_LOG_INTERVAL_S:
-            self._last_logged_s[error.code] = now_s
-            _log.warning("Refused a peer's frame: %s.", error)
--- a/src/baobabstream/wire/tls.py
+++ b/src/baobabstream/wire/tls.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from ssl import CERT_REQUIRED, Purpose, SSLContext, TLSVersion, create_default_context
 from typing import TYPE_CHECKING
 
 from pynng import TLSConfig
@@ -42,36 +43,24 @@
         self._files = files
         self._host_names = host_names
 
-    def server(self) -> TLSConfig:
-        """Return the configuration of a listener that requires a client certificate."""
-        return self._create_config(TLSConfig.MODE_SERVER, None)
+    def server_context(self) -> SSLContext:
+        """Return the context of a listener that requires a client certificate."""
+        context = create_default_context(Purpose.CLIENT_AUTH, cafile=self._files.ca_file)
+        context.minimum_version = TLSVersion.TLSv1_2
+        context.verify_mode = CERT_REQUIRED
+        context.load_cert_chain(self._files.certificate_file, self._files.key_file)
+        return context
 
     def client(self, url: str) -> TLSConfig:
         """Return the configuration of a client connection to the daemon at an nng address.
 
-        ``url`` is a key of ``host_names``, with the scheme ``tcp``. An address that is no key
-        raises ``KeyError``, since the host name to check is not known.
-        """
-        return self._create_config(TLSConfig.MODE_CLIENT, self._host_names[url])
-
-    def _create_config(self, mode: int, server_name: str | None) -> TLSConfig:
-        """Return a configuration in which both sides must show a certificate.
-
-        Parameters
-        ----------
-        mode
-            ``TLSConfig.MODE_SERVER`` or ``TLSConfig.MODE_CLIENT``.
-        server_name
-            Host name that the server's certificate must carry, or None for a listener.
-
-        Raises
-        ------
-        OSError
-            If one of the files cannot be read.
+        Both sides must show a certificate. ``url`` is a key of ``host_names``, with the scheme
+        ``tcp``. An address that is no key raises ``KeyError``, since the host name to check is not
+        known. ``OSError`` is raised if one of the files cannot be read.
         """
         return TLSConfig(
-            mode,
-            server_name=server_name,
+            TLSConfig.MODE_CLIENT,
+            server_name=self._host_names[url],
             ca_string=self._files.ca_file.read_text(encoding="ascii"),
             own_cert_string=self._files.certificate_file.read_text(encoding="ascii"),
             own_key_string=self._files.key_file.read_text(encoding="ascii"),
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -25,7 +25,7 @@
 from baobabstream.errors.exceptions import BaobabstreamError, StorageError
 from baobabstream.wire.codec import WireCodec
 from baobabstream.wire.rows import VersionRow
-from baobabstream.wire.rpc import RpcServer
+from baobabstream.wire.rpc_server import RpcServer
 from free_ports import free_ports
 
 HOSTS = ("a", "b", "c")
@@ -86,7 +86,7 @@
             Random(host),
             LogOptions(snapshot_entries=10),
         )
-        self._servers[host] = RpcServer(self.urls[host], codec, log.handle, max_workers=8)
+        self._servers[host] = RpcServer(self.urls[host], codec, log.handle)
         self.logs[host] = log
         await log.start()
 
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -35,7 +35,7 @@
     VersionRow,
     row_key,
 )
-from baobabstream.wire.rpc import RpcServer
+from baobabstream.wire.rpc_server import RpcServer
 from free_ports import free_port
 
 SECRET = "0123456789abcdef"
@@ -343,9 +343,7 @@
         for host in control.bills:
             port = free_port()
             codec = WireCodec("test", host, SECRET)
-            rpc = RpcServer(
-                f"tcp://127.0.0.1:{port}", codec, control.make_handler(host), max_workers=8
-            )
+            rpc = RpcServer(f"tcp://127.0.0.1:{port}", codec, control.make_handler(host))
             stack.push_async_callback(rpc.close)
             control_peers.append(
                 ControlPeer(host=host, availability_zone=host, port=port, http_port=port)
--- a/tests/paths/test_path_connector.py
+++ b/tests/paths/test_path_connector.py
@@ -11,6 +11,8 @@
 from baobabstream.paths.server_paths import ServerPaths
 from baobabstream.paths.tunnel_peers import TunnelPeers
 from baobabstream.paths.tunnel_server import TunnelPolicy, TunnelServer
+from baobabstream.resources.client_resources import ProcessResources
+from baobabstream.resources.process_limits import ProcessLimits
 from baobabstream.telemetry.decision_log import DecisionLog
 from baobabstream.telemetry.statistics import Statistics
 from baobabstream.wire.fixed_secret_codec import fixed_secret_codec
@@ -31,7 +33,12 @@
 @pytest.fixture
 async def helper():
     """Return another gateway that takes tunnels."""
-    helper = TunnelServer(_AllServers(), fixed_secret_codec("b"), Statistics())
+    helper = TunnelServer(
+        _AllServers(),
+        fixed_secret_codec("b"),
+        Statistics(),
+        ProcessResources(ProcessLimits()).peers,
+    )
     await helper.start("127.0.0.1", 0)
     yield helper
     await helper.finish(0)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -9,6 +9,8 @@
 from baobabstream.backends.http_connection import AnswerFailed, HttpConnection
 from baobabstream.paths.tunnel_client import TunnelRefused, open_tunnel
 from baobabstream.paths.tunnel_server import MAX_LOOP_LAG_S, TunnelPolicy, TunnelServer
+from baobabstream.resources.client_resources import ProcessResources
+from baobabstream.resources.process_limits import ProcessLimits
 from baobabstream.telemetry.statistics import Statistics
 from baobabstream.wire.fixed_secret_codec import fixed_secret_codec
 from baobabstream.wire.tunnel_messages import TunnelOutcome, TunnelRequest
@@ -45,7 +47,12 @@
         self.answer = HEAD + b"whole"
         self.resets = False
         self.closes = True
-        self.helper = TunnelServer(_KnownServers(), fixed_secret_codec("b"), Statistics())
+        self.helper = TunnelServer(
+            _KnownServers(),
+            fixed_secret_codec("b"),
+            Statistics(),
+            ProcessResources(ProcessLimits()).peers,
+        )
 
     async def start(self) -> None:
         """Start both at free ports."""
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -16,7 +16,7 @@
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
-from baobabstream.resources.client_resources import ClientResources
+from baobabstream.resources.client_resources import ProcessResources
 from baobabstream.resources.process_limits import ProcessLimits
 from baobabstream.telemetry.http_metrics import install_request_metrics
 from baobabstream.telemetry.instruments import INSTRUMENTS, InstrumentKind, MetricName
@@ -59,7 +59,7 @@
     async with TestClient(TestServer(app)) as client:
         for path in ("/things/a", "/things/b", "/nothing"):
             await client.get(path)
-    await metrics.start(ClientResources(ProcessLimits()))
+    await metrics.start(ProcessResources(ProcessLimits()).clients)
     text = await asyncio.to_thread(scrape, port)
     await metrics.close()
     for instrument in instruments:
@@ -84,7 +84,7 @@
     metrics = Metrics("control", "control-1", "127.0.0.1", None)
     metrics.add(MetricName.EVENTS, 1, {"kind": "x"})
     metrics.observe(MetricName.CONTROL_TERM, lambda: 1.0)
-    await metrics.start(ClientResources(ProcessLimits()))
+    await metrics.start(ProcessResources(ProcessLimits()).clients)
     await metrics.close()
 
 
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -19,7 +19,8 @@
 from baobabstream.wire import codec as codec_module
 from baobabstream.wire.codec import PROTOCOL_VERSION, WireCodec
 from baobabstream.wire.messages import BillReply, BillRequest, ErrorReply, TrialEnd, TrialEndReply
-from baobabstream.wire.rpc import RpcClient, RpcServer, await_operation
+from baobabstream.wire.rpc import RpcClient, await_operation
+from baobabstream.wire.rpc_server import RpcServer
 from baobabstream.wire.tls import PeerTls
 from free_ports import free_port
 from waiting import until
