--- a/src/baobabstream/ingress/bounded_handler.py
+++ b/src/baobabstream/ingress/bounded_handler.py
@@ -201,7 +201,7 @@
             self._is_refused = True
             if self._is_body_open():
                 assert self._body is not None
-                self._messages.clear()
+                self._messages.pop()
                 self._body.set_exception(RequestPayloadError("the body is not valid"))
                 self._body.feed_eof()
 
@@ -319,11 +319,18 @@
         finally:
             self._is_handling = False
             self.client.end_service()
-            memory = self.client.memory
-            memory.release(memory.held_bytes - self._unparsed_held_bytes)
+            self._release_request()
             # The rest of the body is dropped by the caller of this method.
             self._loop.call_soon(self._go_on)
 
+    def _release_request(self) -> None:
+        """Give back the memory of the present request."""
+        memory = self.client.memory
+        memory.release(memory.held_bytes - self._unparsed_held_bytes)
+
+    def _resume_reading_if_drained(self) -> None:
+        """Do nothing: aiohttp's queue never holds more than one request."""
+
     def _go_on(self) -> None:
         """Parse what has come behind the last request."""
         if self.transport is not None and self._unparsed and not self._is_refused:
@@ -332,7 +339,11 @@
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
-        """Write a response whose body has room, or close the connection."""
+        """Write a response whose body has room, or close the connection.
+
+        The body of the request is not needed any more.
+        """
+        self._release_request()
         body = getattr(resp, "body", None)
         if isinstance(body, bytes) and not self.client.memory.try_acquire(len(body)):
             self.client.evict(ClientRefusal.NO_MEMORY)
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -39,6 +39,8 @@
 Ip = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:]+$", max_length=45)]
 
 BYTES_PER_MB = 1_000_000
+# Memory of an entry or control daemon without clients. They load more libraries than the others.
+FIXED_MEMORY_BYTES = 76_000_000
 
 
 class _SettingsModel(BaseModel):
@@ -97,7 +99,7 @@
         default=None, description="TCP port of the Prometheus exporter; without it none runs."
     )
     metrics_ip: Ip = Field(default="127.0.0.1", description="Address of the exporter.")
-    memory_mb: Annotated[int, Field(ge=64, le=1_000_000)] = Field(
+    memory_mb: Annotated[int, Field(ge=96, le=1_000_000)] = Field(
         default=512, description="Memory of the process in megabytes (1,000,000 bytes)."
     )
     max_fds: Annotated[int, Field(ge=256, le=1_000_000)] = Field(
@@ -107,7 +109,7 @@
     @property
     def process_limits(self) -> ProcessLimits:
         """Memory and descriptors of the process."""
-        return ProcessLimits(self.memory_mb * BYTES_PER_MB, self.max_fds)
+        return ProcessLimits(self.memory_mb * BYTES_PER_MB, self.max_fds, FIXED_MEMORY_BYTES)
 
     @model_validator(mode="after")
     def _check_control_hosts(self) -> Self:
--- a/tests/crowds/misbehaving_clients.py
+++ b/tests/crowds/misbehaving_clients.py
@@ -16,6 +16,7 @@
     "FRAME_CROWDS",
     "MAX_BODY_BYTES",
     "MAX_HEADER_BYTES",
+    "REQUEST_SOCKET_PREAMBLE",
     "Crowd",
     "Target",
     "gather_crowd",
@@ -27,6 +28,9 @@
 # Body of clients that ignore the limit.
 HUGE_BODY_BYTES = 16 * MAX_BODY_BYTES
 BLOCK_BYTES = 64 * 1024
+# First bytes of nng request sockets: the header of the SP protocols over TCP, with the number 0x30
+# of the protocol of requests.
+REQUEST_SOCKET_PREAMBLE = b"\0SP\0\0\x30\0\0"
 # Largest frame between daemons.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Connections that one client opens, one after the other.
--- a/tests/crowds/platform_under_crowds.py
+++ b/tests/crowds/platform_under_crowds.py
@@ -1,7 +1,7 @@
 """The platform's daemons as processes with small limits, which crowds of clients attack."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -12,6 +12,7 @@
 from crowds.misbehaving_clients import (
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    REQUEST_SOCKET_PREAMBLE,
     Crowd,
     Target,
     gather_crowd,
@@ -33,6 +34,7 @@
     "MAX_DESCRIPTORS",
     "MEMORY_MB",
     "assert_bounded_under_crowd",
+    "assert_process_is_bounded",
     "coordination_targets",
     "gateway_targets",
     "inner_targets",
@@ -143,38 +145,50 @@
 
 def inner_targets(platform: ProcessPlatform) -> tuple[Target, ...]:
     """Return the port of the protocol between daemons, spoken as nng's request sockets do."""
-    # Header of the SP protocols over TCP: the number of the protocol, 0x30, is that of requests.
-    preamble = b"\0SP\0\0\x30\0\0"
-    return (Target(platform.coordinator_ips[0], INNER_PORT, "/", preamble=preamble),)
+    ip = platform.coordinator_ips[0]
+    return (Target(ip, INNER_PORT, "/", preamble=REQUEST_SOCKET_PREAMBLE),)
 
 
-async def assert_bounded_under_crowd(
-    platform: ProcessPlatform,
-    ip: str,
+async def assert_process_is_bounded(
+    process_id: int,
     crowd: Crowd,
-    targets: tuple[Target, ...],
+    targets: Sequence[Target],
     is_served: Callable[[], Awaitable[bool]],
     limits: tuple[int, int] = (MEMORY_MB, MAX_DESCRIPTORS),
 ) -> None:
-    """Check that a crowd neither ends a daemon nor takes it beyond its limits.
+    """Check that a crowd does not take a process beyond its limits, or its service.
 
     Parameters
     ----------
-    platform, ip
-        The daemons, and the address of the one that is attacked.
+    process_id
+        The process that is attacked.
     crowd, targets
         What attacks it, and where.
     is_served
         Sends an ordinary call and returns whether it was served.
     limits
-        Memory in MB and number of descriptors of the daemon.
+        Memory in MB and number of descriptors of the process.
     """
     memory_mb, max_descriptors = limits
-    daemon = platform.daemons[ip]
-    async with ProcessWatch(daemon.process.pid) as watch:
+    async with ProcessWatch(process_id) as watch:
         async with gather_crowd(crowd, targets):
             await serve_in_time(is_served)
         await serve_in_time(is_served)
-    assert daemon.exit_codes == []
     assert watch.peak_bytes <= memory_mb * BYTES_PER_MB
     assert watch.peak_descriptors <= max_descriptors - RESERVED_DESCRIPTORS
+
+
+async def assert_bounded_under_crowd(
+    platform: ProcessPlatform,
+    ip: str,
+    crowd: Crowd,
+    targets: Sequence[Target],
+    is_served: Callable[[], Awaitable[bool]],
+) -> None:
+    """Check that a crowd neither ends the daemon at an address nor takes it beyond its limits.
+
+    The other parameters are those of `assert_process_is_bounded`.
+    """
+    daemon = platform.daemons[ip]
+    await assert_process_is_bounded(daemon.process.pid, crowd, targets, is_served)
+    assert daemon.exit_codes == []
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -90,8 +90,8 @@
         Emulated engines.
     services
         Names of the emulated services, such as ``waiver-1`` for the service ``waiver``.
-    entry_settings
-        Further settings of the entry hosts, as TOML.
+    entry_settings, control_settings
+        Further settings of the entry and control hosts, as TOML.
     disabled_mechanisms
         Mechanism of ``mechanisms_off`` that is switched off, by role ("entry" or "control").
 
@@ -126,6 +126,7 @@
     engines: tuple[EngineSpec, ...] = ()
     services: tuple[str, ...] = ()
     entry_settings: str = "drain_notice_s = 0.5\n"
+    control_settings: str = ""
     disabled_mechanisms: dict[str, str] = field(default_factory=dict)
     left_at_ms: dict[str, int] = field(default_factory=dict)
     crash_count: int = 0
@@ -281,7 +282,8 @@
         )
         if host in self.controls:
             body = (
-                f'backend_key = "{BACKEND_KEY}"\ndata_folder = "{self.folder}/{host}"\n'
+                f'{self.control_settings}backend_key = "{BACKEND_KEY}"\n'
+                f'data_folder = "{self.folder}/{host}"\n'
                 f'[operator_keys]\ntests = "{OPERATOR_KEY}"\n'
             )
         else:
