--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -42,6 +42,7 @@
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
 from baobabstream.ingress.bounded_runner import BoundedAppRunner, start_bounded_site
 from baobabstream.resources.client_resources import ProcessResources
+from baobabstream.telemetry.client_records import record_clients
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.logs import get_logger
 from baobabstream.telemetry.statistics import StatisticName
@@ -267,6 +268,7 @@
 
         They show whether this host leads (1 or 0), and the version of the routing configuration.
         """
+        record_clients(self.resources, self.decisions)
         statistics = self.decisions.statistics
         statistics.register_gauge(StatisticName.LEADER, lambda: float(self._is_leader()))
         statistics.register_gauge(
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -46,6 +46,7 @@
 from baobabstream.routing.gateway_ranks import GatewayRank
 from baobabstream.routing.route_table import RouteTable
 from baobabstream.routing.session_versions import SessionVersions, rollout_key
+from baobabstream.telemetry.client_records import record_clients
 from baobabstream.telemetry.decision_log import DecisionEvent, DecisionLog
 from baobabstream.telemetry.statistics import StatisticName
 from baobabstream.telemetry.statistics_page import StatisticsServer
@@ -400,6 +401,7 @@
         ``CONTROL_AGE_SECONDS`` is the time since a coordination host last replied.
         """
         context = self.context
+        record_clients(context.resources, context.decisions)
         statistics = context.decisions.statistics
         statistics.register_gauge(StatisticName.OPEN_REQUESTS, lambda: self._frontend.open_requests)
         statistics.register_gauge(
--- a/src/baobabstream/resources/client_resources.py
+++ b/src/baobabstream/resources/client_resources.py
@@ -48,12 +48,15 @@
         As the parameters.
     refusals
         Number of refused clients by reason.
+    on_refusal
+        Called with the reason of each refusal, or None.
     """
 
     def __init__(self, max_connections: int, memory: MemoryBudget) -> None:
         self.max_connections = max_connections
         self.memory = memory
         self.refusals: Counter[ClientRefusal] = Counter()
+        self.on_refusal: Callable[[ClientRefusal], None] | None = None
         # All connections. A dict keeps the order in which those in it began to wait; ``_new`` holds
         # those that have not been served.
         self._new: dict[ClientConnection, None] = {}
@@ -73,13 +76,19 @@
         if self.open_connections >= self.max_connections:
             oldest = next(chain(self._new, self._idle), None)
             if oldest is None:
-                self.refusals[ClientRefusal.NO_CONNECTION] += 1
+                self.record_refusal(ClientRefusal.NO_CONNECTION)
                 return None
             oldest.evict(ClientRefusal.WAITED_LONGEST)
         connection = ClientConnection(self, close)
         self._new[connection] = None
         return connection
 
+    def record_refusal(self, reason: ClientRefusal) -> None:
+        """Count and report that a client was refused."""
+        self.refusals[reason] += 1
+        if self.on_refusal is not None:
+            self.on_refusal(reason)
+
     def _release(self, connection: "ClientConnection") -> None:
         """Forget a connection."""
         self._new.pop(connection, None)
@@ -135,8 +144,8 @@
             self._close()
 
     def record_refusal(self, reason: ClientRefusal) -> None:
-        """Count that the client was refused."""
-        self._resources.refusals[reason] += 1
+        """Count and report that the client was refused."""
+        self._resources.record_refusal(reason)
 
     def release(self) -> None:
         """Give everything back; may be called more than once."""
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -72,6 +72,7 @@
     SETTINGS_RELOADED = "settings_reloaded"
     DEPENDENCY_LOST = "dependency_lost"
     DEPENDENCY_REGAINED = "dependency_regained"
+    CLIENT_REFUSED = "client_refused"
     REQUEST_REFUSED = "request_refused"
     REQUEST_ENDED = "request_ended"
     ATTEMPT_FAILED = "attempt_failed"
@@ -96,6 +97,7 @@
     DecisionEvent.SETTINGS_RELOADED: ("outcome",),
     DecisionEvent.DEPENDENCY_LOST: ("dependency", "reason"),
     DecisionEvent.DEPENDENCY_REGAINED: ("dependency", "away_ms"),
+    DecisionEvent.CLIENT_REFUSED: ("side", "reason", "connections", "held_bytes"),
     DecisionEvent.REQUEST_REFUSED: (
         "request_id",
         "route",
--- a/src/baobabstream/telemetry/statistics.py
+++ b/src/baobabstream/telemetry/statistics.py
@@ -33,6 +33,11 @@
     REQUEST_SECONDS = "baobabstream_request_seconds"
     FIRST_EVENT_SECONDS = "baobabstream_first_event_seconds"
     FAILED_ATTEMPTS = "baobabstream_failed_attempts"
+    REFUSED_CLIENTS = "baobabstream_refused_clients"
+    CLIENT_CONNECTIONS = "baobabstream_client_connections"
+    CLIENT_BYTES = "baobabstream_client_bytes"
+    PEER_CONNECTIONS = "baobabstream_peer_connections"
+    PEER_BYTES = "baobabstream_peer_bytes"
     OPEN_REQUESTS = "baobabstream_open_requests"
     DOCUMENT_VERSION = "baobabstream_document_version"
     READY_SERVERS = "baobabstream_ready_servers"
@@ -74,6 +79,14 @@
     StatisticName.FAILED_ATTEMPTS: Statistic(
         "Sends without an answer to deliver, by whether the request ran.", ("run_state",)
     ),
+    StatisticName.REFUSED_CLIENTS: Statistic(
+        "Connections and requests refused for want of room, or for breaking a limit.",
+        ("side", "reason"),
+    ),
+    StatisticName.CLIENT_CONNECTIONS: Statistic("Connections of clients."),
+    StatisticName.CLIENT_BYTES: Statistic("Memory taken for the requests of clients."),
+    StatisticName.PEER_CONNECTIONS: Statistic("Connections that other daemons have opened."),
+    StatisticName.PEER_BYTES: Statistic("Memory taken for the messages of other daemons."),
     StatisticName.OPEN_REQUESTS: Statistic("Requests under way."),
     StatisticName.DOCUMENT_VERSION: Statistic("Version of the configuration in force here."),
     StatisticName.READY_SERVERS: Statistic("Backend servers that take new requests."),
