--- a/src/baobabstream/gateway/request_reader.py
+++ b/src/baobabstream/gateway/request_reader.py
@@ -20,7 +20,7 @@
 from baobabstream.ingress.request_body import read_body
 from baobabstream.routing.document import ClientAccount, Route
 from baobabstream.routing.route_table import RouteTable
-from baobabstream.routing.stable_hashing import hash_fraction
+from baobabstream.routing.stable_hashing import hash_fraction, short_key
 
 __all__ = ["RequestReader"]
 
@@ -232,7 +232,9 @@
         if any(len(tokens) > MAX_TOKEN_DIGITS for _, tokens in numbered_parts):
             detail = f"{header} has a part of more than {MAX_TOKEN_DIGITS} digits"
             raise RequestRefused(ResultCode.MALFORMED_HEADER, detail)
-        return tuple(PromptPart(part_id, int(tokens)) for part_id, tokens in numbered_parts)
+        return tuple(
+            PromptPart(short_key(part_id), int(tokens)) for part_id, tokens in numbered_parts
+        )
 
     def _time_left_s(self, request: web.Request, route: Route) -> float:
         """Return the seconds for which the caller will wait, by default the route's timeout.
--- a/src/baobabstream/gateway/routed_request.py
+++ b/src/baobabstream/gateway/routed_request.py
@@ -13,15 +13,17 @@
 
 from baobabstream.routing.crash_attribution import PART_KEY_PREFIX, REQUEST_KEY_PREFIX
 from baobabstream.routing.document import ClientAccount, Route
+from baobabstream.routing.stable_hashing import short_key
 
 __all__ = ["PromptPart", "RoutedRequest"]
 
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
-    """Identity, as the caller names it, and number of tokens of one part of a prompt.
+    """Identity and number of tokens of one part of a prompt.
 
-    Parts with the same identity are the same text, preceded by the same parts.
+    The identity is the one that the caller names, or a hash of it if it is long. Parts with the
+    same identity are the same text, preceded by the same parts.
     """
 
     part_id: str
@@ -86,7 +88,7 @@
         """
         if len(self.prompt_parts) < 2:
             return None
-        return f"{model}/{self.prompt_parts[-2].part_id}"
+        return f"{short_key(model)}/{self.prompt_parts[-2].part_id}"
 
     @property
     def content_keys(self) -> frozenset[str]:
--- a/src/baobabstream/routing/response_time_estimator.py
+++ b/src/baobabstream/routing/response_time_estimator.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from baobabstream.routing.stable_hashing import short_key
+
 __all__ = ["ResponseTimeEstimator"]
 
 # Factor by which the weight of all earlier responses is reduced with each new one. The sum of the
@@ -19,6 +21,9 @@
 # slow responses raise the estimate only a little.
 MAX_LEARNED_SLOWDOWN = 4.0
 
+# Most series that are remembered; a deployment has some tens of models and routes.
+MAX_SERIES = 1000
+
 
 @dataclass(slots=True)
 class _LinearFit:
@@ -76,7 +81,7 @@
     """
 
     def __init__(self) -> None:
-        # By name of the series.
+        # By name of the series, the one that was updated last at the end. Callers name models.
         self._fits: dict[str, _LinearFit] = {}
 
     def slowdown(
@@ -98,7 +103,10 @@
         updates_estimate
             Whether the response contributes to later estimates.
         """
-        fit = self._fits.setdefault(series, _LinearFit())
+        key = short_key(series)
+        self._fits[key] = fit = self._fits.pop(key, None) or _LinearFit()
+        if len(self._fits) > MAX_SERIES:
+            del self._fits[next(iter(self._fits))]
         expected_s = fit.predict_s(size) if fit.sum_weights else elapsed_s
         slowdown = elapsed_s / expected_s if expected_s > 0 else 1.0
         if updates_estimate:
@@ -110,5 +118,5 @@
 
         ``series`` and ``size`` are those of `slowdown`.
         """
-        fit = self._fits.get(series)
+        fit = self._fits.get(short_key(series))
         return fit.predict_s(size) if fit is not None and fit.sum_weights else 0.0
--- a/src/baobabstream/routing/stable_hashing.py
+++ b/src/baobabstream/routing/stable_hashing.py
@@ -4,12 +4,14 @@
 differs between processes.
 """
 
-from xxhash import xxh64_intdigest
+from xxhash import xxh3_128_hexdigest, xxh64_intdigest
 
-__all__ = ["hash_fraction", "stable_hash"]
+__all__ = ["hash_fraction", "short_key", "stable_hash"]
 
 # Number of different values of a 64-bit hash.
 HASH_RANGE = 2**64
+# Longest text that is its own key.
+MAX_KEY_LENGTH = 64
 
 
 def stable_hash(text: str) -> int:
@@ -24,3 +26,11 @@
     tenth of them.
     """
     return stable_hash(text) / HASH_RANGE
+
+
+def short_key(text: str) -> str:
+    """Return a text itself if it is short, else a hash of it (XXH3, 128 bits).
+
+    What callers name is remembered by this key, so that long names take no memory.
+    """
+    return text if len(text) <= MAX_KEY_LENGTH else xxh3_128_hexdigest(text.encode())
--- a/src/baobabstream/telemetry/decision_log.py
+++ b/src/baobabstream/telemetry/decision_log.py
@@ -64,6 +64,10 @@
 MAX_IMPORTANT_PER_S = 200
 
 
+# Longest text in a line; callers may send much longer identities and paths.
+MAX_TEXT_LENGTH = 512
+
+
 class DecisionEvent(StrEnum):
     """Kind of a decision; the value is the field ``event`` of its line."""
 
@@ -233,7 +237,8 @@
             self._dropped[event] += 1
             return
         # The time is in milliseconds since the Unix epoch.
-        line = {"time_ms": int(time.time() * 1000), "host": self._host, "event": event, **fields}
+        line = {"time_ms": int(time.time() * 1000), "host": self._host, "event": event}
+        line |= {name: _shorten(value) for name, value in fields.items()}
         try:
             self._lines.append(self._encoder.encode(line))
         except UnicodeEncodeError:
@@ -292,6 +297,11 @@
                     break
 
 
+def _shorten(value: Any) -> Any:
+    """Return the begin of a long text, and any other value as it is."""
+    return value[:MAX_TEXT_LENGTH] if isinstance(value, str) else value
+
+
 def _escape_surrogates(line: dict[str, Any]) -> dict[str, Any]:
     """Return a line whose texts have escape sequences in place of surrogates."""
     return {
--- a/tests/telemetry/test_decision_log.py
+++ b/tests/telemetry/test_decision_log.py
@@ -15,6 +15,7 @@
     EVENT_FIELDS,
     MAX_IMPORTANT_PER_S,
     MAX_ORDINARY_PER_S,
+    MAX_TEXT_LENGTH,
     DecisionEvent,
     DecisionLog,
 )
@@ -49,6 +50,15 @@
     assert line["reason"] == 'a "quoted" one'
 
 
+def test_long_texts_of_callers_are_cut(pipe):
+    """Guards against a queue of lines that callers fill with identities of many kilobytes."""
+    log = DecisionLog("host-1", pipe[1])
+    log.record(DecisionEvent.REQUEST_REFUSED, request_id="r" * 16_000, code=1009)
+    (line,) = flushed_lines(pipe[0], log)
+    assert line["request_id"] == "r" * MAX_TEXT_LENGTH
+    assert line["code"] == 1009
+
+
 def test_ordinary_lines_are_dropped_before_failures(pipe):
     """Guards against a load peak of served requests that displaces refusals and failures."""
     log = DecisionLog("host-1", pipe[1])
