--- a/src/baobabstream/ingress/bounded_handler.py
+++ b/src/baobabstream/ingress/bounded_handler.py
@@ -154,7 +154,10 @@
         if self._client is None or self._is_refused or self._force_close:
             return
         if not data:
-            self._feed_parser(data)
+            if self._is_body_open():
+                self._feed_parser(data)
+            elif not self._unparsed:
+                return
         self._parse(self._unparsed + data)
 
     def pause_writing(self) -> None:
--- a/src/baobabstream/ingress/request_body.py
+++ b/src/baobabstream/ingress/request_body.py
@@ -39,21 +39,32 @@
         now, ``BODY_TOO_SLOW`` if it has not arrived in time, ``MALFORMED_BODY`` if it is not valid
         in the protocol.
     """
-    body = bytearray()
-    _reserve(request, request.content_length or 0, max_bytes, 0)
     reserved_bytes = request.content_length or 0
+    _reserve(request, reserved_bytes, max_bytes, 0)
+    content = request.content
     try:
-        async with asyncio.timeout(timeout_s):
-            while part := await request.content.readany():
-                size = len(body) + len(part)
-                _reserve(request, size, max_bytes, reserved_bytes)
-                reserved_bytes = max(reserved_bytes, size)
-                body += part
+        if content.is_eof() and content.total_bytes <= reserved_bytes:
+            # The body has arrived with the head, or there is none.
+            body = content.read_nowait()
+        else:
+            async with asyncio.timeout(timeout_s):
+                body = await _read_parts(request, max_bytes, reserved_bytes)
     except TimeoutError as error:
         raise RequestRefused(ResultCode.BODY_TOO_SLOW) from error
     except RequestPayloadError as error:
         raise RequestRefused(ResultCode.MALFORMED_BODY, str(error)) from error
     client_of(request).begin_service()
+    return body
+
+
+async def _read_parts(request: web.BaseRequest, max_bytes: int, reserved_bytes: int) -> bytes:
+    """Return a body that is arriving, for some bytes of which memory has been taken."""
+    body = bytearray()
+    while part := await request.content.readany():
+        size = len(body) + len(part)
+        _reserve(request, size, max_bytes, reserved_bytes)
+        reserved_bytes = max(reserved_bytes, size)
+        body += part
     return bytes(body)
 
 
--- a/tests/crowds/test_requests_at_limits.py
+++ b/tests/crowds/test_requests_at_limits.py
@@ -63,6 +63,7 @@
         pytest.param((f"Content-Length: {len(BODY)}",), BODY, 100, id="pieces-of-100-bytes"),
         pytest.param(("Transfer-Encoding: chunked",), chunks(BODY, 65536), 8192, id="long-chunks"),
         pytest.param(("Transfer-Encoding: chunked",), chunks(BODY, 8), 8192, id="chunks-of-8"),
+        pytest.param(("Transfer-Encoding: chunked",), chunks(BODY, 1), 8192, id="chunks-of-1"),
     ],
 )
 async def test_body_at_the_limit_is_served(platform, path, fields, body, piece_bytes):
