--- a/src/baobabstream/platform/operator_api.py
+++ b/src/baobabstream/platform/operator_api.py
@@ -34,7 +34,7 @@
 
 # Limit of configurations, twice what is needed: the platform sends some of up to 4 MiB.
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
-# Limits of the announcements of servers, which may list many loaded models, and of other calls.
+# Limits of what servers say of themselves, which may list many loaded models, and of other calls.
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 MAX_ORDER_BYTES = 64 * 1024
 # Longest time in seconds for a body to arrive.
@@ -161,7 +161,8 @@
         distinguishes it from a later process of the same server. It is None if the body does not
         tell it or cannot be decoded.
         """
-        born_ms = read_departure(await read_body(request, MAX_ORDER_BYTES, BODY_TIMEOUT_S))
+        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, BODY_TIMEOUT_S)
+        born_ms = read_departure(body)
         await self._service.withdraw(request.match_info["server_id"], born_ms)
         return _json_response({})
 
