--- a/src/baobabstream/ingress/bounded_handler.py
+++ b/src/baobabstream/ingress/bounded_handler.py
@@ -181,8 +181,12 @@
         ``data`` is all that it has not got. What it does not get now is kept.
         """
         data = self._feed_body(data)
-        if data and not self._is_handling and not self._is_body_open():
-            data = self._feed_body(self._feed_head(data))
+        unparsed_before = 0
+        # Empty lines before a head are parsed by themselves, and begin no request.
+        while data and not self._is_handling and len(data) != unparsed_before:
+            unparsed_before = len(data)
+            if not self._is_body_open():
+                data = self._feed_body(self._feed_head(data))
         if self._is_refused:
             data = b""
         self._keep(data)
--- a/tests/ingress/test_bounded_handler.py
+++ b/tests/ingress/test_bounded_handler.py
@@ -100,11 +100,14 @@
         chunked_request("/2", CHUNKED_BODY),
         request("/3"),
         chunked_request("/4", CHUNKED_BODY),
-        request("/5", b"", "Connection: close"),
+        request("/5", b"", "Connection: Upgrade", "Upgrade: websocket"),
+        # Line ends before a request are ignored (RFC 9112, section 2.2).
+        b"\r\n\r\n" + request("/6", b"", "Connection: close"),
     )
     async with running_server() as server:
         answer = await server.exchange(cut(b"".join(requests), block_bytes))
-    expected = (b"/1 " + BODY, b"/2 " + CHUNKED_CONTENT, b"/3 ", b"/4 " + CHUNKED_CONTENT, b"/5 ")
+    chunked = CHUNKED_CONTENT
+    expected = (b"/1 " + BODY, b"/2 " + chunked, b"/3 ", b"/4 " + chunked, b"/5 ", b"/6 ")
     assert answer.count(b"HTTP/1.1 200 OK") == len(requests)
     start = 0
     for content in expected:
