--- a/src/baobabstream/backends/service_client.py
+++ b/src/baobabstream/backends/service_client.py
@@ -20,7 +20,6 @@
 )
 
 from baobabstream.backends.attempt_error import AttemptError
-from baobabstream.backends.response_memory import MAX_RESPONSE_MEMORY_BYTES
 from baobabstream.backends.strict_http import (
     StrictConnector,
     answer_failure,
@@ -28,6 +27,7 @@
 )
 from baobabstream.policy.events import FailureKind
 from baobabstream.resources.memory_budget import MemoryBudget
+from baobabstream.resources.process_limits import MAX_RESPONSE_MEMORY_BYTES
 
 __all__ = ["ServiceAnswer", "ServiceCall", "ServiceClient"]
 
--- a/src/baobabstream/coordination/daemon.py
+++ b/src/baobabstream/coordination/daemon.py
@@ -39,7 +39,7 @@
     CoordinationState,
 )
 from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError, PeerError, StorageError
+from baobabstream.errors.exceptions import PeerError, StorageError
 from baobabstream.ingress.bounded_runner import BoundedAppRunner, start_bounded_site
 from baobabstream.resources.client_resources import ProcessResources
 from baobabstream.telemetry.client_records import record_clients
@@ -219,16 +219,13 @@
             self._make_application(self.service), self.resources.clients
         )
         await self._runner.setup()
-        try:
-            await start_bounded_site(
-                self._runner,
-                self.settings.ip,
-                self.settings.http_port,
-                self.settings.limits.accept_backlog,
-            )
-            await self._statistics_server.start(self.settings.ip)
-        except OSError as error:
-            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
+        await start_bounded_site(
+            self._runner,
+            self.settings.ip,
+            self.settings.http_port,
+            self.settings.limits.accept_backlog,
+        )
+        await self._statistics_server.start(self.settings.ip)
         self._tasks = [
             asyncio.create_task(self.decisions.run()),
             asyncio.create_task(self._drive_rollouts()),
--- a/src/baobabstream/gateway/daemon.py
+++ b/src/baobabstream/gateway/daemon.py
@@ -22,8 +22,6 @@
 from baobabstream import __version__
 from baobabstream.backends.connection_pool import ConnectionPool
 from baobabstream.backends.idle_timeout_estimator import IdleTimeoutEstimator
-from baobabstream.errors.codes import ResultCode
-from baobabstream.errors.exceptions import BaobabstreamError
 from baobabstream.gateway.coordination_client import (
     CoordinationClient,
     ExchangeHandler,
@@ -201,19 +199,16 @@
         ready_application.router.add_get(self._ready_path, self._handle_ready_check)
         self._ready_runner = BoundedAppRunner(ready_application, resources.clients)
         await self._ready_runner.setup()
-        try:
-            await start_bounded_site(self._ready_runner, settings.ip, settings.ready_port)
-            await self._frontend.start(
-                self._front_socket
-                or open_listening_socket(
-                    settings.ip, settings.front_port, resources.limits.accept_backlog
-                )
+        await start_bounded_site(self._ready_runner, settings.ip, settings.ready_port)
+        await self._frontend.start(
+            self._front_socket
+            or open_listening_socket(
+                settings.ip, settings.front_port, resources.limits.accept_backlog
             )
-            await self._metrics.start(settings.ip)
-            if settings.tunnel_port is not None:
-                await self._tunnel_server.start(settings.ip, settings.tunnel_port)
-        except OSError as error:
-            raise BaobabstreamError(ResultCode.ADDRESS_IN_USE, str(error)) from error
+        )
+        await self._metrics.start(settings.ip)
+        if settings.tunnel_port is not None:
+            await self._tunnel_server.start(settings.ip, settings.tunnel_port)
         decisions = self.context.decisions
         self._tasks = [asyncio.create_task(decisions.run())]
         decisions.record(DecisionEvent.DAEMON_STARTED, role="gateway", version=__version__)
--- a/src/baobabstream/resources/process_limits.py
+++ b/src/baobabstream/resources/process_limits.py
@@ -6,9 +6,13 @@
 
 from dataclasses import dataclass
 
-from baobabstream.backends.response_memory import MAX_RESPONSE_MEMORY_BYTES
-
-__all__ = ["CONNECTION_BYTES", "RECEIVE_BUFFER_BYTES", "WRITE_BUFFER_BYTES", "ProcessLimits"]
+__all__ = [
+    "MAX_RESPONSE_MEMORY_BYTES",
+    "MAX_SMALL_REQUEST_BYTES",
+    "RECEIVE_BUFFER_BYTES",
+    "WRITE_BUFFER_BYTES",
+    "ProcessLimits",
+]
 
 # Memory of a gateway or coordination daemon without clients: the interpreter, the libraries and the
 # state of the cluster.
@@ -32,6 +36,8 @@
 # Part for the answers of backend servers on an entry host, and for the messages of other daemons on
 # a control host.
 MESSAGES_FRACTION = 0.2
+# Limit for the bodies of all answers that are being buffered, however much memory the host has.
+MAX_RESPONSE_MEMORY_BYTES = 32 * 1024 * 1024
 # Part of the memory for requests that only small ones may use, and the size of these: any head
 # without very many fields, and a body of some tens of kilobytes.
 SMALL_REQUESTS_FRACTION = 0.3
