--- a/tests/crowds/test_requests_at_limits.py
+++ b/tests/crowds/test_requests_at_limits.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from baobabstream.telemetry.statistics import StatisticName
+from baobabstream.telemetry.statistics_page import METRICS_PATH, METRICS_PORT
 from crowds.misbehaving_clients import MAX_BODY_BYTES, MAX_HEADER_BYTES
-from crowds.platform_under_crowds import REQUEST_LIMITS, run_small_platform
+from crowds.platform_under_crowds import REQUEST_LIMITS, run_small_platform, serve_in_time
 from platform_stand_in import FRONT_PORT, HTTP_PORT, caller_headers, make_config
 
 # Longest time for one request; only guards against one that never ends.
@@ -25,6 +27,13 @@
         yield platform
 
 
+async def has_configuration(platform, version: int) -> bool:
+    """Return whether the gateway has a version of the configuration in force."""
+    url = f"http://{platform.gateway_ips[0]}:{METRICS_PORT}{METRICS_PATH}"
+    async with platform.http.get(url) as reply:
+        return f"{StatisticName.DOCUMENT_VERSION} {float(version)}" in await reply.text()
+
+
 def pieces(data: bytes, piece_bytes: int) -> list[bytes]:
     """Return bytes in pieces."""
     return [data[start : start + piece_bytes] for start in range(0, len(data), piece_bytes)]
@@ -74,6 +83,8 @@
     for route in config["routes"]:
         route["timeout_ms"] = 60000
     await platform.put_config(config)
+    # Until then the time-out of the first configuration limits the time for the body.
+    await serve_in_time(lambda: has_configuration(platform, 2))
     blocks = [timed_head, *pieces(body, piece_bytes)]
     status_line = await send(platform.gateway_ips[0], FRONT_PORT, blocks)
     assert b" 200 " in status_line
