--- a/src/baobabstream/control/admin_api.py
+++ b/src/baobabstream/control/admin_api.py
@@ -22,7 +22,7 @@
 from baobabstream.control.group_member import GroupMember
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError, RequestRefused
-from baobabstream.ingress.request_body import read_body
+from baobabstream.ingress.request_body import CONTROL_BODY_TIMEOUT_S, read_body
 from baobabstream.wire.messages import ForwardReply, ForwardRequest
 
 __all__ = ["AdminApi"]
@@ -31,8 +31,6 @@
 # Limit for announcements of backend servers, which list at most 256 loaded model versions, 256
 # adapters (additional weights for a model) and 1,024 events of the prefix cache.
 MAX_BACKEND_BODY_BYTES = 256 * 1024
-# Longest time in seconds for a body to arrive.
-BODY_TIMEOUT_S = 30.0
 # Time limit for the leader's answer to a forwarded call.
 FORWARD_TIMEOUT_S = 3.0
 # Errors of a connection that may have failed after the call was sent, so that it is not known
@@ -124,7 +122,7 @@
             Size in bytes of the largest body that is accepted.
         """
         try:
-            body = await read_body(request, limit_bytes, BODY_TIMEOUT_S)
+            body = await read_body(request, limit_bytes, CONTROL_BODY_TIMEOUT_S)
             status, answer = await self._answer_or_forward(request, body, operator)
         except BaobabstreamError as error:
             return error_response(error)
--- a/src/baobabstream/ingress/request_body.py
+++ b/src/baobabstream/ingress/request_body.py
@@ -9,8 +9,10 @@
 from baobabstream.errors.exceptions import RequestRefused
 from baobabstream.ingress.bounded_handler import client_of
 
-__all__ = ["read_body"]
+__all__ = ["CONTROL_BODY_TIMEOUT_S", "read_body"]
 
+# Longest time in seconds for the body of a call to a control host to arrive.
+CONTROL_BODY_TIMEOUT_S = 30.0
 # Number of copies of a body that a process holds at once, while the body is put together and while
 # it is sent on.
 BODY_COPIES = 2
--- a/src/baobabstream/platform/operator_api.py
+++ b/src/baobabstream/platform/operator_api.py
@@ -17,7 +17,7 @@
 from baobabstream.coordination.service import CoordinationService
 from baobabstream.errors.codes import CODE_TABLE, ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError
-from baobabstream.ingress.request_body import read_body
+from baobabstream.ingress.request_body import CONTROL_BODY_TIMEOUT_S, read_body
 from baobabstream.platform.announcement_format import read_announcement, read_departure
 from baobabstream.platform.config_format import read_document
 from baobabstream.platform.decoding import Identifier, decode
@@ -37,8 +37,6 @@
 # Limits of what servers say of themselves, which may list many loaded models, and of other calls.
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 MAX_ORDER_BYTES = 64 * 1024
-# Longest time in seconds for a body to arrive.
-BODY_TIMEOUT_S = 30.0
 
 # Longest rollout, a week in seconds.
 MAX_ROLLOUT_S = 7 * 24 * 3600.0
@@ -109,7 +107,7 @@
         its version, a number that rises with each change. If it is invalid, the result is
         ``CHANGE_INVALID``.
         """
-        config_text = await read_body(request, MAX_DOCUMENT_BYTES, BODY_TIMEOUT_S)
+        config_text = await read_body(request, MAX_DOCUMENT_BYTES, CONTROL_BODY_TIMEOUT_S)
         document = read_document(config_text)
         stored_version = await self._service.store_document(document.version, config_text)
         return _json_response({"version": stored_version})
@@ -127,7 +125,7 @@
 
         The result is ``CHANGE_INVALID`` if the body cannot be decoded.
         """
-        body = await read_body(request, MAX_ORDER_BYTES, BODY_TIMEOUT_S)
+        body = await read_body(request, MAX_ORDER_BYTES, CONTROL_BODY_TIMEOUT_S)
         rollout_start = decode(_rollout_start_decoder, body, ResultCode.CHANGE_INVALID)
         await self._service.start_rollout(
             rollout_start.service, rollout_start.target, rollout_start.duration_s
@@ -149,7 +147,7 @@
 
         The result is ``ANNOUNCEMENT_INVALID`` if the body is not a valid announcement.
         """
-        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, BODY_TIMEOUT_S)
+        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, CONTROL_BODY_TIMEOUT_S)
         announcement = read_announcement(request.match_info["server_id"], body)
         await self._service.announce(announcement)
         return _json_response({})
@@ -161,7 +159,7 @@
         distinguishes it from a later process of the same server. It is None if the body does not
         tell it or cannot be decoded.
         """
-        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, BODY_TIMEOUT_S)
+        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, CONTROL_BODY_TIMEOUT_S)
         born_ms = read_departure(body)
         await self._service.withdraw(request.match_info["server_id"], born_ms)
         return _json_response({})
--- a/src/baobabstream/platform/settings.py
+++ b/src/baobabstream/platform/settings.py
@@ -19,14 +19,13 @@
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import SettingsError
 from baobabstream.gateway.settings import GatewaySettings
-from baobabstream.resources.process_limits import ProcessLimits
+from baobabstream.resources.process_limits import BYTES_PER_MB, ProcessLimits
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
 # Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = "BAOBABSTREAM_SETTINGS"
 SECONDS_PER_MS = 0.001
-BYTES_PER_MB = 1_000_000
 
 
 class _Bounds(Struct):
--- a/src/baobabstream/resources/process_limits.py
+++ b/src/baobabstream/resources/process_limits.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "BYTES_PER_MB",
     "MAX_RESPONSE_MEMORY_BYTES",
     "MAX_SMALL_REQUEST_BYTES",
     "RECEIVE_BUFFER_BYTES",
@@ -14,6 +15,8 @@
     "ProcessLimits",
 ]
 
+# Bytes of a megabyte in the settings.
+BYTES_PER_MB = 1_000_000
 # Memory of a gateway or coordination daemon without clients: the interpreter, the libraries and the
 # state of the cluster.
 FIXED_MEMORY_BYTES = 56_000_000
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -15,7 +15,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from baobabstream.resources.process_limits import ProcessLimits
+from baobabstream.resources.process_limits import BYTES_PER_MB, ProcessLimits
 from baobabstream.settings.paths import SettingsPath
 from baobabstream.settings.secrets import Secret
 from baobabstream.settings.tls import PeerTlsFiles, TlsFiles
@@ -38,7 +38,6 @@
 # IPv4 or IPv6 address. The longest, an IPv6 address that ends in an IPv4 one, has 45 characters.
 Ip = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:]+$", max_length=45)]
 
-BYTES_PER_MB = 1_000_000
 # Memory of an entry or control daemon without clients. They load more libraries than the others.
 FIXED_MEMORY_BYTES = 76_000_000
 
