--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -7,10 +7,11 @@
 import asyncio
 import errno
 import json
+import logging
 import os
 import socket
 from contextlib import AsyncExitStack, suppress
-from itertools import count
+from itertools import chain, count
 from pathlib import Path
 from random import Random
 
@@ -30,6 +31,8 @@
 
 __all__ = ["KEY", "PlatformHarness", "caller_headers", "make_config"]
 
+logger = logging.getLogger(__name__)
+
 # API key of the only client account.
 KEY = "desk-key"
 # Ports of every daemon; the daemons differ in their IP addresses.
@@ -89,13 +92,15 @@
     return f"127.{1 + number // 250 % 250}.{1 + number % 250}"
 
 
-def _reserve_network() -> tuple[str, socket.socket]:
+def _reserve_network(preferred_number: int | None) -> tuple[str, socket.socket]:
     """Return the prefix of a network that no other test process uses, and the socket that says so.
 
-    Another process may have begun at the same number.
+    The preferred network is in use if the same test, or another copy of it, runs at the same time.
     """
+    preferred_numbers = () if preferred_number is None else (preferred_number,)
+    numbers = chain(preferred_numbers, _network_numbers)
     while True:
-        prefix = _network_prefix(next(_network_numbers))
+        prefix = _network_prefix(next(numbers))
         reservation = socket.socket()
         try:
             reservation.bind((f"{prefix}.254", RESERVATION_PORT))
@@ -103,6 +108,7 @@
             reservation.close()
             if error.errno != errno.EADDRINUSE:
                 raise
+            logger.warning("network %s is in use; the next one is tried", prefix)
         else:
             return prefix, reservation
 
@@ -117,7 +123,8 @@
     coordinators, gateways
         Number of hosts; the first three coordination hosts are the seeds.
     network
-        Number of the loopback network of the hosts, by default an unused one.
+        Number of the preferred loopback network of the hosts. An unused one is taken by default,
+        or if another test uses the preferred one.
 
     Attributes
     ----------
@@ -133,11 +140,8 @@
         self, folder: Path, coordinators: int = 3, gateways: int = 1, network: int | None = None
     ) -> None:
         self._exit_stack = AsyncExitStack()
-        if network is None:
-            prefix, reservation = _reserve_network()
-            self._exit_stack.callback(reservation.close)
-        else:
-            prefix = _network_prefix(network)
+        prefix, reservation = _reserve_network(network)
+        self._exit_stack.callback(reservation.close)
         self._folder = folder
         self.coordinator_ips = [f"{prefix}.{n + 1}" for n in range(coordinators)]
         self.gateway_ips = [f"{prefix}.{n + 101}" for n in range(gateways)]
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -113,8 +113,12 @@
         process = getattr(self, "process", None)
         if process is None or process.returncode is not None:
             return False
+        # ``Process.send_signal`` may collect the exit code first, so that asyncio reports 255.
+        try:
+            os.kill(process.pid, signal_number)
+        except ProcessLookupError:
+            return False
         self._wipe_on_restart = self._wipe_on_restart or wipe_data
-        process.send_signal(signal_number)
         return True
 
     def cut_links(self, kind: CutKind | None) -> None:
