--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -64,20 +64,21 @@
         task = asyncio.current_task()
         assert task is not None
         self._connection_tasks.add(task)
+        writers = [writer]
         try:
-            target_streams = await asyncio.open_connection(self._target_ip, self._target_port)
+            target_reader, target_writer = await asyncio.open_connection(
+                self._target_ip, self._target_port
+            )
+            writers.append(target_writer)
             async with asyncio.TaskGroup() as group:
-                group.create_task(
-                    self._copy_bytes(connection_number, reader, target_streams[1], True)
-                )
-                group.create_task(
-                    self._copy_bytes(connection_number, target_streams[0], writer, False)
-                )
+                group.create_task(self._copy_bytes(connection_number, reader, target_writer, True))
+                group.create_task(self._copy_bytes(connection_number, target_reader, writer, False))
         except (OSError, ExceptionGroup, asyncio.CancelledError):
             pass
         finally:
             self._connection_tasks.discard(task)
-            writer.close()
+            for open_writer in writers:
+                open_writer.close()
 
     async def _copy_bytes(
         self,
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -145,6 +145,7 @@
     def __init__(self, port: int) -> None:
         self._target_port = port
         self._silence_events: set[asyncio.Event] = set()
+        self._writers: list[asyncio.StreamWriter] = []
         self.connection_count = 0
 
     async def start(self) -> int:
@@ -163,6 +164,7 @@
         silence = asyncio.Event()
         self._silence_events.add(silence)
         target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self._target_port)
+        self._writers += [writer, target_writer]
         with suppress(ConnectionError):
             await asyncio.gather(
                 self._forward(reader, target_writer, silence),
@@ -177,8 +179,10 @@
                 await writer.drain()
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
         self._server.close()
+        for writer in self._writers:
+            writer.close()
 
 
 async def test_silent_connection_is_replaced_by_the_next_call():
