--- a/src/baobabstream/control/daemon.py
+++ b/src/baobabstream/control/daemon.py
@@ -90,16 +90,20 @@
         app = self.admin.application()
         install_request_metrics(app, self.metrics)
         self._register_metrics()
-        self._http_runner = BoundedAppRunner(app, self._resources.clients, lambda: OWN_FRONT_LIMITS)
-        await self._http_runner.setup()
         # Without TLS settings, the HTTP interface is not encrypted.
-        tls = self.settings.admin_tls
+        tls = self.settings.client_tls
+        self._http_runner = BoundedAppRunner(
+            app,
+            self._resources.clients,
+            lambda: OWN_FRONT_LIMITS,
+            None if tls is None else tls.server_context(),
+        )
+        await self._http_runner.setup()
         await start_bounded_site(
             self._http_runner,
             own_address.ip,
             own_address.http_port,
             self._resources.limits.accept_backlog,
-            ssl_context=tls.server_context() if tls is not None else None,
         )
         await self.metrics.start(self._resources.clients)
         await self.member.start()
--- a/src/baobabstream/entry/daemon.py
+++ b/src/baobabstream/entry/daemon.py
@@ -138,7 +138,6 @@
         listener = settings.listener
         backlog = self.resources.limits.accept_backlog
         self._listening_socket = open_listening_socket(listener.ip, listener.port, backlog)
-        self._tls_context = listener.tls.server_context() if listener.tls is not None else None
         self._context = self._open_clients()
         self.load_meter.start()
         self._poll_task = asyncio.create_task(self.control.run())
@@ -151,17 +150,18 @@
         app.router.add_route("*", "/{path:.*}", PlainHandler(self._context).handle)
         install_request_metrics(app, self.metrics)
         self._register_metrics()
+        # Without TLS settings, callers are served without encryption.
+        tls = self.settings.client_tls
         # ``handler_cancellation`` cancels the handler of a request whose caller disconnects.
         self._runner = BoundedAppRunner(
-            app, self.resources.clients, lambda: OWN_FRONT_LIMITS, handler_cancellation=True
+            app,
+            self.resources.clients,
+            lambda: OWN_FRONT_LIMITS,
+            None if tls is None else tls.server_context(),
+            handler_cancellation=True,
         )
         await self._runner.setup()
-        self._site = web.SockSite(
-            self._runner,
-            self._listening_socket,
-            backlog=backlog,
-            ssl_context=self._tls_context,
-        )
+        self._site = web.SockSite(self._runner, self._listening_socket, backlog=backlog)
         await self._site.start()
         await self.metrics.start(self.resources.clients)
         self.timeline.emit(EventKind.DAEMON_STARTED)
@@ -179,7 +179,7 @@
         # Tells the control session that this entry is about to stop.
         self.control.draining = True
         await asyncio.sleep(self.settings.drain_notice_s)
-        await stop_listening(self._runner, self._site, self._listening_socket, self._tls_context)
+        await stop_listening(self._runner, self._site, self._listening_socket)
         await self.in_flight_requests.wait_until_idle()
         await self._runner.cleanup()
         await self.background_tasks.drain()
--- a/src/baobabstream/ingress/bounded_runner.py
+++ b/src/baobabstream/ingress/bounded_runner.py
@@ -1,12 +1,15 @@
 """Runs HTTP servers whose clients share the resources of one process."""
 
+import asyncio
 from collections.abc import Callable
+from ssl import SSLContext
 from typing import Any
 
 from aiohttp import web
 from aiohttp.web_server import Server
 
 from baobabstream.ingress.bounded_handler import BoundedRequestHandler
+from baobabstream.ingress.bounded_tls import with_tls
 from baobabstream.ingress.listening_socket import open_listening_socket
 from baobabstream.resources.client_resources import ClientResources
 from baobabstream.routing.document import RequestLimits
@@ -31,6 +34,8 @@
         Resources for the clients of the process.
     read_limits
         Returns the limits on the requests of a new connection.
+    tls_context
+        TLS context of all sites of the runner, or None for plain HTTP.
     **options
         Options of aiohttp's runner.
     """
@@ -40,26 +45,32 @@
         app: web.Application,
         resources: ClientResources,
         read_limits: Callable[[], RequestLimits] = RequestLimits,
+        tls_context: SSLContext | None = None,
         **options: Any,
     ) -> None:
         super().__init__(app, access_log=None, **options)
         self._resources = resources
         self._read_limits = read_limits
+        self._tls_context = tls_context
 
     async def _make_server(self) -> Server:
         """Return the server of the application, with connections that are bounded."""
         server = await super()._make_server()
-        return _BoundedServer(server, self._resources, self._read_limits)
+        return _BoundedServer(server, self._resources, self._read_limits, self._tls_context)
 
 
 class _BoundedServer(Server):
-    """Server that makes bounded handlers, and is otherwise like another one."""
+    """Server that makes bounded handlers, with TLS if it has a context.
+
+    It is otherwise like another server.
+    """
 
     def __init__(
         self,
         server: Server,
         resources: ClientResources,
         read_limits: Callable[[], RequestLimits],
+        tls_context: SSLContext | None,
     ) -> None:
         super().__init__(
             server.request_handler,
@@ -70,16 +81,22 @@
         )
         self._resources = resources
         self._read_limits = read_limits
+        self._make_protocol = with_tls(self._make_handler, tls_context, resources)
 
-    def __call__(self) -> BoundedRequestHandler:
-        """Return the handler of a new connection."""
+    # aiohttp only passes the result on to asyncio.
+    def __call__(self) -> asyncio.BaseProtocol:  # type: ignore[override]
+        """Return the protocol of a new connection."""
+        return self._make_protocol()
+
+    def _make_handler(self) -> BoundedRequestHandler:
+        """Return the handler of a new connection, inside TLS if it is used."""
         return BoundedRequestHandler(
             self, self._resources, self._read_limits(), loop=self._loop, **self._kwargs
         )
 
 
 async def start_bounded_site(
-    runner: BoundedAppRunner, ip: str, port: int, backlog: int = SMALL_BACKLOG, **options: Any
+    runner: BoundedAppRunner, ip: str, port: int, backlog: int = SMALL_BACKLOG
 ) -> None:
     """Start to listen for a runner.
 
@@ -91,8 +108,6 @@
         Address to listen on.
     backlog
         Number of connections that may wait to be accepted.
-    **options
-        Options of aiohttp's site.
 
     Raises
     ------
@@ -100,4 +115,4 @@
         ``ADDRESS_IN_USE`` if the address cannot be used.
     """
     listener = open_listening_socket(ip, port, backlog)
-    await web.SockSite(runner, listener, backlog=backlog, **options).start()
+    await web.SockSite(runner, listener, backlog=backlog).start()
--- a/src/baobabstream/ingress/listening_stop.py
+++ b/src/baobabstream/ingress/listening_stop.py
@@ -7,7 +7,6 @@
 import asyncio
 import select
 import socket
-from ssl import SSLContext
 
 from aiohttp.web import AppRunner, BaseSite
 
@@ -26,7 +25,6 @@
     runner: AppRunner,
     site: BaseSite,
     listener: socket.socket,
-    tls_context: SSLContext | None = None,
 ) -> None:
     """Close a listening socket without cutting off callers that have just connected.
 
@@ -42,8 +40,6 @@
         Site that accepts connections from the socket.
     listener
         The listening socket.
-    tls_context
-        TLS context of the site, or None without TLS.
     """
     loop = asyncio.get_running_loop()
     # Has no effect in uvloop, which gives a connection its protocol as soon as it is accepted.
@@ -63,6 +59,6 @@
             continue
         connection.setblocking(False)
         assert runner.server is not None
-        await loop.connect_accepted_socket(runner.server, connection, ssl=tls_context)
+        await loop.connect_accepted_socket(runner.server, connection)
     await site.stop()
     await asyncio.sleep(FIRST_REQUEST_S)
--- a/src/baobabstream/resources/process_limits.py
+++ b/src/baobabstream/resources/process_limits.py
@@ -32,6 +32,9 @@
 # has been read from it, what waits to be written, and the objects that serve it.
 CONNECTION_BYTES = 2 * RECEIVE_BUFFER_BYTES + WRITE_BUFFER_BYTES + 16 * 1024
 
+# Further memory of a connection with TLS: the buffers of asyncio, and the objects of the library.
+TLS_BYTES = 2 * RECEIVE_BUFFER_BYTES + WRITE_BUFFER_BYTES + 64 * 1024
+
 # Parts of the memory that the process itself does not need: for the connections and the requests of
 # clients, and for the connections of other daemons. The rest is a margin for memory that the
 # allocator cannot return.
@@ -65,16 +68,21 @@
         Largest number of open descriptors, with those that are reserved for files.
     fixed_bytes
         Part of the memory that the process needs without any clients.
+    clients_use_tls, peers_use_tls
+        Whether the connections of clients, and of other daemons, use TLS.
     """
 
     memory_bytes: int = 128_000_000
     max_descriptors: int = 1024
     fixed_bytes: int = FIXED_MEMORY_BYTES
+    clients_use_tls: bool = False
+    peers_use_tls: bool = False
 
     @property
     def max_client_connections(self) -> int:
         """Number of connections of clients at all listening sockets together."""
-        by_memory = self._variable_bytes * CONNECTIONS_FRACTION / CONNECTION_BYTES
+        connection_bytes = _connection_bytes(self.clients_use_tls)
+        by_memory = self._variable_bytes * CONNECTIONS_FRACTION / connection_bytes
         return int(min(by_memory, self._free_descriptors * CLIENTS_DESCRIPTOR_FRACTION))
 
     @property
@@ -90,7 +98,8 @@
     @property
     def max_peer_connections(self) -> int:
         """Number of connections that other daemons may open to this one."""
-        by_memory = self._variable_bytes * PEER_CONNECTIONS_FRACTION / CONNECTION_BYTES
+        connection_bytes = _connection_bytes(self.peers_use_tls)
+        by_memory = self._variable_bytes * PEER_CONNECTIONS_FRACTION / connection_bytes
         return int(min(by_memory, self._free_descriptors * PEERS_DESCRIPTOR_FRACTION))
 
     @property
@@ -117,3 +126,8 @@
     def _free_descriptors(self) -> int:
         """Descriptors that are not reserved for files."""
         return max(1, self.max_descriptors - RESERVED_DESCRIPTORS)
+
+
+def _connection_bytes(uses_tls: bool) -> int:
+    """Return the most memory of one connection, without the requests on it."""
+    return CONNECTION_BYTES + TLS_BYTES if uses_tls else CONNECTION_BYTES
--- a/src/baobabstream/settings/models.py
+++ b/src/baobabstream/settings/models.py
@@ -11,6 +11,7 @@
 together.
 """
 
+from abc import abstractmethod
 from typing import Annotated, Literal, Self
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
@@ -108,7 +109,18 @@
     @property
     def process_limits(self) -> ProcessLimits:
         """Memory and descriptors of the process."""
-        return ProcessLimits(self.memory_mb * BYTES_PER_MB, self.max_fds, FIXED_MEMORY_BYTES)
+        return ProcessLimits(
+            self.memory_mb * BYTES_PER_MB,
+            self.max_fds,
+            FIXED_MEMORY_BYTES,
+            clients_use_tls=self.client_tls is not None,
+            peers_use_tls=self.peer_tls is not None,
+        )
+
+    @property
+    @abstractmethod
+    def client_tls(self) -> TlsFiles | None:
+        """Certificate files of the listener for clients, or None for plain HTTP."""
 
     @model_validator(mode="after")
     def _check_control_hosts(self) -> Self:
@@ -172,6 +184,11 @@
         default=10.0, description="Time after which a caller that does not read is disconnected."
     )
 
+    @property
+    def client_tls(self) -> TlsFiles | None:
+        """Certificate files of the listener for callers."""
+        return self.listener.tls
+
 
 class ControlSettings(_DaemonSettings):
     """Settings of a control daemon.
@@ -205,6 +222,11 @@
         default=2000, description="Log entries after which a snapshot is taken."
     )
 
+    @property
+    def client_tls(self) -> TlsFiles | None:
+        """Certificate files of the listener for operators and backend servers."""
+        return self.admin_tls
+
     @model_validator(mode="after")
     def _check_own_host(self) -> Self:
         """Refuse settings of a control daemon whose host is not among the control hosts."""
--- a/src/baobabstream/wire/rpc_server.py
+++ b/src/baobabstream/wire/rpc_server.py
@@ -19,6 +19,7 @@
 
 from baobabstream.errors.codes import ResultCode
 from baobabstream.errors.exceptions import BaobabstreamError, PeerError
+from baobabstream.ingress.bounded_tls import with_tls
 from baobabstream.ingress.listening_socket import open_listening_socket
 from baobabstream.resources.client_resources import (
     ClientConnection,
@@ -94,14 +95,14 @@
         assert address.hostname is not None
         assert address.port is not None
         listener = open_listening_socket(address.hostname, address.port, BACKLOG)
+        protocol_factory = with_tls(
+            lambda: _PeerConnection(self),
+            None if codec.tls is None else codec.tls.server_context(),
+            self.resources,
+        )
         loop = asyncio.get_running_loop()
         self._start_task = loop.create_task(
-            loop.create_server(
-                lambda: _PeerConnection(self),
-                sock=listener,
-                backlog=BACKLOG,
-                ssl=None if codec.tls is None else codec.tls.server_context(),
-            )
+            loop.create_server(protocol_factory, sock=listener, backlog=BACKLOG)
         )
 
     async def close(self) -> None:
--- a/tests/cli/test_daemons_with_tls.py
+++ b/tests/cli/test_daemons_with_tls.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from random import Random
 
-import trustme
 from aiohttp import ClientSession, TCPConnector
 from typer.testing import CliRunner
 
@@ -21,69 +20,15 @@
 from baobabstream.settings.load import load_settings
 from baobabstream.settings.models import ControlSettings, EntrySettings
 from free_ports import free_ports
+from tls_daemon_files import write_daemon_files
 from waiting import until
 
-# Settings of both daemons; `ports` are the peer and HTTP port of the control daemon and the port of
-# the entry daemon.
-COMMON_SETTINGS = """
-cluster = "c"
-host = "{host}"
-availability_zone = "a"
-peer_secret = "correct-horse-battery"
-{extra}
-[peer_tls]
-certificate_file = "{host}.pem"
-key_file = "{host}.key"
-ca_file = "ca.pem"
-[{listener}tls]
-certificate_file = "{host}.pem"
-key_file = "{host}.key"
-[[control]]
-host = "control-1"
-availability_zone = "a"
-port = {ports[0]}
-http_port = {ports[1]}
-"""
-CONTROL_SETTINGS = """
-data_folder = "data"
-backend_key = "correct-horse-battery"
-operator_keys = { ama = "correct-horse-battery" }
-"""
-ENTRY_SETTINGS = """
-session_secret = "correct-horse-battery"
-drain_notice_s = 0.0
-listener.port = {ports[2]}
-"""
-
-
-def write_files(folder, ports) -> trustme.CA:
-    """Write settings, keys and certificates of both daemons; return their certificate authority.
-
-    ``ports`` are the peer and HTTP port of the control daemon and the port of the entry daemon.
-    """
-    authority = trustme.CA()
-    authority.cert_pem.write_to_path(folder / "ca.pem")
-    for host in ("control-1", "entry-1"):
-        certificate = authority.issue_cert(host, "127.0.0.1")
-        certificate.private_key_pem.write_to_path(folder / f"{host}.key")
-        certificate.cert_chain_pems[0].write_to_path(folder / f"{host}.pem")
-    control_settings = COMMON_SETTINGS.format(
-        host="control-1", extra=CONTROL_SETTINGS, listener="admin_", ports=ports
-    )
-    entry_settings = ENTRY_SETTINGS.format(ports=ports)
-    entry_settings = COMMON_SETTINGS.format(
-        host="entry-1", extra=entry_settings, listener="listener.", ports=ports
-    )
-    (folder / "control.toml").write_text(control_settings)
-    (folder / "entry.toml").write_text(entry_settings)
-    return authority
-
 
 async def test_entry_becomes_ready_over_tls_and_serves_https(tmp_path, monkeypatch):
     """Guards against a listener or a connection between daemons that does not use TLS."""
     monkeypatch.setattr(admin_client, "RESEND_DELAY_S", 0.0)
     ports = free_ports(3)
-    authority = write_files(tmp_path, ports)
+    authority = write_daemon_files(tmp_path, ports)
     control = ControlDaemon(load_settings(tmp_path / "control.toml", ControlSettings))
     entry = EntryDaemon(load_settings(tmp_path / "entry.toml", EntrySettings), Random(1))
     await control.start()
--- a/tests/crowds/misbehaving_clients.py
+++ b/tests/crowds/misbehaving_clients.py
@@ -10,15 +10,19 @@
 from dataclasses import dataclass
 from gzip import compress
 from itertools import chain, count, repeat
+from ssl import CERT_NONE, PROTOCOL_TLS_CLIENT, MemoryBIO, SSLContext, SSLWantReadError
 
 __all__ = [
     "CROWDS",
     "FRAME_CROWDS",
+    "HANDSHAKE_CROWDS",
     "MAX_BODY_BYTES",
     "MAX_HEADER_BYTES",
     "REQUEST_SOCKET_PREAMBLE",
+    "TLS_CROWDS",
     "Crowd",
     "Target",
+    "client_tls",
     "gather_crowd",
 ]
 
@@ -57,6 +61,8 @@
         Header lines of each request, without the last line end.
     preamble
         Bytes that a connection begins with, before any request.
+    tls
+        Context of connections with TLS, or None.
     """
 
     ip: str
@@ -65,6 +71,7 @@
     method: str = "POST"
     fields: tuple[str, ...] = ()
     preamble: bytes = b""
+    tls: SSLContext | None = None
 
     def head(self, *fields: str, method: str = "") -> bytes:
         """Return the head of a request with further header lines."""
@@ -217,6 +224,40 @@
     yield from repeat(frame * 100, 1000)
 
 
+def client_tls() -> SSLContext:
+    """Return the context of a client that accepts any certificate."""
+    context = SSLContext(PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.verify_mode = CERT_NONE
+    return context
+
+
+def _first_handshake_message() -> bytes:
+    """Return what a client sends first to open a connection with TLS."""
+    outgoing = MemoryBIO()
+    try:
+        client_tls().wrap_bio(MemoryBIO(), outgoing).do_handshake()
+    except SSLWantReadError:
+        return outgoing.read()
+    raise AssertionError("a handshake needs an answer")
+
+
+def _handshake_that_stops(_: Target) -> Blocks:
+    """Yield the first message of a handshake, which the server answers."""
+    yield _first_handshake_message()
+
+
+def _half_handshake_message(_: Target) -> Blocks:
+    """Yield a half of the first message of a handshake."""
+    message = _first_handshake_message()
+    yield message[: len(message) // 2]
+
+
+def _nothing(_: Target) -> Blocks:
+    """Yield nothing."""
+    return iter(())
+
+
 # Clients that hold much each, and clients that are many.
 CROWDS = (
     Crowd("bodies in one piece that stop short of their end", 60, _body_in_one_piece),
@@ -239,7 +280,22 @@
 FRAME_CROWDS = (
     Crowd("frames that stop short of their end", 20, _frame_without_end),
     Crowd("frames whose answers are not read", 40, _frames_ahead),
-    Crowd("connections without a frame", 700, lambda _: iter(())),
+    Crowd("connections without a frame", 700, _nothing),
+)
+
+# Crowds without TLS at ports with TLS.
+HANDSHAKE_CROWDS = (
+    Crowd("connections without a handshake", 700, _nothing),
+    Crowd("halves of the first message of a handshake", 700, _half_handshake_message),
+    Crowd("handshakes that stop after the first message", 700, _handshake_that_stops),
+)
+
+# Crowds at ports with TLS, once the handshake has ended; see ``Target.tls``.
+TLS_CROWDS = (
+    Crowd("bodies in one piece that stop short of their end", 60, _body_in_one_piece),
+    Crowd("connections without a request", 700, _nothing),
+    Crowd("halves of heads", 700, _half_head),
+    Crowd("requests whose answers are not read", 100, _unread_answers),
 )
 
 
@@ -257,7 +313,9 @@
     for _ in range(MAX_CONNECTIONS_PER_CLIENT):
         try:
             # The reader has room for one byte, so that answers stay unread.
-            _, writer = await asyncio.open_connection(target.ip, target.port, limit=1)
+            _, writer = await asyncio.open_connection(
+                target.ip, target.port, limit=1, ssl=target.tls
+            )
         except OSError:
             continue
         writers.append(writer)
--- a/tests/resources/test_client_resources.py
+++ b/tests/resources/test_client_resources.py
@@ -80,10 +80,14 @@
 
 @pytest.mark.parametrize("memory_mb", [88, 128, 150, 200, 256, 300])
 @pytest.mark.parametrize("max_descriptors", [600, 1024, 4096])
-def test_parts_of_a_process_fit_into_its_limits(memory_mb, max_descriptors):
+@pytest.mark.parametrize(("uses_tls", "connection_bytes"), [(False, 64 * 1024), (True, 176 * 1024)])
+def test_parts_of_a_process_fit_into_its_limits(
+    memory_mb, max_descriptors, uses_tls, connection_bytes
+):
     """Guards against parts that are more than the whole, or that no request of legal size fits."""
-    limits = ProcessLimits(memory_mb * MB, max_descriptors)
-    connection_bytes = 64 * 1024
+    limits = ProcessLimits(
+        memory_mb * MB, max_descriptors, clients_use_tls=uses_tls, peers_use_tls=uses_tls
+    )
     parts = (
         limits.fixed_bytes,
         limits.max_client_connections * connection_bytes,
