--- a/src/baobabstream/control/admin_api.py
+++ b/src/baobabstream/control/admin_api.py
@@ -31,6 +31,8 @@
 # Limit for announcements of backend servers, which list at most 256 loaded model versions, 256
 # adapters (additional weights for a model) and 1,024 events of the prefix cache.
 MAX_BACKEND_BODY_BYTES = 256 * 1024
+# Memory of a part of a decoded body, or of the error about it; see `count_json_parts`.
+ADMIN_PART_BYTES = 600
 # Time limit for the leader's answer to a forwarded call.
 FORWARD_TIMEOUT_S = 3.0
 # Errors of a connection that may have failed after the call was sent, so that it is not known
@@ -122,7 +124,7 @@
             Size in bytes of the largest body that is accepted.
         """
         try:
-            body = await read_body(request, limit_bytes, CONTROL_BODY_TIMEOUT_S)
+            body = await read_body(request, limit_bytes, CONTROL_BODY_TIMEOUT_S, ADMIN_PART_BYTES)
             status, answer = await self._answer_or_forward(request, body, operator)
         except BaobabstreamError as error:
             return error_response(error)
--- a/src/baobabstream/control/admin_models.py
+++ b/src/baobabstream/control/admin_models.py
@@ -56,8 +56,8 @@
 
     change_id: Name
     base_revision: Annotated[int, Field(ge=0)]
-    put: list[dict[str, Any]] = []
-    delete: list[RowKey] = []
+    put: Annotated[list[dict[str, Any]], Field(fail_fast=True)] = []
+    delete: Annotated[list[RowKey], Field(fail_fast=True)] = []
 
 
 class VersionActionBody(_StrictModel):
--- a/src/baobabstream/entry/caller_access.py
+++ b/src/baobabstream/entry/caller_access.py
@@ -73,12 +73,12 @@
             raise RequestRefused(ResultCode.UNAUTHENTICATED)
         return account
 
-    async def read_body(self, request: web.Request) -> bytes:
-        """Return the body of a request.
+    async def read_body(self, request: web.Request, json_part_bytes: int = 0) -> bytes:
+        """Return the body of a request; ``json_part_bytes`` is that of the function `read_body`.
 
         Raises
         ------
         RequestRefused
             As the function `read_body`.
         """
-        return await read_body(request, self._max_body_bytes, self._body_timeout_s)
+        return await read_body(request, self._max_body_bytes, self._body_timeout_s, json_part_bytes)
--- a/src/baobabstream/entry/chat_handler.py
+++ b/src/baobabstream/entry/chat_handler.py
@@ -23,6 +23,9 @@
 
 __all__ = ["ChatHandler"]
 
+# Memory of a part of a decoded body, and of what is sent on of it; see `count_json_parts`.
+CHAT_PART_BYTES = 300
+
 
 class ChatHandler:
     """Handles ``POST /v1/chat/completions`` and ``GET /v1/models``.
@@ -56,7 +59,7 @@
         context = self._context
         context.caller_access.require_ready()
         account = context.caller_access.authenticate(request)
-        raw_body = await context.caller_access.read_body(request)
+        raw_body = await context.caller_access.read_body(request, CHAT_PART_BYTES)
         request_id = uuid.uuid4().hex
         chat_request = read_chat_request(
             request, raw_body, request_id, account, context.view, context.session_tokens
--- a/src/baobabstream/entry/chat_models.py
+++ b/src/baobabstream/entry/chat_models.py
@@ -22,13 +22,14 @@
     """One message of the conversation; unknown fields are passed on to the engine.
 
     ``role`` names the author, such as "user", with up to 32 characters. ``content`` is a text, a
-    list of parts, or null.
+    list of parts, or null. Of a list with many invalid items only the first is looked at, since
+    each error takes memory.
     """
 
     model_config = ConfigDict(extra="allow")
 
     role: Annotated[str, Field(min_length=1, max_length=32)]
-    content: str | list[dict[str, Any]] | None = None
+    content: str | Annotated[list[dict[str, Any]], Field(fail_fast=True)] | None = None
 
 
 class StreamOptions(BaseModel):
@@ -55,7 +56,7 @@
     model_config = ConfigDict(extra="allow")
 
     model: Annotated[str, Field(max_length=128)] = ""
-    messages: Annotated[list[ChatMessage], Field(min_length=1)]
+    messages: Annotated[list[ChatMessage], Field(min_length=1, fail_fast=True)]
     stream: Annotated[bool, Field(strict=True)] | None = None
     stream_options: StreamOptions | None = None
     max_tokens: TokenCount | None = None
--- a/src/baobabstream/platform/operator_api.py
+++ b/src/baobabstream/platform/operator_api.py
@@ -34,6 +34,8 @@
 
 # Limit of configurations, twice what is needed: the platform sends some of up to 4 MiB.
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# Memory of a part of a decoded configuration; see `count_json_parts`.
+DOCUMENT_PART_BYTES = 60
 # Limits of what servers say of themselves, which may list many loaded models, and of other calls.
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 MAX_ORDER_BYTES = 64 * 1024
@@ -107,7 +109,9 @@
         its version, a number that rises with each change. If it is invalid, the result is
         ``CHANGE_INVALID``.
         """
-        config_text = await read_body(request, MAX_DOCUMENT_BYTES, CONTROL_BODY_TIMEOUT_S)
+        config_text = await read_body(
+            request, MAX_DOCUMENT_BYTES, CONTROL_BODY_TIMEOUT_S, DOCUMENT_PART_BYTES
+        )
         document = read_document(config_text)
         stored_version = await self._service.store_document(document.version, config_text)
         return _json_response({"version": stored_version})
--- a/src/baobabstream/resources/memory_budget.py
+++ b/src/baobabstream/resources/memory_budget.py
@@ -33,6 +33,11 @@
         """Bytes that all holders have taken."""
         return self._max_bytes - self._free_bytes
 
+    @property
+    def max_holder_bytes(self) -> int:
+        """Bytes that one holder could take if there were no others."""
+        return max(self._max_bytes - self._reserved_bytes, self._max_small_bytes)
+
     def open(self, on_evicted: Callable[[], None]) -> "MemoryHolder":
         """Return a new holder of this memory, which its owner closes.
 
@@ -66,7 +71,7 @@
 
     def _can_ever_hold(self, wanted_bytes: int) -> bool:
         """Return whether a holder of a size would have room if there were no others."""
-        return wanted_bytes <= self._max_bytes - self._reserved_from(wanted_bytes)
+        return wanted_bytes <= self.max_holder_bytes
 
     def _release(self, holder: "MemoryHolder", byte_count: int) -> None:
         """Take memory of a holder back."""
@@ -106,6 +111,11 @@
         self.held_bytes += byte_count
         return True
 
+    @property
+    def max_bytes(self) -> int:
+        """Bytes that it could take if nobody else held any."""
+        return self._budget.max_holder_bytes
+
     def can_ever_hold(self, byte_count: int) -> bool:
         """Return whether so many bytes would have room if nobody else held any."""
         return self._budget._can_ever_hold(byte_count)
