--- a/src/baobabstream/ingress/request_body.py
+++ b/src/baobabstream/ingress/request_body.py
@@ -83,7 +83,7 @@
     if size <= reserved_bytes:
         return
     memory = client_of(request).memory
-    if size > max_bytes or not memory.can_ever_hold(size * BODY_COPIES):
+    if size > max_bytes or size * BODY_COPIES > memory.max_bytes:
         raise RequestRefused(ResultCode.BODY_TOO_LARGE)
     if not memory.try_acquire((size - reserved_bytes) * BODY_COPIES):
         raise RequestRefused(ResultCode.CLIENT_MEMORY_FULL)
@@ -92,8 +92,7 @@
 def _reserve_decoded(request: web.BaseRequest, body: bytes, json_part_bytes: int) -> None:
     """Take memory for the decoded form of a JSON body."""
     memory = client_of(request).memory
-    max_decoded_bytes = memory.max_bytes - len(body) * BODY_COPIES
-    max_parts = max_decoded_bytes // json_part_bytes
+    max_parts = (memory.max_bytes - len(body) * BODY_COPIES) // json_part_bytes
     part_count = count_json_parts(body, max_parts)
     if part_count > max_parts:
         raise RequestRefused(ResultCode.BODY_TOO_LARGE)
--- a/src/baobabstream/resources/memory_budget.py
+++ b/src/baobabstream/resources/memory_budget.py
@@ -69,10 +69,6 @@
         """Return the number of bytes that a holder of a size may not use."""
         return 0 if wanted_bytes <= self._max_small_bytes else self._reserved_bytes
 
-    def _can_ever_hold(self, wanted_bytes: int) -> bool:
-        """Return whether a holder of a size would have room if there were no others."""
-        return wanted_bytes <= self.max_holder_bytes
-
     def _release(self, holder: "MemoryHolder", byte_count: int) -> None:
         """Take memory of a holder back."""
         self._free_bytes += byte_count
@@ -116,10 +112,6 @@
         """Bytes that it could take if nobody else held any."""
         return self._budget.max_holder_bytes
 
-    def can_ever_hold(self, byte_count: int) -> bool:
-        """Return whether so many bytes would have room if nobody else held any."""
-        return self._budget._can_ever_hold(byte_count)
-
     def release(self, byte_count: int) -> None:
         """Give back bytes that were taken, at most as many as are still held."""
         byte_count = min(byte_count, self.held_bytes)
