--- a/tests/crowds/test_own_front_crowds.py
+++ b/tests/crowds/test_own_front_crowds.py
@@ -15,12 +15,15 @@
     assert_process_is_bounded,
     serve_in_time,
 )
-from system.cluster import BACKEND_KEY, OPERATOR_KEY, Cluster, EngineSpec, free_ports
+from system.cluster import BACKEND_KEY, OPERATOR_KEY, Cluster, EngineSpec
 from system.rows import account_row, class_row, version_row
 
 API_KEY = "api-key-of-the-desk"
 # These daemons load more libraries than those of the platform.
 MEMORY_MB = 128
+# Ports of the exporters of the control and the entry host. The other ports of a cluster are drawn
+# from 10,000 on, and each cluster has an address of its own.
+METRICS_PORTS = (9464, 9465)
 LIMITS = f"memory_mb = {MEMORY_MB}\nmax_fds = {MAX_DESCRIPTORS}\n"
 
 
@@ -31,13 +34,10 @@
     ----------
     cluster
         The processes, which are not running yet.
-    metrics_ports
-        Ports of the exporters of the control and the entry host.
     """
 
-    def __init__(self, cluster: Cluster, metrics_ports: list[int]) -> None:
+    def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
-        self._metrics_ports = metrics_ports
         self._changes = count()
 
     async def serves_caller(self) -> bool:
@@ -80,7 +80,7 @@
         paths = ("/v1/chat/completions", "/v1/models", "/readyz", "/none")
         return (
             *(Target(cluster.ip, port, path, fields=fields) for path in paths),
-            Target(cluster.ip, self._metrics_ports[1], "/metrics", fields=fields),
+            Target(cluster.ip, METRICS_PORTS[1], "/metrics", fields=fields),
         )
 
     def control_targets(self) -> tuple[Target, ...]:
@@ -95,7 +95,7 @@
             Target(cluster.ip, port, "/backend/v1/announce", fields=server),
             Target(cluster.ip, port, "/healthz", fields=server),
             Target(cluster.ip, port, "/none", fields=server),
-            Target(cluster.ip, self._metrics_ports[0], "/metrics", fields=server),
+            Target(cluster.ip, METRICS_PORTS[0], "/metrics", fields=server),
             Target(cluster.ip, cluster.ports["control-1/rpc"], "/", fields=server),
         )
 
@@ -110,11 +110,10 @@
     """Run the hosts with small limits until an ordinary call of each kind is served."""
     (folder / "timeline").mkdir()
     cluster = Cluster(folder, 1, 1, (EngineSpec("engine-1", ("small@1",)),))
-    metrics_ports = free_ports(2, cluster.ip)
-    exporters = [f'metrics_ip = "{cluster.ip}"\nmetrics_port = {port}\n' for port in metrics_ports]
+    exporters = [f'metrics_ip = "{cluster.ip}"\nmetrics_port = {port}\n' for port in METRICS_PORTS]
     cluster.control_settings = LIMITS + exporters[0]
     cluster.entry_settings += LIMITS + exporters[1]
-    hosts = _Hosts(cluster, metrics_ports)
+    hosts = _Hosts(cluster)
     try:
         await cluster.start()
         await cluster.put(
