--- a/src/baobabstream/wire/tls.py
+++ b/src/baobabstream/wire/tls.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Mapping
-from ssl import CERT_REQUIRED, Purpose, SSLContext, TLSVersion, create_default_context
+from ssl import SSLContext
 from typing import TYPE_CHECKING
 
 from pynng import TLSConfig
@@ -20,7 +20,7 @@
 def tls_url(url: str) -> str:
     """Return an nng TCP address with the scheme ``tls+tcp`` in place of ``tcp``.
 
-    nng opens a TLS connection or listener for this scheme.
+    nng opens a TLS connection for this scheme.
     """
     # 1 is the number of replacements: only the scheme at the start.
     return url.replace("tcp://", "tls+tcp://", 1)
@@ -45,11 +45,7 @@
 
     def server_context(self) -> SSLContext:
         """Return the context of a listener that requires a client certificate."""
-        context = create_default_context(Purpose.CLIENT_AUTH, cafile=self._files.ca_file)
-        context.minimum_version = TLSVersion.TLSv1_2
-        context.verify_mode = CERT_REQUIRED
-        context.load_cert_chain(self._files.certificate_file, self._files.key_file)
-        return context
+        return self._files.server_context()
 
     def client(self, url: str) -> TLSConfig:
         """Return the configuration of a client connection to the daemon at an nng address.
