--- a/src/baobabstream/ingress/bounded_handler.py
+++ b/src/baobabstream/ingress/bounded_handler.py
@@ -78,7 +78,6 @@
         "_is_refused",
         "_has_paused_reading",
         "_head_timer",
-        "_stall_timer",
         "_refusal",
     )
 
@@ -113,7 +112,6 @@
         self._is_refused = False
         self._has_paused_reading = False
         self._head_timer: asyncio.TimerHandle | None = None
-        self._stall_timer: asyncio.TimerHandle | None = None
         # Answer to a request whose head is refused.
         self._refusal: web.Response | None = None
 
@@ -141,9 +139,8 @@
             return
         self._client.release()
         self._unparsed = b""
-        for timer in (self._head_timer, self._stall_timer):
-            if timer is not None:
-                timer.cancel()
+        if self._head_timer is not None:
+            self._head_timer.cancel()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -163,15 +160,12 @@
     def pause_writing(self) -> None:
         """Close the connection if the client reads nothing of its answer for long."""
         super().pause_writing()
-        self.client.set_reading(False)
-        self._stall_timer = self._loop.call_later(self._limits.idle_timeout_s, self._end_stalled)
+        self.client.set_reading(False, self._limits.idle_timeout_s)
 
     def resume_writing(self) -> None:
         """Wait no longer for the client to read."""
         super().resume_writing()
         self.client.set_reading(True)
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
 
     # Reading of requests
 
@@ -298,10 +292,6 @@
         if not self._is_refused:
             self._refuse(ClientRefusal.HEAD_TOO_SLOW, ResultCode.HEAD_TOO_SLOW)
 
-    def _end_stalled(self) -> None:
-        """Close the connection of a client that does not read its answer."""
-        self.client.evict(ClientRefusal.READS_NOTHING)
-
     # Methods of aiohttp's handler
 
     def _process_keepalive(self) -> None:
--- a/src/baobabstream/resources/client_resources.py
+++ b/src/baobabstream/resources/client_resources.py
@@ -9,6 +9,7 @@
 Its peers are the other daemons, which have resources of their own.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
@@ -120,6 +121,7 @@
         self._is_released = False
         self._is_served = self._has_been_served = False
         self._reads_nothing = False
+        self._stall_timer: asyncio.TimerHandle | None = None
 
     def begin_service(self) -> None:
         """Let the connection count as served, and keep it: its request has arrived as a whole."""
@@ -131,9 +133,19 @@
         self._is_served = False
         self._update()
 
-    def set_reading(self, is_reading: bool) -> None:
-        """Record whether the client reads its answer; one that does not waits."""
+    def set_reading(self, is_reading: bool, stall_timeout_s: float | None = None) -> None:
+        """Record whether the client reads its answer; one that does not waits.
+
+        It loses its connection if it has not read on after ``stall_timeout_s`` seconds.
+        """
+        if self._is_released:
+            return
         self._reads_nothing = not is_reading
+        self._cancel_stall_timer()
+        if not is_reading and stall_timeout_s is not None:
+            self._stall_timer = asyncio.get_running_loop().call_later(
+                stall_timeout_s, self.evict, ClientRefusal.READS_NOTHING
+            )
         self._update()
 
     def evict(self, reason: ClientRefusal) -> None:
@@ -150,9 +162,16 @@
     def release(self) -> None:
         """Give everything back; may be called more than once."""
         self._is_released = True
+        self._cancel_stall_timer()
         self._resources._release(self)
         self.memory.close()
 
+    def _cancel_stall_timer(self) -> None:
+        """Wait no longer for the client to read on."""
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
     def _update(self) -> None:
         """Pass on whether the connection waits, once it has been served."""
         if self._is_released or not self._has_been_served:
--- a/src/baobabstream/wire/rpc_server.py
+++ b/src/baobabstream/wire/rpc_server.py
@@ -192,7 +192,6 @@
         # Length of the frame that is arriving; None before its length is known.
         self._frame_bytes: int | None = None
         self._arrival_timer: asyncio.TimerHandle | None = None
-        self._stall_timer: asyncio.TimerHandle | None = None
         # Set while the peer reads the replies.
         self._may_write = asyncio.Event()
         self._may_write.set()
@@ -217,9 +216,8 @@
             return
         self._server.remove(self)
         self._may_write.set()
-        for timer in (self._arrival_timer, self._stall_timer):
-            if timer is not None:
-                timer.cancel()
+        if self._arrival_timer is not None:
+            self._arrival_timer.cancel()
         self._client.release()
         self._received.clear()
 
@@ -243,16 +241,13 @@
         assert self._client is not None
         self._may_write.clear()
         self._transport.pause_reading()
-        self._client.set_reading(False)
-        self._stall_timer = self._loop.call_later(TRANSFER_TIMEOUT_S, self._end_stalled)
+        self._client.set_reading(False, TRANSFER_TIMEOUT_S)
 
     def resume_writing(self) -> None:
         """Take calls again."""
         assert self._transport is not None
         assert self._client is not None
         self._may_write.set()
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
         self._client.set_reading(True)
         if not self._transport.is_closing():
             self._transport.resume_reading()
@@ -349,11 +344,6 @@
         if not self._has_header or self._received or self._frame_bytes is not None:
             self._arrival_timer = self._loop.call_later(TRANSFER_TIMEOUT_S, self.abort)
 
-    def _end_stalled(self) -> None:
-        """Close the connection of a peer that does not read its replies."""
-        assert self._client is not None
-        self._client.evict(ClientRefusal.READS_NOTHING)
-
     def _is_closing(self) -> bool:
         """Return whether the connection is ending."""
         return self._transport is None or self._transport.is_closing()
--- a/tests/resources/test_client_resources.py
+++ b/tests/resources/test_client_resources.py
@@ -4,11 +4,14 @@
 that do.
 """
 
+import asyncio
+
 import pytest
 
 from baobabstream.resources.client_resources import ClientRefusal, ClientResources
 from baobabstream.resources.memory_budget import MemoryBudget
 from baobabstream.resources.process_limits import MAX_SMALL_REQUEST_BYTES, ProcessLimits
+from waiting import until
 
 MB = 1_000_000
 # Largest body of the platform's example configuration, and the copies of one that are held.
@@ -55,6 +58,20 @@
     assert closed == [2]
 
 
+async def test_client_that_reads_nothing_loses_its_connection_in_time():
+    """Guards against answers that wait for ever, and against clients cut off that read on."""
+    resources, closed = make_resources(), []
+    stalled, reading = (resources.admit(lambda n=n: closed.append(n)) for n in range(2))
+    for connection in (stalled, reading):
+        connection.begin_service()
+        connection.set_reading(False, 0.05)
+    reading.set_reading(True)
+    await until(lambda: closed == [0])
+    await asyncio.sleep(0.1)
+    assert closed == [0]
+    assert resources.refusals == {ClientRefusal.READS_NOTHING: 1}
+
+
 def test_released_connections_leave_their_room_to_others():
     """Guards against room that is lost with each connection, until no client is admitted."""
     resources = make_resources()
