--- a/tests/crowds/platform_under_crowds.py
+++ b/tests/crowds/platform_under_crowds.py
@@ -4,8 +4,9 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
+from ssl import SSLContext
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from baobabstream.platform.names import READY_PATH
 from baobabstream.telemetry.statistics_page import METRICS_PATH, METRICS_PORT
@@ -38,6 +39,7 @@
     "coordination_targets",
     "gateway_targets",
     "inner_targets",
+    "is_answered",
     "run_small_platform",
     "serve_in_time",
 ]
@@ -84,18 +86,29 @@
             await asyncio.sleep(PAUSE_AFTER_REFUSAL_S)
 
 
-async def sends_ordinary_request(platform: ProcessPlatform) -> bool:
-    """Send an ordinary request on a connection of its own, and return whether it was served."""
+async def is_answered(method: str, url: str, tls: SSLContext | None = None, **options) -> bool:
+    """Send a request on a connection of its own, and return whether it was served with a body.
+
+    ``options`` are those of aiohttp's `ClientSession.request`.
+    """
+    connector = TCPConnector(ssl=tls or True)
     try:
         async with (
-            ClientSession(timeout=ClientTimeout(total=5)) as session,
-            session.post(platform.url("/look/1"), headers=caller_headers("r0"), data=b"x") as reply,
+            ClientSession(timeout=ClientTimeout(total=5), connector=connector) as session,
+            session.request(method, url, **options) as reply,
         ):
             return reply.status == 200 and bool(await reply.read())
     except (ClientError, OSError, TimeoutError):
         return False
 
 
+async def sends_ordinary_request(platform: ProcessPlatform) -> bool:
+    """Send an ordinary request, and return whether it was served."""
+    return await is_answered(
+        "POST", platform.url("/look/1"), headers=caller_headers("r0"), data=b"x"
+    )
+
+
 async def changes_configuration(platform: ProcessPlatform, version: int) -> bool:
     """Send a configuration with a new route, and return whether the gateway serves that route."""
     config = make_config(version, limits=REQUEST_LIMITS)
--- a/tests/crowds/test_bodies_of_many_values.py
+++ b/tests/crowds/test_bodies_of_many_values.py
@@ -3,24 +3,17 @@
 Once they are decoded, such bodies take a large multiple of their size.
 """
 
-import asyncio
-
 import pytest
 
 from crowds.misbehaving_clients import MAX_BODY_BYTES, Crowd
-from crowds.platform_under_crowds import (
-    assert_bounded_under_crowd,
-    changes_configuration,
-    coordination_targets,
-    run_small_platform,
-)
+from crowds.platform_under_crowds import coordination_targets
 from crowds.test_own_front_crowds import assert_host_is_bounded, run_hosts
+from crowds.test_platform_crowds import assert_coordination_host_is_bounded
+from crowds.test_requests_at_limits import send
 
 CROWD_SIZE = 10
 # Pause after a body, in which the last of its bytes leave the client.
 PAUSE_S = 1.0
-# Only guards against a request that is never answered, in seconds.
-RESPONSE_TIMEOUT_S = 60.0
 CHAT_START = '{"model":"auto","max_tokens":2,"messages":'
 # Begin, repeated part without its comma, and end of a JSON text.
 CHAT_BODIES = {
@@ -76,22 +69,14 @@
     body = body_of_many_values(f'{CHAT_START}[{{"role":"user","content":"', "[{", '"}]}')
     async with run_hosts(tmp_path) as hosts:
         target = hosts.entry_targets()[0]
-        reader, writer = await asyncio.open_connection(target.ip, target.port)
-        writer.write(target.head(f"Content-Length: {len(body)}") + body)
-        async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-            assert b" 200 " in await reader.readline()
-        writer.close()
+        blocks = [target.head(f"Content-Length: {len(body)}"), body]
+        assert b" 200 " in await send(target.ip, target.port, blocks)
 
 
 @pytest.mark.parametrize("kind", CONFIG_BODIES)
 async def test_coordination_host_outlives_bodies_of_many_values(tmp_path, kind):
     """Guards against a configuration whose decoded form takes all memory, before it is refused."""
-    async with run_small_platform(tmp_path) as platform:
-        versions = iter(range(2, 1000))
-        await assert_bounded_under_crowd(
-            platform,
-            platform.coordinator_ips[0],
-            crowd_of(body_of_many_values(*CONFIG_BODIES[kind])),
-            coordination_targets(platform)[:1],
-            lambda: changes_configuration(platform, next(versions)),
-        )
+    crowd = crowd_of(body_of_many_values(*CONFIG_BODIES[kind]))
+    await assert_coordination_host_is_bounded(
+        tmp_path, crowd, lambda platform: coordination_targets(platform)[:1]
+    )
--- a/tests/crowds/test_own_front_crowds.py
+++ b/tests/crowds/test_own_front_crowds.py
@@ -7,12 +7,12 @@
 from itertools import count
 
 import pytest
-from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from crowds.misbehaving_clients import CROWDS, FRAME_CROWDS, REQUEST_SOCKET_PREAMBLE, Target
 from crowds.platform_under_crowds import (
     MAX_DESCRIPTORS,
     assert_process_is_bounded,
+    is_answered,
     serve_in_time,
 )
 from system.cluster import BACKEND_KEY, OPERATOR_KEY, Cluster, EngineSpec
@@ -50,14 +50,7 @@
             "messages": [{"role": "user", "content": "x"}],
         }
         headers = {"Authorization": f"Bearer {API_KEY}"}
-        try:
-            async with (
-                ClientSession(timeout=ClientTimeout(total=5)) as session,
-                session.post(url, json=body, headers=headers) as reply,
-            ):
-                return reply.status == 200 and bool(await reply.read())
-        except (ClientError, OSError, TimeoutError):
-            return False
+        return await is_answered("POST", url, json=body, headers=headers)
 
     async def serves_operator(self) -> bool:
         """Store a change, and return whether it was accepted."""
--- a/tests/crowds/test_tls_crowds.py
+++ b/tests/crowds/test_tls_crowds.py
@@ -11,15 +11,15 @@
 from pathlib import Path
 
 import pytest
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from crowds.misbehaving_clients import HANDSHAKE_CROWDS, TLS_CROWDS, Crowd, Target, client_tls
 from crowds.platform_under_crowds import (
     MAX_DESCRIPTORS,
     assert_process_is_bounded,
+    is_answered,
     serve_in_time,
 )
-from free_ports import free_ports
+from system.cluster import free_ports
 from tls_daemon_files import OPERATOR_KEY, write_daemon_files
 
 # As for the daemons without TLS.
@@ -70,16 +70,7 @@
             (self.ports[1], "/admin/v1/config") if role == "control" else (self.ports[2], "/readyz")
         )
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-        try:
-            async with (
-                ClientSession(
-                    timeout=ClientTimeout(total=5), connector=TCPConnector(ssl=client_tls())
-                ) as session,
-                session.get(f"https://{IP}:{port}{path}", headers=headers) as reply,
-            ):
-                return reply.status == 200 and bool(await reply.read())
-        except (ClientError, OSError, TimeoutError):
-            return False
+        return await is_answered("GET", f"https://{IP}:{port}{path}", client_tls(), headers=headers)
 
     def targets(self, role: str, is_tls: bool) -> tuple[Target, ...]:
         """Return the listening sockets of a daemon that a crowd comes to.
@@ -100,7 +91,7 @@
 @asynccontextmanager
 async def run_daemons(folder: Path) -> AsyncIterator[_Daemons]:
     """Run both daemons with small limits until each serves an ordinary call."""
-    daemons = _Daemons(free_ports(3))
+    daemons = _Daemons(free_ports(3, IP))
     write_daemon_files(folder, daemons.ports, LIMITS)
     try:
         for role in ("control", "entry"):
