--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+set -eu
+cd "$(dirname "$0")"
+exec python3 case.py
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -152,6 +152,12 @@
         """Whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, which has been started."""
+        assert self._process is not None
+        return self._process.pid
+
     async def check_ready(self) -> None:
         """Follow the readiness of the process, as the platform does."""
         while self._is_present:
